Skeleton: packages, shared types, error table, package borders

Cause: an empty repository; all other work needs the borders first. Change: the workspace, the closed list of error kinds with its table, the HTTP plumbing on compio, and working first versions of replication (one member, in memory), routing (targets in turn), placement (first fit) and configuration (merged folder, numbered history). Before and after: nothing to compare with. Conclusion: the packages can now be worked on side by side.

--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,19 @@
+//! Plumbing that every listener and client of cyclamenloft shares: binding,
+//! serving hyper on compio, bounded bodies, JSON answers and tokens. It takes
+//! no decision of its own.
+
+pub mod answer;
+pub mod body;
+pub mod client;
+pub mod listen;
+pub mod server;
+pub mod stop;
+pub mod token;
+
+pub use answer::{error_response, json_response, text_response};
+pub use body::{Body, BoxError, empty, full, read_json, read_limited};
+pub use client::JsonClient;
+pub use listen::bind;
+pub use server::{Handler, Limits, Request, Response, serve};
+pub use stop::{StopHandle, StopSignal, stop_pair};
+pub use token::Token;
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,157 @@
+//! Serving: one task accepts, one task serves each connection, and a planned
+//! stop lets every request in flight end.
+
+use crate::{
+    body::Body,
+    stop::{StopHandle, StopSignal, stop_pair},
+};
+use compio::{net::TcpStream, runtime::spawn};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_channel::mpsc;
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    pin_mut,
+};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
+
+/// A request as a handler gets it.
+pub type Request = http::Request<Incoming>;
+/// A response as a handler gives it.
+pub type Response = http::Response<Body>;
+
+/// Pause after a failed accept, so that a full table of files is not hammered.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers the requests of one listener.
+pub trait Handler: 'static {
+    /// Answers one request of the connection from `remote`.
+    fn handle(&self, req: Request, remote: SocketAddr) -> impl Future<Output = Response>;
+}
+
+/// Bounds on what a connection may cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most connections open at once for each serving thread; more are closed unanswered.
+    pub connections: usize,
+    /// Most headers of a request.
+    pub headers: usize,
+    /// Most bytes of a request's head.
+    pub head_bytes: usize,
+    /// Longest time for a request's head to arrive.
+    pub head_timeout: Duration,
+    /// Longest time that a planned stop waits for requests in flight.
+    pub drain: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            headers: 64,
+            head_bytes: 16 * 1024,
+            head_timeout: Duration::from_secs(10),
+            drain: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Serves `listener` until `stop`, then until the requests in flight have
+/// ended or the drain limit has passed.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadSetting`] where the listener can't be used.
+pub async fn serve(
+    listener: TcpListener,
+    limits: Limits,
+    stop: StopSignal,
+    handler: Rc<impl Handler>,
+) -> Result<()> {
+    let listener = compio::net::TcpListener::from_std(listener)
+        .map_err(|e| Error::new(ErrorKind::BadSetting, format!("listener: {e}")))?;
+    let open = Rc::new(Cell::new(0usize));
+    let (alive_tx, mut alive_rx) = mpsc::unbounded::<Infallible>();
+    let (mut drain_handle, drain): (StopHandle, StopSignal) = stop_pair();
+    loop {
+        let accepted = {
+            let accept = listener.accept();
+            let stopped = stop.stopped();
+            pin_mut!(accept, stopped);
+            match select(accept, stopped).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(((), _)) => break,
+            }
+        };
+        let (stream, remote) = match accepted {
+            Ok(pair) => pair,
+            Err(e) => {
+                tracing::warn!(error = %e, "accept failed");
+                compio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= limits.connections {
+            tracing::warn!(%remote, limit = limits.connections, "connection refused: too many");
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (open, handler, drain, alive) =
+            (open.clone(), handler.clone(), drain.clone(), alive_tx.clone());
+        spawn(async move {
+            serve_connection(stream, remote, limits, drain, handler).await;
+            open.set(open.get() - 1);
+            drop(alive);
+        })
+        .detach();
+    }
+    drop(listener);
+    drop(alive_tx);
+    drain_handle.stop();
+    // The channel ends once the last connection has dropped its sender.
+    if compio::time::timeout(limits.drain, alive_rx.next()).await.is_err() {
+        tracing::warn!(open = open.get(), "stopped with connections still open");
+    }
+    Ok(())
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    remote: SocketAddr,
+    limits: Limits,
+    drain: StopSignal,
+    handler: Rc<impl Handler>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(req, remote).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(CompioTimer)
+        .header_read_timeout(limits.head_timeout)
+        .max_headers(limits.headers)
+        .max_header_size(limits.head_bytes);
+    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let stopped = drain.stopped();
+    pin_mut!(connection, stopped);
+    let ended = match select(connection.as_mut(), stopped).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(((), _)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!(%remote, error = %e, "connection ended early");
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,14 @@
+//! Towards operators: the configuration folder, its checks, and the numbered
+//! history that the config group agrees on.
+//!
+//! A configuration lives through [`Draft`] (files as read) and [`Checked`]
+//! (every value typed and in range) until the config group accepts it under a
+//! number, which [`ConfigState`] records.
+
+pub mod deployment;
+pub mod folder;
+pub mod state;
+
+pub use deployment::Deployment;
+pub use folder::{Checked, ConfigFile, Draft};
+pub use state::{Accepted, ConfigCommand, ConfigState};
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions on tasks: which worker runs what, and when a task is throttled,
+//! evicted or resumed. [`PlacementState`] is what a failure domain's placement
+//! group agrees on; [`Scheduler`] is what its leader knows besides. No input or
+//! output happens here; each function that decides takes the present time.
+
+pub mod command;
+pub mod messages;
+pub mod policy;
+pub mod scheduler;
+pub mod state;
+pub mod time;
+
+pub use command::{Command, EndedAttempt, Placement, Receipt, WorkerRecord};
+pub use messages::{
+    Announcement, AttemptEnd, Lease, NumberedOrder, Order, OrdersRequest, Report, RunningTask,
+};
+pub use policy::{FitPolicy, PlacementPolicy};
+pub use scheduler::Scheduler;
+pub use state::PlacementState;
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/replication/src/config.rs
@@ -0,0 +1,113 @@
+//! Settings of one replica.
+
+use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result};
+use serde::{Deserialize, Serialize};
+use std::{path::PathBuf, time::Duration};
+
+/// What a member of a group does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MemberKind {
+    /// Votes, stores the log and the state.
+    Voter,
+    /// Votes and stores the log, but never leads.
+    Witness,
+    /// Stores the log and the state; does not vote.
+    Learner,
+}
+
+/// One member of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The member's id inside the group.
+    pub id: ReplicaId,
+    /// What the member does.
+    pub kind: MemberKind,
+}
+
+/// Settings of one replica of one group.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub(crate) group: Box<str>,
+    pub(crate) id: ReplicaId,
+    pub(crate) initial_members: Vec<Member>,
+    pub(crate) folder: PathBuf,
+    pub(crate) heartbeat: Duration,
+    pub(crate) election_timeout: Duration,
+    pub(crate) early_visibility: bool,
+    pub(crate) snapshot_entries: u64,
+}
+
+impl Config {
+    /// Settings for replica `id` of `group`, with files under `folder`.
+    #[must_use]
+    pub fn new(
+        group: impl Into<Box<str>>,
+        id: ReplicaId,
+        initial_members: impl Into<Vec<Member>>,
+        folder: impl Into<PathBuf>,
+    ) -> Self {
+        Self {
+            group: group.into(),
+            id,
+            initial_members: initial_members.into(),
+            folder: folder.into(),
+            heartbeat: Duration::from_millis(100),
+            election_timeout: Duration::from_millis(500),
+            early_visibility: false,
+            snapshot_entries: 10_000,
+        }
+    }
+
+    /// Sets the time between heartbeats of a leader.
+    #[must_use]
+    pub fn heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self
+    }
+
+    /// Sets the shortest silence after which a follower seeks election; the
+    /// longest is twice that.
+    #[must_use]
+    pub fn election_timeout(mut self, timeout: Duration) -> Self {
+        self.election_timeout = timeout;
+        self
+    }
+
+    /// Lets the leader decide on entries that are not durable yet, while
+    /// answers still wait for durability.
+    #[must_use]
+    pub fn early_visibility(mut self, enabled: bool) -> Self {
+        self.early_visibility = enabled;
+        self
+    }
+
+    /// Sets how many entries are applied between two snapshots.
+    #[must_use]
+    pub fn snapshot_entries(mut self, entries: u64) -> Self {
+        self.snapshot_entries = entries;
+        self
+    }
+
+    /// Checks the settings against each other.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadSetting`] naming the setting.
+    pub fn check(&self) -> Result<()> {
+        let bad = |what: String| Err(Error::new(ErrorKind::BadSetting, what));
+        if !self.initial_members.iter().any(|m| m.id == self.id) {
+            return bad(format!("group {}: replica {} is not a member", self.group, self.id));
+        }
+        if self.election_timeout < self.heartbeat * 3 {
+            return bad(format!(
+                "election timeout {:?}: expected at least three heartbeats of {:?}",
+                self.election_timeout, self.heartbeat
+            ));
+        }
+        if self.snapshot_entries == 0 {
+            return bad("snapshot entries: expected at least 1, found 0".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/replication/src/machine.rs
@@ -0,0 +1,29 @@
+//! What a group agrees on.
+
+use cyclamenloft_types::{LogIndex, Result};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// State that every replica of a group derives from the same log.
+///
+/// Implementations must be deterministic: no clock, no randomness, no input
+/// but the command.
+pub trait StateMachine: Sized + 'static {
+    /// A change, as it stands in the log.
+    type Command: Clone + Serialize + DeserializeOwned + 'static;
+    /// What applying a change tells the proposer.
+    type Answer: Clone + 'static;
+
+    /// Applies the committed command at `index`.
+    fn apply(&mut self, index: LogIndex, command: &Self::Command) -> Self::Answer;
+
+    /// Encodes the whole state for a snapshot.
+    fn encode(&self) -> Vec<u8>;
+
+    /// Decodes a state from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Corrupt`](cyclamenloft_types::ErrorKind::Corrupt) where the
+    /// bytes are no snapshot of this kind.
+    fn decode(bytes: &[u8]) -> Result<Self>;
+}
--- /dev/null
+++ b/src/bin/cyclamenloft.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The library that ties the packages of cyclamenloft together.
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests with real processes.
