--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,24 +2,35 @@
 
 use bytes::Bytes;
 use cyclamenloft_types::{Error, ErrorKind, Result};
-use http_body_util::{BodyExt, Empty, Full, Limited, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use serde::de::DeserializeOwned;
+use std::pin::Pin;
 
 /// Error of a body that ended before its time.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
-/// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, BoxError>;
+/// Body of an answer or of a request to a target. It stays on its thread.
+pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = BoxError>>>;
 
 /// A body without content.
 #[must_use]
 pub fn empty() -> Body {
-    Empty::new().map_err(|never| match never {}).boxed_unsync()
+    Box::pin(Empty::new().map_err(|never| match never {}))
 }
 
 /// A body with content that is at hand.
 #[must_use]
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Full::new(content.into()).map_err(|never| match never {}).boxed_unsync()
+    Box::pin(Full::new(content.into()).map_err(|never| match never {}))
+}
+
+/// Boxes any body.
+#[must_use]
+pub fn boxed<B>(body: B) -> Body
+where
+    B: http_body::Body<Data = Bytes> + 'static,
+    B::Error: Into<BoxError>,
+{
+    Box::pin(body.map_err(Into::into))
 }
 
 /// Reads a whole body of at most `limit` bytes.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod token;
 
 pub use answer::{error_response, json_response, text_response};
-pub use body::{Body, BoxError, empty, full, read_json, read_limited};
+pub use body::{Body, BoxError, boxed, empty, full, read_json, read_limited};
 pub use client::JsonClient;
 pub use listen::bind;
 pub use server::{Handler, Limits, Request, Response, serve};
--- /dev/null
+++ b/crates/peer/src/calls.rs
@@ -0,0 +1,193 @@
+//! The methods that peers call on each other, with their typed parameters and
+//! answers.
+
+use cyclamenloft_operator::{Accepted, ConfigFile};
+use cyclamenloft_placement::{Announcement, Lease, NumberedOrder, OrdersRequest, Report};
+use cyclamenloft_target::TargetAnnouncement;
+use cyclamenloft_types::{ConfigNumber, HostId, JobId, JobSpec, JobState, LogIndex, WorkerId};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// A method of the peers' protocol.
+pub trait Method {
+    /// Name on the wire.
+    const NAME: &'static str;
+    /// What the caller sends.
+    type Params: Serialize + DeserializeOwned + 'static;
+    /// What the caller gets.
+    type Answer: Clone + Serialize + DeserializeOwned + 'static;
+}
+
+macro_rules! methods {
+    ($($(#[$doc:meta])* $method:ident = $name:literal: $params:ty => $answer:ty;)*) => {
+        $(
+            $(#[$doc])*
+            #[derive(Clone, Copy, Debug)]
+            pub struct $method;
+
+            impl Method for $method {
+                const NAME: &'static str = $name;
+                type Params = $params;
+                type Answer = $answer;
+            }
+        )*
+
+        /// The names of all methods.
+        pub const METHOD_NAMES: &[&str] = &[$($name),*];
+    };
+}
+
+methods! {
+    /// Passes targets' announcements on to another entry host of the domain.
+    SpreadTargets = "targets.spread": Vec<TargetAnnouncement> => Nothing;
+    /// Hands a worker's announcement to the control leader.
+    AnnounceWorker = "workers.announce": Announcement => Lease;
+    /// Hands a worker's report to the control leader.
+    ReportWorker = "workers.report": Report => Lease;
+    /// Waits for a worker's orders at the control leader.
+    WaitOrders = "workers.orders": OrdersRequest => Vec<NumberedOrder>;
+    /// Lists the workers of a domain.
+    ListWorkers = "workers.list": Nothing => Vec<WorkerSummary>;
+    /// Submits a job.
+    SubmitJob = "jobs.submit": JobSpec => SubmitAnswer;
+    /// Reads a job's state.
+    ReadJob = "jobs.read": JobId => JobState;
+    /// Lists jobs.
+    ListJobs = "jobs.list": Nothing => Vec<JobSummary>;
+    /// Cancels jobs.
+    CancelJobs = "jobs.cancel": Vec<JobId> => CancelAnswer;
+    /// Proposes a configuration.
+    ApplyConfig = "config.apply": ApplyParams => Accepted;
+    /// Waits for a configuration with a number above the given one.
+    WaitConfig = "config.wait": WaitConfigParams => ConfigUpdate;
+    /// Lists the accepted configurations.
+    ConfigHistory = "config.history": Nothing => Vec<Accepted>;
+    /// Describes the process.
+    ProcessStatus = "status": Nothing => StatusAnswer;
+}
+
+/// Stands for no parameters or no answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Nothing {}
+
+/// A worker in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerSummary {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its rack.
+    pub rack: Box<str>,
+    /// Whether its lease has not surely expired.
+    pub alive: bool,
+    /// What it holds.
+    pub capacity: cyclamenloft_types::Resources,
+    /// What is reserved on it.
+    pub reserved: cyclamenloft_types::Resources,
+    /// Tasks with reservations on it.
+    pub tasks: usize,
+}
+
+/// The answer to a submitted job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmitAnswer {
+    /// The job.
+    pub job: JobId,
+    /// Whether it was known already with the same content.
+    pub already: bool,
+}
+
+/// A job in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSummary {
+    /// The job.
+    pub job: JobId,
+    /// Its team.
+    pub team: Box<str>,
+    /// Its number of tasks.
+    pub tasks: usize,
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Tasks on a worker.
+    pub running: usize,
+    /// Tasks that finished.
+    pub finished: usize,
+}
+
+/// The answer to a cancellation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelAnswer {
+    /// Jobs that are cancelled now.
+    pub cancelled: Vec<JobId>,
+    /// Jobs that are not known.
+    pub unknown: Vec<JobId>,
+}
+
+/// A configuration to be accepted under a number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyParams {
+    /// The number; one more than the last accepted.
+    pub number: ConfigNumber,
+    /// Who proposes it.
+    pub author: Box<str>,
+    /// The whole content.
+    pub files: Vec<ConfigFile>,
+}
+
+/// A wait for a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitConfigParams {
+    /// The number that the asker has in force.
+    pub above: ConfigNumber,
+    /// Longest time to wait, in milliseconds; 0 answers at once.
+    pub wait_ms: u64,
+}
+
+/// A configuration in force at the answering process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigUpdate {
+    /// The number in force.
+    pub number: ConfigNumber,
+    /// The whole content; absent where the asker has it.
+    pub files: Option<Vec<ConfigFile>>,
+}
+
+/// A group's standing at one replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// The group.
+    pub group: Box<str>,
+    /// The replica's role in words.
+    pub role: Box<str>,
+    /// The leader, if one is known.
+    pub leader: Option<u64>,
+    /// Last committed entry.
+    pub committed: LogIndex,
+}
+
+/// What a process says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusAnswer {
+    /// The host's name.
+    pub host: HostId,
+    /// The host's failure domain.
+    pub domain: Box<str>,
+    /// `entry` or `control`.
+    pub program: Box<str>,
+    /// Whether it is ready.
+    pub ready: bool,
+    /// Configuration in force.
+    pub config: ConfigNumber,
+    /// Groups that it takes part in.
+    pub groups: Vec<GroupStatus>,
+    /// Services with the number of valid targets.
+    pub services: Vec<ServiceStatus>,
+}
+
+/// A service at one entry host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// The service.
+    pub service: Box<str>,
+    /// Targets with a valid announcement.
+    pub targets: usize,
+}
--- a/crates/placement/src/messages.rs
+++ b/crates/placement/src/messages.rs
@@ -106,9 +106,9 @@
     pub lag_ms: u64,
 }
 
-/// An ended attempt in a report.
+/// An ended attempt in a report. Unknown fields can't be denied beside a
+/// flattened field.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct EndedTask {
     /// The task.
     pub task: TaskKey,
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,206 @@
+//! A stand-in target: announces itself, answers after a service time, and
+//! writes down every request that it worked on.
+
+use crate::journal::{Event, Journal};
+use bytes::Bytes;
+use cyclamenloft_http::{
+    Handler, JsonClient, Limits, Request, Response, StopSignal, bind, full, read_limited, serve,
+    stop_pair, text_response,
+};
+use cyclamenloft_target::{AnnounceAnswer, TargetAnnouncement, TargetPhase};
+use cyclamenloft_types::{DomainName, Result, ServiceName, TargetId};
+use http::StatusCode;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Header with the load generator's own number of a request.
+pub const NUMBER_HEADER: &str = "x-request-number";
+/// Largest request body that the stand-in takes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Time between the announcement of leaving and the end of accepting.
+const LEAVE_TIME: Duration = Duration::from_secs(4);
+/// Longest wait for an entry host's answer to an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How a stand-in target behaves.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// The target's name.
+    pub name: TargetId,
+    /// The service it answers for.
+    pub service: ServiceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it listens; port 0 picks one.
+    pub addr: SocketAddr,
+    /// Platform listeners of entry hosts, asked in turn.
+    pub platforms: Vec<SocketAddr>,
+    /// Time that each request takes.
+    pub service_time: Duration,
+    /// Where events are written.
+    pub journal: Option<PathBuf>,
+}
+
+/// A running stand-in target.
+pub struct TargetStandin {
+    settings: TargetSettings,
+    journal: Journal,
+    in_flight: Cell<usize>,
+    phase: Cell<TargetPhase>,
+    service_time: Cell<Duration>,
+    answered: Cell<u64>,
+    next_platform: Cell<usize>,
+    last_sequence: Cell<u64>,
+    extra: RefCell<Option<Bytes>>,
+}
+
+impl TargetStandin {
+    /// Creates a target that has not announced itself yet.
+    ///
+    /// # Errors
+    ///
+    /// A journal that can't be opened.
+    pub fn new(settings: TargetSettings) -> Result<Rc<Self>> {
+        let journal = Journal::open(&settings.name, settings.journal.as_deref())?;
+        let service_time = Cell::new(settings.service_time);
+        Ok(Rc::new(Self {
+            settings,
+            journal,
+            in_flight: Cell::new(0),
+            phase: Cell::new(TargetPhase::Serving),
+            service_time,
+            answered: Cell::new(0),
+            next_platform: Cell::new(0),
+            last_sequence: Cell::new(0),
+            extra: RefCell::new(None),
+        }))
+    }
+
+    /// Requests answered so far.
+    #[must_use]
+    pub fn answered(&self) -> u64 {
+        self.answered.get()
+    }
+
+    /// Changes the time that each request takes.
+    pub fn set_service_time(&self, time: Duration) {
+        self.service_time.set(time);
+    }
+
+    /// Serves until `stop`, then leaves gracefully.
+    ///
+    /// # Errors
+    ///
+    /// An address in use.
+    pub async fn run(self: &Rc<Self>, stop: StopSignal) -> Result<()> {
+        let listener = bind(self.settings.addr)?;
+        let addr = listener.local_addr().unwrap_or(self.settings.addr);
+        let (mut serve_stop, signal) = stop_pair();
+        let limits = Limits { drain: Duration::from_secs(10), ..Limits::default() };
+        let serving = compio::runtime::spawn(serve(listener, limits, signal, self.clone()));
+        let announcing = compio::runtime::spawn(self.clone().announce_always(addr));
+        stop.stopped().await;
+        self.phase.set(TargetPhase::Leaving);
+        self.announce(addr).await;
+        compio::time::sleep(LEAVE_TIME).await;
+        serve_stop.stop();
+        drop(announcing);
+        serving.await.unwrap_or(Ok(()))
+    }
+
+    async fn announce_always(self: Rc<Self>, addr: SocketAddr) {
+        loop {
+            let period = self.announce(addr).await;
+            compio::time::sleep(period).await;
+        }
+    }
+
+    /// Announces the target through one entry host; another is tried where one
+    /// does not answer. Returns the time until the next announcement.
+    async fn announce(&self, addr: SocketAddr) -> Duration {
+        let announcement = TargetAnnouncement {
+            target: self.settings.name.clone(),
+            service: self.settings.service.clone(),
+            domain: self.settings.domain.clone(),
+            addr,
+            sequence: self.next_sequence(),
+            phase: self.phase.get(),
+            in_flight: self.in_flight.get() as u16,
+        };
+        let Ok(client) = JsonClient::new(None, ANNOUNCE_TIMEOUT) else {
+            return Duration::from_millis(200);
+        };
+        for _ in 0..self.settings.platforms.len() {
+            let at = self.next_platform.get() % self.settings.platforms.len();
+            self.next_platform.set(at + 1);
+            let platform = self.settings.platforms[at];
+            let sent: Result<AnnounceAnswer> =
+                client.post(platform, "/v1/targets/announce", &announcement).await;
+            match sent {
+                Ok(answer) => return Duration::from_millis(answer.period_ms),
+                Err(e) => tracing::debug!(%platform, error = %e, "announcement not taken"),
+            }
+        }
+        Duration::from_millis(200)
+    }
+
+    /// Sequences grow across restarts because they start from the wall clock.
+    fn next_sequence(&self) -> u64 {
+        let clock = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |t| u64::try_from(t.as_micros()).unwrap_or(u64::MAX));
+        let next = clock.max(self.last_sequence.get() + 1);
+        self.last_sequence.set(next);
+        next
+    }
+
+    async fn work(&self, req: Request) -> Result<Response> {
+        let number: Box<str> = req
+            .headers()
+            .get(NUMBER_HEADER)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .into();
+        self.in_flight.set(self.in_flight.get() + 1);
+        let _in_flight = InFlight(&self.in_flight);
+        self.journal.write(Event::RequestBegan {
+            number: number.clone(),
+            in_flight: self.in_flight.get(),
+            leaving: self.phase.get() == TargetPhase::Leaving,
+        });
+        let body = read_limited(req.into_body(), MAX_BODY_BYTES).await?;
+        compio::time::sleep(self.service_time.get()).await;
+        self.answered.set(self.answered.get() + 1);
+        self.journal.write(Event::RequestEnded { number: number.clone() });
+        // The answer names the request and echoes its body, so that a caller
+        // can tell a swapped or cut answer.
+        let mut content = format!("{} {number}\n", self.settings.name).into_bytes();
+        content.extend_from_slice(&body);
+        if let Some(extra) = &*self.extra.borrow() {
+            content.extend_from_slice(extra);
+        }
+        Ok(Response::new(full(content)))
+    }
+}
+
+struct InFlight<'a>(&'a Cell<usize>);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Handler for TargetStandin {
+    async fn handle(&self, req: Request, _remote: SocketAddr) -> Response {
+        match self.work(req).await {
+            Ok(response) => response,
+            Err(e) => text_response(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/src/announcement.rs
@@ -0,0 +1,100 @@
+//! What a target tells the system of itself.
+
+use cyclamenloft_routing::TargetRecord;
+use cyclamenloft_types::{DomainName, Error, ErrorKind, Result, ServiceName, TargetId, check_name};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// How long an announcement is valid.
+pub const ANNOUNCEMENT_LIFE: Duration = Duration::from_secs(3);
+/// How often a target should announce itself.
+pub const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The phase of a target's life that it announces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetPhase {
+    /// Takes new requests.
+    Serving,
+    /// Finishes its requests and takes no new ones.
+    Leaving,
+}
+
+/// An announcement as JSON carries it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetAnnouncement {
+    /// The target's name.
+    pub target: TargetId,
+    /// The service it answers for.
+    pub service: ServiceName,
+    /// Failure domain of the target.
+    pub domain: DomainName,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Grows with each announcement, across restarts too.
+    pub sequence: u64,
+    /// Whether it takes new requests.
+    pub phase: TargetPhase,
+    /// Requests that it is working on.
+    #[serde(default)]
+    pub in_flight: u16,
+}
+
+/// The answer to an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnounceAnswer {
+    /// Milliseconds for which the announcement is valid.
+    pub life_ms: u64,
+    /// Milliseconds between announcements.
+    pub period_ms: u64,
+}
+
+impl Default for AnnounceAnswer {
+    fn default() -> Self {
+        Self {
+            life_ms: ANNOUNCEMENT_LIFE.as_millis() as u64,
+            period_ms: ANNOUNCE_PERIOD.as_millis() as u64,
+        }
+    }
+}
+
+impl TargetAnnouncement {
+    /// Checks the names and the address.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] naming the key.
+    pub fn check(&self) -> Result<()> {
+        check_name("target", &self.target)?;
+        check_name("service", &self.service)?;
+        check_name("domain", &self.domain)?;
+        if self.addr.port() == 0 || self.addr.ip().is_unspecified() {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                format!(
+                    "target {:?} addr {}: expected an address to connect to",
+                    self.target, self.addr
+                ),
+            ));
+        }
+        Ok(())
+    }
+
+    /// The record that routing keeps, valid from `now`.
+    #[must_use]
+    pub fn record(&self, now: Instant) -> TargetRecord {
+        TargetRecord {
+            id: self.target.clone(),
+            addr: self.addr,
+            domain: self.domain.clone(),
+            sequence: self.sequence,
+            leaving: self.phase == TargetPhase::Leaving,
+            in_flight: self.in_flight,
+            expires: now + ANNOUNCEMENT_LIFE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/src/registry.rs
@@ -0,0 +1,71 @@
+//! The announcements that are valid at the moment, newest sequence first.
+//!
+//! The result does not depend on the order in which announcements arrive: for
+//! each target the highest sequence counts, and at equal sequences `leaving`
+//! wins.
+
+use crate::announcement::{ANNOUNCEMENT_LIFE, TargetAnnouncement, TargetPhase};
+use cyclamenloft_types::{ServiceName, TargetId};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// How long a sequence is remembered after its announcement has expired, so
+/// that a delayed older announcement can't bring a target back.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Names a target of a service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// The target.
+    pub target: TargetId,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    announcement: TargetAnnouncement,
+    heard: Instant,
+}
+
+/// The announcements known to one entry host.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<ServiceTarget, Entry>,
+}
+
+impl Registry {
+    /// Takes in an announcement heard at `now`. Returns whether it was news.
+    pub fn offer(&mut self, announcement: &TargetAnnouncement, now: Instant) -> bool {
+        let key = ServiceTarget {
+            service: announcement.service.clone(),
+            target: announcement.target.clone(),
+        };
+        if let Some(known) = self.entries.get(&key)
+            && rank(&known.announcement) >= rank(announcement)
+        {
+            return false;
+        }
+        self.entries.insert(key, Entry { announcement: announcement.clone(), heard: now });
+        true
+    }
+
+    /// The announcements that are valid at `now`.
+    pub fn valid(&self, now: Instant) -> impl Iterator<Item = &TargetAnnouncement> {
+        self.entries
+            .values()
+            .filter(move |e| e.heard + ANNOUNCEMENT_LIFE > now)
+            .map(|e| &e.announcement)
+    }
+
+    /// Forgets what expired long ago.
+    pub fn forget(&mut self, now: Instant) {
+        self.entries.retain(|_, e| e.heard + ANNOUNCEMENT_LIFE + MEMORY > now);
+    }
+}
+
+fn rank(announcement: &TargetAnnouncement) -> (u64, bool) {
+    (announcement.sequence, announcement.phase == TargetPhase::Leaving)
+}
--- a/src/bin/cyclamenloft.rs
+++ b/src/bin/cyclamenloft.rs
@@ -1,3 +1,7 @@
 //! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cyclamenloft::cli::main()
+}
--- /dev/null
+++ b/src/control/config.rs
@@ -0,0 +1,66 @@
+//! Keeping the configuration in force at a control process current: from its
+//! own replica of the config group, or from the group's voters.
+
+use super::Control;
+use crate::board::ConfigBoard;
+use cyclamenloft_peer::{
+    PeerClient,
+    calls::{WaitConfig, WaitConfigParams},
+};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// Longest wait of one question for a newer configuration.
+const WAIT: Duration = Duration::from_secs(10);
+/// Pause after a source could not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Starts the tasks that feed the board.
+pub(crate) fn start(control: &Rc<Control>, client: PeerClient, sources: Vec<SocketAddr>) {
+    if control.config.is_some() {
+        compio::runtime::spawn(follow_replica(control.clone())).detach();
+    }
+    for source in sources {
+        compio::runtime::spawn(follow_source(control.board.clone(), client.clone(), source))
+            .detach();
+    }
+}
+
+/// Feeds the board from this process's replica of the config group.
+async fn follow_replica(control: Rc<Control>) {
+    let Some(replica) = &control.config else {
+        return;
+    };
+    let mut seen = 0;
+    loop {
+        let (number, files) = replica.state(|s| (s.number(), s.files().to_vec()));
+        offer(&control.board, number, &files);
+        control.due.notify();
+        seen = replica.changed(seen).await;
+    }
+}
+
+/// Feeds the board from another process, one question at a time.
+pub(crate) async fn follow_source(board: ConfigBoard, client: PeerClient, source: SocketAddr) {
+    loop {
+        let params = WaitConfigParams { above: board.number(), wait_ms: WAIT.as_millis() as u64 };
+        match client.call::<WaitConfig>(source, &params).await {
+            Ok(update) => offer(&board, update.number, &update.files.unwrap_or_default()),
+            Err(e) => {
+                tracing::debug!(%source, error = %e, "no configuration from source");
+                compio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Offers a configuration that a peer has in force.
+pub(crate) fn offer(board: &ConfigBoard, number: u64, files: &[cyclamenloft_operator::ConfigFile]) {
+    if number <= board.number() || files.is_empty() {
+        return;
+    }
+    if let Err(e) = board.offer(number, files) {
+        // The group accepts checked content only; this version of the program
+        // may be older than the one that checked it.
+        tracing::error!(number, error = %e, "accepted configuration not understood");
+    }
+}
--- /dev/null
+++ b/src/control/methods.rs
@@ -0,0 +1,220 @@
+//! The methods that a control process answers.
+
+use super::{
+    CONFIG_GROUP, Control, PLACEMENT_GROUP,
+    placement::{commit, with_scheduler},
+};
+use cyclamenloft_operator::{Accepted, ConfigCommand, Draft};
+use cyclamenloft_peer::{
+    Method, PeerHandler, answer,
+    calls::{
+        AnnounceWorker, ApplyConfig, ApplyParams, CancelAnswer, CancelJobs, ConfigHistory,
+        GroupStatus, JobSummary, ListJobs, ListWorkers, ProcessStatus, ReadJob, ReportWorker,
+        StatusAnswer, SubmitAnswer, SubmitJob, WaitConfig, WaitOrders, WorkerSummary,
+    },
+};
+use cyclamenloft_placement::{
+    Announcement, Command, Lease, NumberedOrder, OrdersRequest, Report, Timestamp,
+    command::Applied, state::Job,
+};
+use cyclamenloft_replication::{Replica, StateMachine, Status};
+use cyclamenloft_types::{Error, ErrorKind, JobId, JobSpec, JobState, Result, TaskState};
+use cyclamenloft_worker::{check_announcement, check_orders_request, check_report};
+use serde_json::value::RawValue;
+use std::{rc::Rc, time::Duration};
+
+/// Answers the peers of a control process.
+pub(crate) struct ControlHandler(pub(crate) Rc<Control>);
+
+impl PeerHandler for ControlHandler {
+    async fn call(&self, method: &str, params: &str) -> Result<Box<RawValue>> {
+        let control = &*self.0;
+        match method {
+            AnnounceWorker::NAME => {
+                answer::<AnnounceWorker, _>(params, |p| announce(control, p)).await
+            }
+            ReportWorker::NAME => answer::<ReportWorker, _>(params, |p| report(control, p)).await,
+            WaitOrders::NAME => answer::<WaitOrders, _>(params, |p| orders(control, p)).await,
+            ListWorkers::NAME => {
+                answer::<ListWorkers, _>(params, |_| async { Ok(workers(control)) }).await
+            }
+            SubmitJob::NAME => answer::<SubmitJob, _>(params, |p| submit(control, p)).await,
+            ReadJob::NAME => answer::<ReadJob, _>(params, |p| read_job(control, p)).await,
+            ListJobs::NAME => answer::<ListJobs, _>(params, |_| list_jobs(control)).await,
+            CancelJobs::NAME => answer::<CancelJobs, _>(params, |p| cancel(control, p)).await,
+            ApplyConfig::NAME => answer::<ApplyConfig, _>(params, |p| apply(control, p)).await,
+            WaitConfig::NAME => {
+                let wait = |p| async move { Ok(control.board.answer_wait(p).await) };
+                answer::<WaitConfig, _>(params, wait).await
+            }
+            ConfigHistory::NAME => answer::<ConfigHistory, _>(params, |_| history(control)).await,
+            ProcessStatus::NAME => {
+                answer::<ProcessStatus, _>(params, |_| async { Ok(status(control)) }).await
+            }
+            _ => Err(Error::new(
+                ErrorKind::NotFound,
+                format!("a control process has no method {method:?}"),
+            )),
+        }
+    }
+
+    async fn log_message(&self, group: &str, message: &[u8]) -> Result<Vec<u8>> {
+        match (group, &self.0.config) {
+            (PLACEMENT_GROUP, _) => self.0.placement.handle(message).await,
+            (CONFIG_GROUP, Some(config)) => config.handle(message).await,
+            _ => {
+                Err(Error::new(ErrorKind::NotFound, format!("no replica of group {group:?} here")))
+            }
+        }
+    }
+}
+
+async fn announce(control: &Control, announcement: Announcement) -> Result<Lease> {
+    check_announcement(&announcement)?;
+    if announcement.domain != control.domain {
+        return Err(Error::new(
+            ErrorKind::BadRequest,
+            format!("worker of domain {:?}: expected {:?}", announcement.domain, control.domain),
+        ));
+    }
+    let command = with_scheduler(control, |s| s.announce(&announcement, Timestamp::read()))?;
+    commit(control, command).await??;
+    with_scheduler(control, |s| s.lease())
+}
+
+async fn report(control: &Control, report: Report) -> Result<Lease> {
+    check_report(&report)?;
+    let commands = with_scheduler(control, |scheduler| {
+        control.placement.state(|state| scheduler.report(state, &report, Timestamp::read()))
+    })??;
+    for command in commands {
+        commit(control, command).await??;
+    }
+    with_scheduler(control, |s| s.lease())
+}
+
+async fn orders(control: &Control, req: OrdersRequest) -> Result<Vec<NumberedOrder>> {
+    check_orders_request(&req)?;
+    let find = async {
+        loop {
+            let seen = control.orders.seen();
+            let orders = with_scheduler(control, |s| s.orders(&req.worker, req.boot, req.handled))?;
+            if !orders.is_empty() {
+                return Ok(orders);
+            }
+            control.orders.changed(seen).await;
+        }
+    };
+    match compio::time::timeout(Duration::from_millis(req.wait_ms), find).await {
+        Ok(found) => found,
+        Err(_) => Ok(Vec::new()),
+    }
+}
+
+fn workers(control: &Control) -> Vec<WorkerSummary> {
+    control.placement.state(|state| {
+        state
+            .workers()
+            .map(|w| WorkerSummary {
+                worker: w.record.id.clone(),
+                rack: w.record.rack.clone(),
+                alive: w.alive,
+                capacity: w.record.capacity,
+                reserved: w.reserved,
+                tasks: w.tasks.len(),
+            })
+            .collect()
+    })
+}
+
+async fn submit(control: &Control, spec: JobSpec) -> Result<SubmitAnswer> {
+    spec.check()?;
+    if spec.home.as_ref().is_some_and(|home| *home != control.domain) {
+        return Err(Error::new(
+            ErrorKind::HomeUnreachable,
+            format!("job {:?}: this is {}, not its home", spec.id, control.domain),
+        ));
+    }
+    let job = spec.id.clone();
+    let at_unix_ms = Timestamp::read().unix_ms();
+    let applied = commit(control, Command::Submit { spec, at_unix_ms }).await??;
+    Ok(SubmitAnswer { job, already: applied == Applied::Already })
+}
+
+async fn read_job(control: &Control, id: JobId) -> Result<JobState> {
+    control.placement.barrier().await?;
+    control.placement.state(|state| state.job_state(&id))
+}
+
+async fn list_jobs(control: &Control) -> Result<Vec<JobSummary>> {
+    control.placement.barrier().await?;
+    Ok(control.placement.state(|state| state.jobs().map(summarize).collect()))
+}
+
+fn summarize(job: &Job) -> JobSummary {
+    let count = |wanted: fn(&TaskState) -> bool| {
+        job.tasks.iter().filter(|task| wanted(&task.state)).count()
+    };
+    JobSummary {
+        job: job.spec.id.clone(),
+        team: job.spec.team.clone(),
+        tasks: job.tasks.len(),
+        waiting: count(|s| matches!(s, TaskState::Waiting { .. })),
+        running: count(|s| matches!(s, TaskState::Placed { .. } | TaskState::Evicting { .. })),
+        finished: count(|s| matches!(s, TaskState::Finished)),
+    }
+}
+
+async fn cancel(control: &Control, ids: Vec<JobId>) -> Result<CancelAnswer> {
+    let known = |id: &JobId| control.placement.state(|state| state.job_state(id).is_ok());
+    control.placement.barrier().await?;
+    let (cancelled, unknown): (Vec<JobId>, Vec<JobId>) = ids.into_iter().partition(known);
+    if !cancelled.is_empty() {
+        commit(control, Command::Cancel(cancelled.clone())).await??;
+    }
+    Ok(CancelAnswer { cancelled, unknown })
+}
+
+async fn apply(control: &Control, params: ApplyParams) -> Result<Accepted> {
+    let Some(config) = &control.config else {
+        return Err(Error::new(
+            ErrorKind::NotLeader,
+            format!("{} is no replica of the config group", control.host),
+        ));
+    };
+    let ApplyParams { number, author, files } = params;
+    let files = Draft::from_files(files).check()?.files().to_vec();
+    let at_unix_ms = Timestamp::read().unix_ms();
+    config.propose(ConfigCommand::Propose { number, files, author, at_unix_ms }).await?
+}
+
+async fn history(control: &Control) -> Result<Vec<Accepted>> {
+    match &control.config {
+        Some(config) => Ok(config.state(|state| state.history().to_vec())),
+        None => Err(Error::new(ErrorKind::NotLeader, "no replica of the config group here")),
+    }
+}
+
+fn status(control: &Control) -> StatusAnswer {
+    let mut groups = vec![group_status(PLACEMENT_GROUP, &control.placement)];
+    groups.extend(control.config.as_ref().map(|c| group_status(CONFIG_GROUP, c)));
+    StatusAnswer {
+        host: control.host.clone(),
+        domain: control.domain.clone(),
+        program: "control".into(),
+        ready: groups.iter().all(|g| g.leader.is_some()),
+        config: control.board.number(),
+        groups,
+        services: Vec::new(),
+    }
+}
+
+fn group_status<M: StateMachine>(group: &str, replica: &Replica<M>) -> GroupStatus {
+    let Status { role, leader, committed, .. } = replica.status();
+    GroupStatus {
+        group: group.into(),
+        role: format!("{role:?}").to_lowercase().into(),
+        leader,
+        committed,
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,133 @@
+//! The control process: a replica of its domain's placement group and, where
+//! its settings say so, of the config group. One thread owns all of its state.
+
+mod config;
+
+mod methods;
+mod placement;
+
+use crate::{
+    board::ConfigBoard,
+    metrics::{self, Metrics},
+    notify::Notify,
+    settings::{ControlSettings, raw::ReplicaAddr},
+};
+use cyclamenloft_http::{JsonClient, Limits, StopSignal, bind, serve};
+use cyclamenloft_operator::ConfigState;
+use cyclamenloft_peer::{LogTransport, PeerClient, RpcService};
+use cyclamenloft_placement::{PlacementState, Scheduler};
+use cyclamenloft_replication::{Config, Member, MemberKind, Replica, StateMachine};
+use cyclamenloft_types::{HostId, ReplicaId, Result, TaskState};
+use std::{cell::RefCell, path::Path, rc::Rc, time::Duration};
+
+pub(crate) use config::{follow_source as follow_config, offer as offer_config};
+
+/// Name of the placement group on the wire.
+pub const PLACEMENT_GROUP: &str = "placement";
+/// Name of the config group on the wire.
+pub const CONFIG_GROUP: &str = "config";
+
+/// Longest wait for an answer of another replica.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for an answer to a call; above the longest wait for a configuration.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// What the tasks of a control process share.
+pub(crate) struct Control {
+    pub(crate) host: HostId,
+    pub(crate) domain: Box<str>,
+    pub(crate) placement: Replica<PlacementState>,
+    pub(crate) config: Option<Replica<ConfigState>>,
+    pub(crate) board: ConfigBoard,
+    /// Present while this replica leads the placement group.
+    pub(crate) scheduler: RefCell<Option<Scheduler>>,
+    /// Tells that orders were queued.
+    pub(crate) orders: Notify,
+    /// Tells that the state changed in a way that a decision may follow from.
+    pub(crate) due: Notify,
+}
+
+/// Runs a control process until `stop`.
+///
+/// # Errors
+///
+/// A wrong setting, a damaged or occupied folder, or a failing disk.
+pub async fn run(settings: ControlSettings, stop: StopSignal) -> Result<()> {
+    let listener = bind(settings.peers)?;
+    let control = Rc::new(open(&settings).await?);
+    let handler = Rc::new(methods::ControlHandler(control.clone()));
+    let service = Rc::new(RpcService::new(settings.peer_token.clone(), handler)?);
+    let calls = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
+    let sources = settings.config_voters.iter().map(|v| v.addr);
+    config::start(&control, calls, sources.filter(|a| *a != settings.peers).collect());
+    compio::runtime::spawn(placement::lead(control.clone())).detach();
+    let metrics = Metrics::new("control", settings.statsd)?;
+    compio::runtime::spawn(send_metrics(control.clone(), metrics)).detach();
+    tracing::info!(host = %settings.host, peers = %settings.peers, "control ready");
+
+    let (mut serve_stop, serve_signal) = cyclamenloft_http::stop_pair();
+    let limits = Limits { drain: Duration::from_secs(2), ..Limits::default() };
+    let serving = compio::runtime::spawn(serve(listener, limits, serve_signal, service));
+    stop.stopped().await;
+    // Leadership is handed over while the listener still answers the others.
+    control.placement.shut_down().await;
+    if let Some(config) = &control.config {
+        config.shut_down().await;
+    }
+    serve_stop.stop();
+    let served = serving.await;
+    tracing::info!("control stopped");
+    served.unwrap_or(Ok(()))
+}
+
+async fn open(settings: &ControlSettings) -> Result<Control> {
+    let placement =
+        open_group(settings, PLACEMENT_GROUP, settings.replica, &settings.placement).await?;
+    let config = match settings.config_replica {
+        Some(id) => Some(open_group(settings, CONFIG_GROUP, id, &settings.config_voters).await?),
+        None => None,
+    };
+    Ok(Control {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        placement,
+        config,
+        board: ConfigBoard::default(),
+        scheduler: RefCell::new(None),
+        orders: Notify::default(),
+        due: Notify::default(),
+    })
+}
+
+async fn open_group<M: StateMachine + Default>(
+    settings: &ControlSettings,
+    group: &str,
+    id: ReplicaId,
+    replicas: &[ReplicaAddr],
+) -> Result<Replica<M>> {
+    let members: Vec<Member> =
+        replicas.iter().map(|r| Member { id: r.id, kind: MemberKind::Voter }).collect();
+    let folder = Path::new(&settings.data).join(group);
+    let cfg = Config::new(group, id, members, folder).early_visibility(settings.early_visibility);
+    let http = JsonClient::new(Some(settings.peer_token.clone()), LOG_TIMEOUT)?;
+    let transport = LogTransport::new(http, group, replicas.iter().map(|r| (r.id, r.addr)));
+    Replica::open(cfg, M::default(), transport).await
+}
+
+async fn send_metrics(control: Rc<Control>, metrics: Metrics) {
+    loop {
+        let (waiting, running) = control.placement.state(|state| {
+            let running = state
+                .jobs()
+                .flat_map(|job| &job.tasks)
+                .filter(|task| matches!(task.state, TaskState::Placed { .. }))
+                .count();
+            (state.waiting().count(), running)
+        });
+        metrics.gauge("tasks.waiting", waiting as u64);
+        metrics.gauge("tasks.running", running as u64);
+        metrics.gauge("log.committed", control.placement.status().committed);
+        metrics.gauge("config.number", control.board.number());
+        compio::time::sleep(metrics::PERIOD).await;
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,213 @@
+//! The entry process: routes callers' requests on several threads, and on one
+//! more hears targets, workers, operators and peers. It keeps no files.
+
+mod operators;
+mod peers;
+mod platform;
+mod services;
+mod spread;
+
+use crate::{
+    board::ConfigBoard,
+    control::follow_config,
+    metrics::{self, Metrics},
+    process,
+    settings::EntrySettings,
+};
+use cyclamenloft_caller::{CallerHandler, Gates, Readiness};
+use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
+use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
+use cyclamenloft_target::{Pool, PoolLimits, Registry};
+use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, Result};
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for an answer to a call; above the longest long poll.
+const CALL_TIMEOUT: Duration = Duration::from_secs(35);
+/// Time between two looks at deadlines and expired announcements.
+const TICK: Duration = Duration::from_millis(10);
+/// Time between two rounds of closing idle connections.
+const TRIM_PERIOD: Duration = Duration::from_secs(5);
+
+/// What the tasks of the entry process's own thread share.
+pub(crate) struct Entry {
+    pub(crate) host: HostId,
+    pub(crate) domain: DomainName,
+    pub(crate) roster: Vec<HostId>,
+    pub(crate) gates: Gates,
+    pub(crate) readiness: Readiness,
+    pub(crate) registry: RefCell<Registry>,
+    pub(crate) board: ConfigBoard,
+    /// The control replicas of the domain.
+    pub(crate) control: PeerSet,
+    /// The replicas of the config group.
+    pub(crate) config_voters: PeerSet,
+    pub(crate) spread: spread::Spread,
+}
+
+/// Runs an entry process until `stop`, then drains it.
+///
+/// # Errors
+///
+/// A wrong setting or an address in use.
+pub async fn run(settings: EntrySettings, stop: StopSignal) -> Result<()> {
+    let callers = bind(settings.callers)?;
+    let (platform, operators, peers) =
+        (bind(settings.platform)?, bind(settings.operators)?, bind(settings.peers)?);
+    let entry = Rc::new(create(&settings)?);
+
+    let (mut callers_stop, callers_signal) = stop_pair();
+    let (mut rest_stop, rest_signal) = stop_pair();
+    let threads = start_callers(&settings, &entry, &callers, &callers_signal)?;
+    drop(callers);
+    start_listeners(&settings, &entry, [platform, operators, peers], &rest_signal)?;
+    start_config(&settings, &entry)?;
+    compio::runtime::spawn(services::keep(entry.clone())).detach();
+    compio::runtime::spawn(tick(entry.clone())).detach();
+    let metrics = Metrics::new("entry", settings.statsd)?;
+    compio::runtime::spawn(send_metrics(entry.clone(), metrics)).detach();
+    tracing::info!(host = %settings.host, callers = %settings.callers, "entry started");
+
+    stop.stopped().await;
+    tracing::info!(lame_duck = ?settings.lame_duck, "stopping: no longer ready");
+    entry.readiness.set(false);
+    compio::time::sleep(settings.lame_duck).await;
+    callers_stop.stop();
+    let drained = compio::runtime::spawn_blocking(move || join_all(threads)).await;
+    rest_stop.stop();
+    tracing::info!("entry stopped");
+    drained.unwrap_or_else(|_| Err(Error::new(ErrorKind::Internal, "drain did not end")))
+}
+
+fn create(settings: &EntrySettings) -> Result<Entry> {
+    let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
+    let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
+        list.iter().map(|r| r.addr).collect()
+    };
+    let mut roster: Vec<HostId> = settings.roster.iter().map(|h| h.host.clone()).collect();
+    roster.push(settings.host.clone());
+    roster.sort();
+    Ok(Entry {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        roster,
+        gates: Gates::default(),
+        readiness: Readiness::default(),
+        registry: RefCell::default(),
+        board: ConfigBoard::default(),
+        control: PeerSet::new(client.clone(), addrs(&settings.control)),
+        config_voters: PeerSet::new(client, addrs(&settings.config_voters)),
+        spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
+    })
+}
+
+/// Starts the threads that serve callers; each has a runtime of its own.
+fn start_callers(
+    settings: &EntrySettings,
+    entry: &Entry,
+    listener: &TcpListener,
+    stop: &StopSignal,
+) -> Result<Vec<JoinHandle<Result<()>>>> {
+    let internal = |e: std::io::Error| Error::new(ErrorKind::Internal, format!("thread: {e}"));
+    let mut threads = Vec::new();
+    for number in 0..settings.threads {
+        let listener = listener.try_clone().map_err(internal)?;
+        let (gates, readiness, stop) = (entry.gates.clone(), entry.readiness.clone(), stop.clone());
+        let thread = std::thread::Builder::new()
+            .name(format!("callers-{number}"))
+            .spawn(move || serve_callers(listener, gates, readiness, stop))
+            .map_err(internal)?;
+        threads.push(thread);
+    }
+    Ok(threads)
+}
+
+fn serve_callers(
+    listener: TcpListener,
+    gates: Gates,
+    readiness: Readiness,
+    stop: StopSignal,
+) -> Result<()> {
+    process::runtime()?.block_on(async move {
+        let pool = Pool::new(PoolLimits::default());
+        compio::runtime::spawn(trim(pool.clone())).detach();
+        let handler = Rc::new(CallerHandler::new(gates, pool, readiness));
+        serve(listener, Limits::default(), stop, handler).await
+    })
+}
+
+fn join_all(threads: Vec<JoinHandle<Result<()>>>) -> Result<()> {
+    let died = || Err(Error::new(ErrorKind::Internal, "a thread that serves callers panicked"));
+    // Every thread is waited for, also after one has failed.
+    let ended: Vec<Result<()>> =
+        threads.into_iter().map(|t| t.join().unwrap_or_else(|_| died())).collect();
+    ended.into_iter().collect()
+}
+
+fn start_listeners(
+    settings: &EntrySettings,
+    entry: &Rc<Entry>,
+    [platform, operators, peers]: [TcpListener; 3],
+    stop: &StopSignal,
+) -> Result<()> {
+    let limits = Limits { drain: Duration::from_secs(2), ..Limits::default() };
+    let handler = Rc::new(platform::PlatformHandler(entry.clone()));
+    compio::runtime::spawn(serve(platform, limits, stop.clone(), handler)).detach();
+    let token = settings.operator_token.clone();
+    let handler = Rc::new(operators::OperatorHandler { entry: entry.clone(), token });
+    compio::runtime::spawn(serve(operators, limits, stop.clone(), handler)).detach();
+    let service =
+        RpcService::new(settings.peer_token.clone(), Rc::new(peers::EntryHandler(entry.clone())))?;
+    compio::runtime::spawn(serve(peers, limits, stop.clone(), Rc::new(service))).detach();
+    Ok(())
+}
+
+/// Starts the tasks that feed the configuration board, and the one that makes
+/// the host ready once it has the highest number that any reachable source has.
+fn start_config(settings: &EntrySettings, entry: &Rc<Entry>) -> Result<()> {
+    let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
+    let control = settings.control.iter().chain(&settings.config_voters).map(|r| r.addr);
+    let mut sources: Vec<SocketAddr> =
+        control.chain(settings.roster.iter().map(|h| h.addr)).collect();
+    sources.sort();
+    sources.dedup();
+    for source in &sources {
+        let task = follow_config(entry.board.clone(), client.clone(), *source);
+        compio::runtime::spawn(task).detach();
+    }
+    compio::runtime::spawn(services::become_ready(entry.clone(), client, sources)).detach();
+    Ok(())
+}
+
+async fn tick(entry: Rc<Entry>) {
+    loop {
+        compio::time::sleep(TICK).await;
+        let now = Instant::now();
+        for (_, gate) in entry.gates.all() {
+            gate.tick(now);
+        }
+        entry.registry.borrow_mut().forget(now);
+    }
+}
+
+async fn trim(pool: Pool) {
+    loop {
+        compio::time::sleep(TRIM_PERIOD).await;
+        pool.trim(Instant::now());
+    }
+}
+
+async fn send_metrics(entry: Rc<Entry>, metrics: Metrics) {
+    loop {
+        let targets = entry.registry.borrow().valid(Instant::now()).count();
+        metrics.gauge("targets", targets as u64);
+        metrics.gauge("ready", u64::from(entry.readiness.is_ready()));
+        metrics.gauge("config.number", entry.board.number());
+        compio::time::sleep(metrics::PERIOD).await;
+    }
+}
--- /dev/null
+++ b/src/entry/platform.rs
@@ -0,0 +1,104 @@
+//! The listener for targets, workers and the balancer's probes.
+
+use super::{Entry, services::hear};
+use cyclamenloft_http::{
+    Handler, Request, Response, error_response, json_response, read_json, text_response,
+};
+use cyclamenloft_peer::calls::{AnnounceWorker, Method, ReportWorker, WaitOrders};
+use cyclamenloft_target::{AnnounceAnswer, TargetAnnouncement};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use cyclamenloft_worker::paths;
+use http::{Method as HttpMethod, StatusCode};
+use serde::de::DeserializeOwned;
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Path of targets' announcements.
+pub const ANNOUNCE_TARGET: &str = "/v1/targets/announce";
+/// Path of the balancer's readiness probe.
+pub const READY: &str = "/ready";
+/// Path that answers while the process lives.
+pub const LIVE: &str = "/live";
+
+/// Largest announcement of a target in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 4 * 1024;
+/// Time for which a worker's message is passed on to the control leader.
+const PASS_ON: Duration = Duration::from_secs(4);
+
+/// Answers targets, workers and probes.
+pub(super) struct PlatformHandler(pub(super) Rc<Entry>);
+
+impl PlatformHandler {
+    async fn respond(&self, req: Request) -> Result<Response> {
+        let path = req.uri().path().to_owned();
+        match (req.method(), &*path) {
+            (&HttpMethod::GET, READY) => Ok(self.ready()),
+            (&HttpMethod::GET, LIVE) => Ok(text_response(StatusCode::OK, "live\n")),
+            (&HttpMethod::POST, ANNOUNCE_TARGET) => self.announce_target(req).await,
+            (&HttpMethod::POST, paths::ANNOUNCE) => {
+                self.pass_on::<AnnounceWorker>(req, paths::MAX_ANNOUNCEMENT_BYTES).await
+            }
+            (&HttpMethod::POST, paths::REPORT) => {
+                self.pass_on::<ReportWorker>(req, paths::MAX_REPORT_BYTES).await
+            }
+            (&HttpMethod::POST, paths::ORDERS) => {
+                self.pass_on::<WaitOrders>(req, paths::MAX_ORDERS_REQUEST_BYTES).await
+            }
+            (method, path) => {
+                Err(Error::new(ErrorKind::NotFound, format!("no {method} on path {path:?}")))
+            }
+        }
+    }
+
+    fn ready(&self) -> Response {
+        if self.0.readiness.is_ready() {
+            return text_response(StatusCode::OK, "ready\n");
+        }
+        error_response(&Error::new(ErrorKind::Draining, "not ready"))
+    }
+
+    async fn announce_target(&self, req: Request) -> Result<Response> {
+        let announcement: TargetAnnouncement =
+            read_json(req.into_body(), MAX_ANNOUNCEMENT_BYTES).await?;
+        announcement.check()?;
+        let entry = &*self.0;
+        if announcement.domain != entry.domain {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                format!(
+                    "target {:?} of domain {:?}: expected {:?}",
+                    announcement.target, announcement.domain, entry.domain
+                ),
+            ));
+        }
+        if hear(entry, &announcement, Instant::now()) {
+            entry.spread.send(&announcement);
+        }
+        Ok(json_response(StatusCode::OK, &AnnounceAnswer::default()))
+    }
+
+    /// Hands a worker's message to the control leader and its answer back.
+    async fn pass_on<M: Method>(&self, req: Request, limit: usize) -> Result<Response>
+    where
+        M::Params: DeserializeOwned,
+    {
+        let params: M::Params = read_json(req.into_body(), limit).await?;
+        let answer = self.0.control.call::<M>(&params, Instant::now() + PASS_ON).await?;
+        Ok(json_response(StatusCode::OK, &answer))
+    }
+}
+
+impl Handler for PlatformHandler {
+    async fn handle(&self, req: Request, remote: SocketAddr) -> Response {
+        let path = req.uri().path().to_owned();
+        self.respond(req).await.unwrap_or_else(|e| {
+            if e.kind == ErrorKind::BadRequest {
+                tracing::warn!(%remote, path, error = %e, "message not understood");
+            }
+            error_response(&e)
+        })
+    }
+}
--- /dev/null
+++ b/src/entry/spread.rs
@@ -0,0 +1,60 @@
+//! Passing targets' announcements on to the other entry hosts of the domain:
+//! one task for each of them.
+
+use crate::settings::raw::HostAddr;
+use cyclamenloft_http::Token;
+use cyclamenloft_peer::{PeerClient, calls::SpreadTargets};
+use cyclamenloft_target::TargetAnnouncement;
+use cyclamenloft_types::Result;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use std::{net::SocketAddr, time::Duration};
+
+/// Longest wait for another entry host; the next announcement repeats what it missed.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Most announcements in one call.
+const MAX_BATCH: usize = 256;
+
+/// Sends announcements to the other entry hosts.
+pub(crate) struct Spread {
+    hosts: Vec<mpsc::UnboundedSender<TargetAnnouncement>>,
+}
+
+impl Spread {
+    /// Starts one task for each of `others`.
+    pub(crate) fn start(token: Token, others: &[HostAddr]) -> Result<Self> {
+        let client = PeerClient::new(token, TIMEOUT)?;
+        let start_one = |other: &HostAddr| {
+            let (tx, rx) = mpsc::unbounded();
+            compio::runtime::spawn(send_all(client.clone(), other.addr, rx)).detach();
+            tx
+        };
+        Ok(Self { hosts: others.iter().map(start_one).collect() })
+    }
+
+    /// Passes an announcement on.
+    pub(crate) fn send(&self, announcement: &TargetAnnouncement) {
+        for host in &self.hosts {
+            // The task ends only with the process.
+            let _ = host.unbounded_send(announcement.clone());
+        }
+    }
+}
+
+async fn send_all(
+    client: PeerClient,
+    addr: SocketAddr,
+    mut rx: mpsc::UnboundedReceiver<TargetAnnouncement>,
+) {
+    while let Some(first) = rx.next().await {
+        let mut batch = vec![first];
+        while batch.len() < MAX_BATCH
+            && let Ok(next) = rx.try_recv()
+        {
+            batch.push(next);
+        }
+        if let Err(e) = client.call::<SpreadTargets>(addr, &batch).await {
+            tracing::debug!(%addr, error = %e, "announcements not passed on");
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,17 @@
-//! The library that ties the packages of cyclamenloft together.
+//! The library that ties the packages of cyclamenloft together. Its programs
+//! parse settings, start logging and call one function of this library.
+
+pub mod board;
+pub mod cli;
+
+pub mod control;
+pub mod daemon;
+pub mod entry;
+
+pub mod local;
+pub mod logging;
+pub mod metrics;
+pub mod notify;
+pub mod process;
+pub mod settings;
+pub mod standin;
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,8 @@
+//! Settings in flags and environment variables, checked into typed values.
+
+pub mod control;
+pub mod entry;
+pub mod raw;
+
+pub use control::ControlSettings;
+pub use entry::EntrySettings;
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,153 @@
+//! The command line of `cyclamenloft-standin`, which is not part of the product.
+
+use crate::{
+    daemon,
+    logging::{self, LogFormat, LogSettings},
+    process::{self, report},
+    settings::raw::{addr, bad, duration, flag, name, optional_number, required, text},
+};
+use clap::{ArgMatches, Command};
+use cyclamenloft_http::{StopSignal, stop_pair};
+use cyclamenloft_standin::{
+    LoadSettings, TargetSettings, TargetStandin, WorkerSettings, WorkerStandin, load,
+};
+use cyclamenloft_types::{Error, ErrorKind, Resources, Result};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+/// Most processor cores of a stand-in worker.
+const MAX_CORES: u64 = 1024;
+/// Most memory of a stand-in worker, in gibibytes.
+const MAX_GIB: u64 = 4096;
+
+/// Runs the stand-ins' command line with the process's arguments.
+#[must_use]
+pub fn main() -> ExitCode {
+    report(run())
+}
+
+fn run() -> Result<()> {
+    let Some(args) = daemon::arguments(command())? else {
+        return Ok(());
+    };
+    let Some((which, args)) = args.subcommand() else {
+        return Err(Error::new(ErrorKind::BadSetting, "expected target, worker or load"));
+    };
+    let filter = text(args, "log-filter").unwrap_or("warn").into();
+    logging::start(&LogSettings { format: LogFormat::Text, filter })?;
+    process::runtime()?.block_on(async {
+        match which {
+            "target" => run_target(args).await,
+            "worker" => run_worker(args).await,
+            _ => run_load(args).await,
+        }
+    })
+}
+
+fn command() -> Command {
+    let common = |command: Command| {
+        command
+            .arg(flag("domain", "NAME", "Failure domain").required(true))
+            .arg(flag("name", "NAME", "Name of the stand-in").required(true))
+            .arg(
+                flag("platforms", "IP:PORT,...", "Platform listeners of entry hosts")
+                    .required(true),
+            )
+            .arg(flag("journal", "FILE", "Where events are written"))
+            .arg(flag("log-filter", "FILTER", "Which lines are logged").default_value("warn"))
+    };
+    Command::new("cyclamenloft-standin")
+        .about("Stand-ins for targets, workers and callers")
+        .subcommand_required(true)
+        .subcommand(
+            common(Command::new("target"))
+                .arg(flag("service", "NAME", "Service").required(true))
+                .arg(flag("listen", "IP:PORT", "Where it listens").required(true))
+                .arg(flag("service-time", "TIME", "Time of a request").default_value("5ms")),
+        )
+        .subcommand(
+            common(Command::new("worker"))
+                .arg(flag("boot", "N", "This start of the worker").default_value("1"))
+                .arg(flag("rack", "NAME", "Rack").default_value("rack-1"))
+                .arg(flag("cores", "N", "Processor cores").default_value("16"))
+                .arg(flag("memory-gib", "N", "Memory").default_value("60"))
+                .arg(flag("fails-everything", "true|false", "Fail").default_value("false")),
+        )
+        .subcommand(
+            Command::new("load")
+                .arg(
+                    flag("entries", "IP:PORT,...", "Callers' listeners of entry hosts")
+                        .required(true),
+                )
+                .arg(flag("service", "NAME", "Service").required(true))
+                .arg(flag("rate", "N", "Requests a second").default_value("100"))
+                .arg(flag("time", "TIME", "How long").default_value("10s"))
+                .arg(flag("deadline", "TIME", "Deadline of a request").default_value("2s"))
+                .arg(flag("log-filter", "FILTER", "Which lines are logged").default_value("warn")),
+        )
+}
+
+async fn run_target(args: &ArgMatches) -> Result<()> {
+    let target = TargetStandin::new(TargetSettings {
+        name: name(args, "name")?,
+        service: name(args, "service")?,
+        domain: name(args, "domain")?,
+        addr: addr(args, "listen")?,
+        platforms: addrs(args, "platforms")?,
+        service_time: duration(args, "service-time")?,
+        journal: text(args, "journal").map(PathBuf::from),
+    })?;
+    target.run(terminated_signal()).await
+}
+
+async fn run_worker(args: &ArgMatches) -> Result<()> {
+    let cores = optional_number(args, "cores", 1..=MAX_CORES)?.unwrap_or(16) as u32;
+    let gib = optional_number(args, "memory-gib", 1..=MAX_GIB)?.unwrap_or(60) as u32;
+    let worker = WorkerStandin::new(WorkerSettings {
+        name: name(args, "name")?,
+        boot: optional_number(args, "boot", 1..=u64::MAX)?.unwrap_or(1),
+        domain: name(args, "domain")?,
+        rack: name(args, "rack")?,
+        capacity: Resources::new(cores * 1000, gib * 1024, 0),
+        platforms: addrs(args, "platforms")?,
+        fails_everything: required(args, "fails-everything")? == "true",
+        journal: text(args, "journal").map(PathBuf::from),
+    })?;
+    worker.run(terminated_signal()).await;
+    Ok(())
+}
+
+async fn run_load(args: &ArgMatches) -> Result<()> {
+    let report = load::run(LoadSettings {
+        entries: addrs(args, "entries")?,
+        service: name(args, "service")?,
+        rate: optional_number(args, "rate", 1..=100_000)?.unwrap_or(100) as f64,
+        time: duration(args, "time")?,
+        deadline: duration(args, "deadline")?,
+        prefix: ulid::Ulid::new().to_string().into(),
+    })
+    .await?;
+    let json = serde_json::to_string_pretty(&report)
+        .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+    println!("{json}");
+    Ok(())
+}
+
+fn addrs(args: &ArgMatches, flag: &str) -> Result<Vec<SocketAddr>> {
+    required(args, flag)?
+        .split(',')
+        .map(|raw| {
+            raw.trim().parse().map_err(|_| bad(flag, raw, "addresses such as 127.0.0.1:7000"))
+        })
+        .collect()
+}
+
+/// A stop signal that follows SIGTERM and SIGINT.
+fn terminated_signal() -> StopSignal {
+    let (mut handle, stop) = stop_pair();
+    compio::runtime::spawn(async move {
+        process::terminated().await;
+        handle.stop();
+    })
+    .detach();
+    stop
+}
--- /dev/null
+++ b/tests/all/harness/mod.rs
@@ -0,0 +1,66 @@
+//! Starting, stopping and asking real processes.
+//!
+//! Every deployment has loopback addresses of its own, so that tests run side
+//! by side. A test waits for states, never for a time that decides the verdict.
+
+mod deployment;
+mod process;
+
+pub use deployment::{Deployment, DomainLayout, read_journal};
+pub use process::Process;
+
+use cyclamenloft_types::Result;
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for a state; reached only where a test fails.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    cyclamenloft::process::runtime().unwrap().block_on(test);
+}
+
+/// Waits until `reached` says so.
+///
+/// # Panics
+///
+/// Where the state isn't reached.
+pub async fn wait_for(what: &str, reached: impl AsyncFn() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !reached().await {
+        assert!(Instant::now() < limit, "waited too long for {what}");
+        compio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Repeats a call until it succeeds.
+///
+/// # Panics
+///
+/// Where it doesn't succeed.
+pub async fn until_ok<T>(what: &str, call: impl AsyncFn() -> Result<T>) -> T {
+    let limit = Instant::now() + LIMIT;
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(e) => assert!(Instant::now() < limit, "waited too long for {what}: {e}"),
+        }
+        compio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Names each case of a group of tests with real processes.
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident => $test:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $crate::harness::run($test);
+        }
+    )*};
+}
--- /dev/null
+++ b/tests/all/harness/process.rs
@@ -0,0 +1,90 @@
+//! One real process: started, signalled and ended by its id.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+/// A running process. Dropping it kills it.
+pub struct Process {
+    /// Name, for messages.
+    pub name: String,
+    command: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program; its log goes to a file in `folder`.
+    pub fn start(name: &str, folder: &Path, command: Vec<String>) -> Self {
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&command, &log);
+        Self { name: name.into(), command, log, child }
+    }
+
+    /// Starts the same program again after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.command, &self.log);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the process's threads until [`Process::thaw`].
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// How the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    /// What the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().try_into().unwrap()).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = self.log();
+            let tail: Vec<&str> = log.lines().rev().take(25).collect();
+            eprintln!("--- {}", self.name);
+            tail.iter().rev().for_each(|line| eprintln!("{line}"));
+        }
+    }
+}
+
+fn spawn(command: &[String], log: &Path) -> Child {
+    let file = File::options().create(true).append(true).open(log).unwrap();
+    Command::new(&command[0])
+        .args(&command[1..])
+        .stdin(Stdio::null())
+        .stdout(file.try_clone().unwrap())
+        .stderr(file)
+        .spawn()
+        .unwrap()
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,10 @@
-//! Integration tests with real processes.
+//! Integration tests with real processes on loopback addresses.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on fails")]
+
+mod harness;
+
+mod checker;
+mod failures;
+mod paths;
+mod settings;
--- /dev/null
+++ b/tests/all/paths.rs
@@ -0,0 +1,118 @@
+//! The three paths through real processes: a request, a job, a configuration.
+
+use crate::{
+    cases,
+    harness::{Deployment, DomainLayout, until_ok, wait_for},
+};
+use cyclamenloft_peer::calls::SubmitAnswer;
+use cyclamenloft_standin::{LoadSettings, load};
+use cyclamenloft_types::{ErrorKind, JobSpec, JobState, Priority, Resources, Result, TaskState};
+use std::time::Duration;
+
+pub const SERVICE: &str = "[services.matchdesk]\nslots = 8\n";
+
+cases! {
+    a_request_is_answered_by_a_target => request_path();
+    a_job_runs_on_a_worker => job_path();
+    a_configuration_comes_into_force_everywhere => config_path();
+    races_under_one_number_have_one_winner => config_race();
+}
+
+fn one_domain(entries: u8, controls: u8) -> Deployment {
+    Deployment::start(&[DomainLayout { name: "cascadia-sea", entries, controls }])
+}
+
+async fn request_path() {
+    let mut deployment = one_domain(2, 1);
+    deployment.ready().await;
+    let first = deployment.hosts[0];
+    until_ok("a service", async || deployment.apply(&first, 1, SERVICE).await).await;
+    deployment.in_force(1).await;
+    for _ in 0..3 {
+        deployment.start_target("cascadia-sea", "matchdesk", "2ms");
+    }
+    for host in &deployment.hosts {
+        wait_for("the targets", async || deployment.targets(host, "matchdesk").await == 3).await;
+    }
+    let report = load::run(LoadSettings {
+        entries: deployment.hosts.iter().map(|h| h.callers).collect(),
+        service: "matchdesk".into(),
+        rate: 100.0,
+        time: Duration::from_secs(1),
+        deadline: Duration::from_secs(20),
+        prefix: "path".into(),
+    })
+    .await
+    .unwrap();
+    assert_eq!((report.sent, report.answered, report.wrong), (100, 100, 0));
+}
+
+pub fn job(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        team: "reconcile".into(),
+        class: "nightly".into(),
+        priority: Priority::Batch,
+        tasks,
+        resources: Resources::new(1000, 512, 0),
+        run_time_ms: 50,
+        deadline_ms: None,
+        home: None,
+        payload: "".into(),
+    }
+}
+
+async fn job_path() {
+    let mut deployment = one_domain(2, 1);
+    deployment.ready().await;
+    deployment.start_worker("cascadia-sea", "worker-1", 4);
+    let [first, second] = [deployment.hosts[0], deployment.hosts[1]];
+    let spec = job("nightly-1", 6);
+    let submitted: SubmitAnswer = until_ok("a submission", async || {
+        deployment.operators.post(first.operators, "/v1/jobs", &spec).await
+    })
+    .await;
+    assert!(!submitted.already);
+    // The same job again, through another entry host, changes nothing.
+    let again: SubmitAnswer =
+        deployment.operators.post(second.operators, "/v1/jobs", &spec).await.unwrap();
+    assert!(again.already);
+    wait_for("the job to finish", async || {
+        let state: Result<JobState> =
+            deployment.operators.get(second.operators, "/v1/jobs/nightly-1").await;
+        state.is_ok_and(|s| s.tasks.iter().all(|t| *t == TaskState::Finished))
+    })
+    .await;
+    let missing: Result<JobState> =
+        deployment.operators.get(first.operators, "/v1/jobs/none").await;
+    assert_eq!(missing.unwrap_err().kind, ErrorKind::UnknownJob);
+}
+
+async fn config_path() {
+    let deployment = one_domain(3, 1);
+    deployment.ready().await;
+    let first = deployment.hosts[0];
+    deployment.apply(&first, 1, SERVICE).await.unwrap();
+    deployment.in_force(1).await;
+    // The same content under the same number gets the same answer.
+    let again = deployment.apply(&deployment.hosts[1], 1, SERVICE).await.unwrap();
+    assert_eq!(again.number, 1);
+    let bad = deployment.apply(&first, 2, "[services.matchdesk]\nslots = 0\n").await;
+    assert_eq!(bad.unwrap_err().kind, ErrorKind::InvalidConfig);
+    let gap = deployment.apply(&first, 3, SERVICE).await;
+    assert_eq!(gap.unwrap_err().kind, ErrorKind::Conflict);
+}
+
+async fn config_race() {
+    let deployment = one_domain(3, 1);
+    deployment.ready().await;
+    let texts: Vec<String> =
+        (1..=3).map(|slots| format!("[services.matchdesk]\nslots = {slots}\n")).collect();
+    let races =
+        deployment.hosts.iter().zip(&texts).map(|(host, text)| deployment.apply(host, 1, text));
+    let ended = futures_util::future::join_all(races).await;
+    let won = ended.iter().filter(|e| e.is_ok()).count();
+    let lost =
+        ended.iter().filter(|e| e.as_ref().is_err_and(|e| e.kind == ErrorKind::Conflict)).count();
+    assert_eq!((won, lost), (1, 2), "{ended:?}");
+}
