A job lives in its home domain, whichever entry host is asked

Cause: each domain took every job sent to it, so that one id sent to entry hosts of two domains would have run twice. Change: a job's home is what it states, or the domain with the highest rendezvous hash of its id; entry hosts pass submissions, questions and cancellations on to it. A domain that can't be asked makes an unknown job an unreachable one. The harness fails at once when a process ends at start, and shows its log. Conclusion: one id lives once while every entry host has the same set of domains.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry process: routes callers' requests on several threads, and on one
 //! more hears targets, workers, operators and peers. It keeps no files.
 
+mod homes;
 mod operators;
 mod peers;
 mod platform;
@@ -48,6 +49,8 @@
     /// The replicas of the config group.
     pub(crate) config_voters: PeerSet,
     pub(crate) spread: spread::Spread,
+    /// The other failure domains.
+    pub(crate) remotes: Vec<homes::Remote>,
 }
 
 /// Runs an entry process until `stop`, then drains it.
@@ -101,8 +104,9 @@
         registry: RefCell::default(),
         board: ConfigBoard::default(),
         control: PeerSet::new(client.clone(), addrs(&settings.control)),
-        config_voters: PeerSet::new(client, addrs(&settings.config_voters)),
+        config_voters: PeerSet::new(client.clone(), addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
+        remotes: homes::remotes(&client, &settings.remotes),
     })
 }
 
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -1,6 +1,6 @@
 //! The listener for operators and submitters of jobs.
 
-use super::Entry;
+use super::{Entry, homes};
 use cyclamenloft_http::{
     Handler, Request, Response, Token, error_response, json_response, read_json,
 };
@@ -8,8 +8,8 @@
 use cyclamenloft_peer::{
     Method, PeerSet,
     calls::{
-        ApplyConfig, ApplyParams, CancelJobs, ConfigHistory, ConfigUpdate, ListJobs, ListWorkers,
-        Nothing, ProcessStatus, ReadJob, ServiceStatus, StatusAnswer, SubmitJob, WaitConfigParams,
+        ApplyConfig, ApplyParams, ConfigHistory, ConfigUpdate, ListWorkers, Nothing, ProcessStatus,
+        ServiceStatus, StatusAnswer, WaitConfigParams,
     },
 };
 use cyclamenloft_types::{Error, ErrorKind, JobId, JobSpec, Result, check_name};
@@ -44,12 +44,14 @@
             (HttpMethod::POST, "/v1/jobs") => {
                 let spec: JobSpec = read_json(req.into_body(), MAX_JOB_BYTES).await?;
                 spec.check()?;
-                pass_on::<SubmitJob>(&entry.control, &spec).await
+                Ok(json_response(StatusCode::OK, &homes::submit(entry, spec).await?))
+            }
+            (HttpMethod::GET, "/v1/jobs") => {
+                Ok(json_response(StatusCode::OK, &homes::list(entry).await?))
             }
-            (HttpMethod::GET, "/v1/jobs") => pass_on::<ListJobs>(&entry.control, &Nothing {}).await,
             (HttpMethod::POST, "/v1/jobs/cancel") => {
                 let ids: Vec<JobId> = read_json(req.into_body(), MAX_CANCEL_BYTES).await?;
-                pass_on::<CancelJobs>(&entry.control, &ids).await
+                Ok(json_response(StatusCode::OK, &homes::cancel(entry, ids).await?))
             }
             (HttpMethod::POST, "/v1/config") => {
                 let params: ApplyParams = read_json(req.into_body(), MAX_CONFIG_BYTES).await?;
@@ -71,7 +73,7 @@
             }
             (HttpMethod::GET, path) if path.starts_with("/v1/jobs/") => {
                 let id = check_name("job id", path.trim_start_matches("/v1/jobs/"))?;
-                pass_on::<ReadJob>(&entry.control, &id).await
+                Ok(json_response(StatusCode::OK, &homes::read(entry, id).await?))
             }
             (method, path) => {
                 Err(Error::new(ErrorKind::NotFound, format!("no {method} on path {path:?}")))
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,9 +1,11 @@
 //! The methods that an entry process answers to other processes.
 
-use super::{Entry, operators::status, services::hear};
+use super::{Entry, homes, operators::status, services::hear};
 use cyclamenloft_peer::{
     Method, PeerHandler, answer,
-    calls::{Nothing, ProcessStatus, SpreadTargets, WaitConfig},
+    calls::{
+        CancelJobs, ListJobs, Nothing, ProcessStatus, ReadJob, SpreadTargets, SubmitJob, WaitConfig,
+    },
 };
 use cyclamenloft_target::TargetAnnouncement;
 use cyclamenloft_types::{Error, ErrorKind, Result};
@@ -24,6 +26,14 @@
                 let wait = |p| async move { Ok(entry.board.answer_wait(p).await) };
                 answer::<WaitConfig, _>(params, wait).await
             }
+            SubmitJob::NAME => {
+                answer::<SubmitJob, _>(params, |p| homes::submit_here(entry, p)).await
+            }
+            ReadJob::NAME => answer::<ReadJob, _>(params, |p| homes::read_here(entry, p)).await,
+            ListJobs::NAME => answer::<ListJobs, _>(params, |_| homes::list_here(entry)).await,
+            CancelJobs::NAME => {
+                answer::<CancelJobs, _>(params, |p| homes::cancel_here(entry, p)).await
+            }
             ProcessStatus::NAME => {
                 answer::<ProcessStatus, _>(params, |_| async { Ok(status(entry)) }).await
             }
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -179,6 +179,7 @@
         operators: addrs.operators,
         peers: addrs.peers,
         roster: Vec::new(),
+        remotes: Vec::new(),
         control: replicas.clone(),
         config_voters: replicas,
         peer_token: token.clone(),
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -1,6 +1,6 @@
 //! Settings of `cyclamenloft-entry`.
 
-use super::raw::{self, HostAddr, ReplicaAddr, flag};
+use super::raw::{self, HostAddr, RemoteDomain, ReplicaAddr, flag};
 use crate::logging::LogSettings;
 use clap::{ArgMatches, Command};
 use cyclamenloft_http::Token;
@@ -24,6 +24,8 @@
     pub peers: SocketAddr,
     /// The other entry hosts of the domain.
     pub roster: Vec<HostAddr>,
+    /// The other failure domains.
+    pub remotes: Vec<RemoteDomain>,
     /// The control replicas of the domain.
     pub control: Vec<ReplicaAddr>,
     /// The replicas of the config group.
@@ -55,6 +57,11 @@
         .arg(flag("operators", "IP:PORT", "Listener for operators").required(true))
         .arg(flag("operator-token-file", "FILE", "File with the token of operators").required(true))
         .arg(flag("roster", "NAME=IP:PORT,...", "The other entry hosts of the domain"))
+        .arg(flag(
+            "remotes",
+            "DOMAIN=IP:PORT,...",
+            "Peers' listeners of the other domains' entry hosts, one item for each host",
+        ))
         .arg(flag("control", "ID=IP:PORT,...", "The control replicas of the domain").required(true))
         .arg(flag("threads", "N", "Threads that serve callers").default_value("2"))
         .arg(
@@ -72,14 +79,20 @@
         if roster.iter().any(|other| other.host == host) {
             return Err(raw::bad("roster", &host, "the other entry hosts, without this one"));
         }
+        let domain = raw::name(args, "domain")?;
+        let remotes = raw::remotes(args, "remotes")?;
+        if remotes.iter().any(|other| other.domain == domain) {
+            return Err(raw::bad("remotes", &domain, "the other domains, without this one"));
+        }
         Ok(Self {
             host,
-            domain: raw::name(args, "domain")?,
+            domain,
             callers: raw::addr(args, "callers")?,
             platform: raw::addr(args, "platform")?,
             operators: raw::addr(args, "operators")?,
             peers: raw::addr(args, "peers")?,
             roster,
+            remotes,
             control: raw::replicas(args, "control")?,
             config_voters: raw::replicas(args, "config-voters")?,
             peer_token: raw::token(args, "peer-token-file")?,
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -4,7 +4,7 @@
 use crate::logging::{LogFormat, LogSettings};
 use clap::{Arg, ArgMatches, Command};
 use cyclamenloft_http::Token;
-use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result, check_name};
+use cyclamenloft_types::{DomainName, Error, ErrorKind, ReplicaId, Result, check_name};
 use std::{net::SocketAddr, path::Path, str::FromStr, time::Duration};
 
 /// Prefix of the environment variables.
@@ -162,6 +162,35 @@
         .map(|pairs| pairs.into_iter().map(|(host, addr)| HostAddr { host, addr }).collect())
 }
 
+/// Another failure domain and its entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RemoteDomain {
+    /// The domain's name.
+    pub domain: DomainName,
+    /// Where its entry hosts listen for peers.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// A list of other domains, `DOMAIN=IP:PORT,...`, in which a domain is listed
+/// once for each of its entry hosts; empty where absent.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadSetting`] naming flag and item.
+pub fn remotes(args: &ArgMatches, flag: &str) -> Result<Vec<RemoteDomain>> {
+    let raw = text(args, flag).unwrap_or_default();
+    let mut remotes: Vec<RemoteDomain> = Vec::new();
+    for item in items(raw) {
+        let (domain, addr) =
+            pair(flag, item, "DOMAIN=IP:PORT", |name| check_name(flag, name).ok())?;
+        match remotes.iter_mut().find(|r| r.domain == domain) {
+            Some(known) => known.entries.push(addr),
+            None => remotes.push(RemoteDomain { domain, entries: vec![addr] }),
+        }
+    }
+    Ok(remotes)
+}
+
 /// The log settings.
 ///
 /// # Errors
@@ -180,6 +209,22 @@
     raw.parse().map_err(|_| bad(flag, raw, "an address such as 127.0.0.1:7000"))
 }
 
+fn items(raw: &str) -> impl Iterator<Item = &str> {
+    raw.split(',').map(str::trim).filter(|item| !item.is_empty())
+}
+
+fn pair<K>(
+    flag: &str,
+    item: &str,
+    expected: &str,
+    key: impl Fn(&str) -> Option<K>,
+) -> Result<(K, SocketAddr)> {
+    item.split_once('=')
+        .and_then(|(k, a)| Some((key(k)?, a.parse().ok()?)))
+        .ok_or_else(|| bad(flag, item, expected))
+}
+
+/// A list of pairs in which each key stands once.
 fn pairs<K: PartialEq>(
     flag: &str,
     raw: &str,
@@ -187,9 +232,8 @@
     key: impl Fn(&str) -> Option<K>,
 ) -> Result<Vec<(K, SocketAddr)>> {
     let mut found: Vec<(K, SocketAddr)> = Vec::new();
-    for item in raw.split(',').map(str::trim).filter(|item| !item.is_empty()) {
-        let pair = item.split_once('=').and_then(|(k, a)| Some((key(k)?, a.parse().ok()?)));
-        let pair = pair.ok_or_else(|| bad(flag, item, expected))?;
+    for item in items(raw) {
+        let pair = pair(flag, item, expected, &key)?;
         if found.iter().any(|(k, _)| *k == pair.0) {
             return Err(bad(flag, item, "each name or id once"));
         }
--- a/tests/all/harness/deployment.rs
+++ b/tests/all/harness/deployment.rs
@@ -41,13 +41,14 @@
 
 /// A running deployment. Dropping it kills its processes.
 pub struct Deployment {
-    pub folder: TempDir,
     pub controls: Vec<Process>,
     pub entries: Vec<Process>,
     pub hosts: Vec<EntryHost>,
     pub stand_ins: Vec<Process>,
     pub operators: JsonClient,
     net: [u8; 2],
+    /// Dropped last, so that the processes' logs can still be shown.
+    folder: TempDir,
 }
 
 impl Deployment {
@@ -76,7 +77,16 @@
     }
 
     /// Waits until every entry host is ready and every group has a leader.
-    pub async fn ready(&self) {
+    ///
+    /// # Panics
+    ///
+    /// Where a process has ended.
+    pub async fn ready(&mut self) {
+        // A process with a wrong setting ends at once.
+        compio::time::sleep(Duration::from_millis(100)).await;
+        for process in self.controls.iter_mut().chain(&mut self.entries) {
+            assert!(process.ended().is_none(), "{} ended:\n{}", process.name, process.log());
+        }
         wait_for("all hosts to be ready", async || {
             for host in &self.hosts {
                 let status = self.status(host).await;
@@ -184,7 +194,8 @@
             self.controls.push(Process::start(&name, self.folder.path(), command));
         }
         for entry in 0..domain.entries {
-            self.start_entry(number, entry, domain, &placement, &voters);
+            let remotes = self.remotes(number, all);
+            self.start_entry(number, entry, domain, [&placement, &remotes], &voters);
         }
     }
 
@@ -193,7 +204,7 @@
         number: u8,
         entry: u8,
         domain: &DomainLayout,
-        placement: &str,
+        [placement, remotes]: [&str; 2],
         voters: &[SocketAddr],
     ) {
         let name = format!("{}-entry-{}", domain.name, entry + 1);
@@ -212,6 +223,7 @@
         args.push(("operators", at(OPERATORS).to_string()));
         args.push(("operator-token-file", self.token_file()));
         args.push(("roster", roster.join(",")));
+        args.push(("remotes", remotes.to_owned()));
         args.push(("control", placement.to_owned()));
         args.push(("lame-duck", "300ms".into()));
         let mut command = vec![env!("CARGO_BIN_EXE_cyclamenloft-entry").into()];
@@ -256,6 +268,20 @@
             .collect()
     }
 
+    /// The entry hosts of every domain but `own`.
+    fn remotes(&self, own: u8, all: &[DomainLayout]) -> String {
+        let others = all.iter().enumerate().filter(|(number, _)| *number != usize::from(own));
+        let listed: Vec<String> = others
+            .flat_map(|(number, domain)| {
+                (0..domain.entries).map(move |entry| {
+                    let addr = SocketAddr::from((self.entry_ip(number as u8, entry), PEERS));
+                    format!("{}={addr}", domain.name)
+                })
+            })
+            .collect();
+        listed.join(",")
+    }
+
     fn replica_list(&self, replicas: impl Iterator<Item = (u8, u8)>) -> String {
         let listed: Vec<String> = replicas
             .enumerate()
--- a/tests/all/paths.rs
+++ b/tests/all/paths.rs
@@ -4,7 +4,7 @@
     cases,
     harness::{Deployment, DomainLayout, until_ok, wait_for},
 };
-use cyclamenloft_peer::calls::SubmitAnswer;
+use cyclamenloft_peer::calls::{CancelAnswer, JobSummary, SubmitAnswer};
 use cyclamenloft_standin::{LoadSettings, load};
 use cyclamenloft_types::{ErrorKind, JobSpec, JobState, Priority, Resources, Result, TaskState};
 use std::time::Duration;
@@ -15,6 +15,7 @@
     a_request_is_answered_by_a_target => request_path();
     a_job_runs_on_a_worker => job_path();
     a_configuration_comes_into_force_everywhere => config_path();
+    a_job_lives_in_its_home_whoever_is_asked => job_home();
     races_under_one_number_have_one_winner => config_race();
 }
 
@@ -89,7 +90,7 @@
 }
 
 async fn config_path() {
-    let deployment = one_domain(3, 1);
+    let mut deployment = one_domain(3, 1);
     deployment.ready().await;
     let first = deployment.hosts[0];
     deployment.apply(&first, 1, SERVICE).await.unwrap();
@@ -104,7 +105,7 @@
 }
 
 async fn config_race() {
-    let deployment = one_domain(3, 1);
+    let mut deployment = one_domain(3, 1);
     deployment.ready().await;
     let texts: Vec<String> =
         (1..=3).map(|slots| format!("[services.matchdesk]\nslots = {slots}\n")).collect();
@@ -116,3 +117,38 @@
         ended.iter().filter(|e| e.as_ref().is_err_and(|e| e.kind == ErrorKind::Conflict)).count();
     assert_eq!((won, lost), (1, 2), "{ended:?}");
 }
+
+/// Three domains: every entry host sends a job to the same home, and every one
+/// finds and cancels it.
+async fn job_home() {
+    let names = ["cascadia-sea", "cascadia-pdx", "cascadia-geg"];
+    let layout = names.map(|name| DomainLayout { name, entries: 1, controls: 1 });
+    let mut deployment = Deployment::start(&layout);
+    deployment.ready().await;
+    let mut already = 0;
+    for id in ["a", "b", "c", "d", "e", "f"] {
+        for host in &deployment.hosts {
+            let submitted: SubmitAnswer = until_ok("a submission", async || {
+                deployment.operators.post(host.operators, "/v1/jobs", &job(id, 1)).await
+            })
+            .await;
+            already += usize::from(submitted.already);
+        }
+    }
+    assert_eq!(already, 12, "each job is new once and known twice");
+    for host in &deployment.hosts {
+        let listed: Vec<JobSummary> =
+            deployment.operators.get(host.operators, "/v1/jobs").await.unwrap();
+        assert_eq!(listed.len(), 6);
+        let state: JobState = deployment.operators.get(host.operators, "/v1/jobs/a").await.unwrap();
+        assert_eq!(&*state.spec.id, "a");
+    }
+    let ids = ["a", "f", "none"];
+    let answer: CancelAnswer = deployment
+        .operators
+        .post(deployment.hosts[1].operators, "/v1/jobs/cancel", &ids)
+        .await
+        .unwrap();
+    assert_eq!(answer.cancelled, [Box::from("a"), Box::from("f")]);
+    assert_eq!(answer.unknown, [Box::from("none")]);
+}
