Configuration: report all problems with file, line and column; origins; the whole content

Cause: the check stopped at the first problem, knew no place in a file and typed only a part of what operators decide.

Change: files are merged into a tree that keeps the place of each value, and sections read typed, ranged values out of it, so that key, range and default stand in one line. ConfigReport (miette) lists every problem; its conversion to Error (invalid-config) carries the first eight with line and column. Limits: 64 KiB a file, 256 files, 1 MiB. Origins name file and line of each value and of those it overrides; diff lists the keys that differ. Services, teams, domains, job classes, routing and placement are typed, with checks across keys (lease of at least three report periods, connections for all slots, latency target within the deadline, no hedging of what must run once).

--- a/crates/operator/src/deployment.rs
+++ b/crates/operator/src/deployment.rs
@@ -1,34 +1,58 @@
 //! The typed content of a configuration.
+//!
+//! What routing and placement decide by is in their own policy types; what
+//! they don't know of is in types of this package.
 
-use cyclamenloft_placement::{FitPolicy, PlacementPolicy};
-use cyclamenloft_routing::{ChoicePolicy, RoutingPolicy, ServicePolicy};
-use cyclamenloft_types::{DomainName, Error, ErrorKind, Resources, Result, ServiceName, TeamName};
+use crate::{
+    section::Section,
+    service::{RequestPolicy, read_service},
+    work::{ClassPolicy, EvictionPolicy, read_placement},
+};
+use cyclamenloft_placement::PlacementPolicy;
+use cyclamenloft_routing::{RoutingPolicy, ServicePolicy};
+use cyclamenloft_types::{DomainName, JobClass, Resources, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
+/// Largest weight of a team or a failure domain.
+const MAX_WEIGHT: u32 = 10_000;
+/// Weight of a team or a failure domain that states none.
+const DEFAULT_WEIGHT: u32 = 1;
+/// Largest margin that a spill may need.
+const MAX_SPILL_MARGIN: Duration = Duration::from_secs(10);
+
 /// Everything that operators decide, typed and in range.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Deployment {
-    /// The services, by name.
+    /// The services, by name; none by default.
     pub services: BTreeMap<ServiceName, ServicePolicy>,
-    /// The teams, by name.
+    /// How requests of each service are treated; as many as `services`.
+    pub requests: BTreeMap<ServiceName, RequestPolicy>,
+    /// The teams, by name; none by default.
     pub teams: BTreeMap<TeamName, Team>,
-    /// The failure domains, by name.
+    /// The failure domains, by name; none by default.
     pub domains: BTreeMap<DomainName, Domain>,
+    /// The job classes that operators state something about; none by default.
+    pub classes: BTreeMap<JobClass, ClassPolicy>,
     /// Policy that all services share.
     pub routing: RoutingPolicy,
+    /// When requests go to another failure domain.
+    pub spill: SpillPolicy,
     /// Policy of the placement groups.
     pub placement: PlacementPolicy,
+    /// How much work may be evicted.
+    pub eviction: EvictionPolicy,
 }
 
 /// A team and its share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
-    /// Weight among the teams when room is short.
-    #[serde(default = "one")]
+    /// Weight among the teams when room is short; 1 by default.
+    #[serde(default = "default_weight")]
     pub weight: u32,
-    /// Most that the team's tasks may reserve at once in the deployment.
+    /// Most that the team's tasks may reserve at once in the deployment;
+    /// without limit by default.
     pub quota: Option<Resources>,
 }
 
@@ -36,120 +60,91 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Domain {
-    /// Weight when a job without a home is given one.
-    #[serde(default = "one")]
+    /// Weight when a job without a home is given one; 1 by default. At 0 the
+    /// domain is given none.
+    #[serde(default = "default_weight")]
     pub weight: u32,
 }
 
-fn one() -> u32 {
-    1
-}
-
-/// The content as files spell it, before ranges are checked.
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub(crate) struct RawDeployment {
-    services: BTreeMap<ServiceName, RawService>,
-    teams: BTreeMap<TeamName, Team>,
-    domains: BTreeMap<DomainName, Domain>,
-    routing: RawRouting,
-    placement: RawPlacement,
+/// When requests go to another failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpillPolicy {
+    /// Whether they may at all; true by default.
+    pub enabled: bool,
+    /// How much longer the wait at home must be than link delay and remote
+    /// wait together; 5 ms by default.
+    pub margin: Duration,
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-struct RawService {
-    slots: Option<u64>,
-    connections: Option<u64>,
-    #[serde(with = "humantime_serde::option")]
-    deadline: Option<Duration>,
-    queue: Option<u64>,
-    retry_percent: Option<u64>,
+impl Default for SpillPolicy {
+    fn default() -> Self {
+        Self { enabled: true, margin: Duration::from_millis(5) }
+    }
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-struct RawRouting {
-    choice: Option<ChoicePolicy>,
-    admission: Option<bool>,
-    hedging: Option<bool>,
-    max_ejected_percent: Option<u64>,
+fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-struct RawPlacement {
-    fit: Option<FitPolicy>,
-    #[serde(with = "humantime_serde::option")]
-    lease: Option<Duration>,
-    #[serde(with = "humantime_serde::option")]
-    report_period: Option<Duration>,
+impl Deployment {
+    pub(crate) fn read(s: &mut Section<'_>) -> Self {
+        let services = s.named("services", "service", read_service);
+        let (mut policies, mut requests) = (BTreeMap::new(), BTreeMap::new());
+        for (name, (policy, request)) in services {
+            policies.insert(name.clone(), policy);
+            requests.insert(name, request);
+        }
+        let teams = s.named("teams", "team", read_team);
+        let domains = s.named("domains", "domain", read_domain);
+        let classes = s.named("classes", "class", ClassPolicy::read);
+        let (routing, spill) = s.section("routing", read_routing);
+        let (placement, eviction) = s.section("placement", read_placement);
+        Self {
+            services: policies,
+            requests,
+            teams,
+            domains,
+            classes,
+            routing,
+            spill,
+            placement,
+            eviction,
+        }
+    }
 }
 
-fn ranged<T: TryFrom<u64>>(
-    key: &str,
-    found: Option<u64>,
-    expected: std::ops::RangeInclusive<u64>,
-    default: T,
-) -> Result<T> {
-    let Some(found) = found else {
-        return Ok(default);
-    };
-    let typed = T::try_from(found).ok().filter(|_| expected.contains(&found));
-    typed.ok_or_else(|| {
-        let (least, most) = (expected.start(), expected.end());
-        let detail = format!("key {key:?}: expected {least}..={most}, found {found}");
-        Error::new(ErrorKind::InvalidConfig, detail)
-    })
+fn read_team(s: &mut Section<'_>) -> Team {
+    Team {
+        weight: s.integer("weight", 1..=MAX_WEIGHT, DEFAULT_WEIGHT),
+        quota: s.optional_section("quota", read_quota),
+    }
 }
 
-impl TryFrom<RawService> for ServicePolicy {
-    type Error = Error;
-
-    fn try_from(raw: RawService) -> Result<Self> {
-        let default = Self::default();
-        Ok(Self {
-            slots: ranged("slots", raw.slots, 1..=1024, default.slots)?,
-            connections: ranged("connections", raw.connections, 1..=4096, default.connections)?,
-            deadline: raw.deadline.unwrap_or(default.deadline),
-            queue: ranged("queue", raw.queue, 0..=100_000, default.queue)?,
-            retry_percent: ranged("retry_percent", raw.retry_percent, 0..=100, 10)?,
-        })
+fn read_quota(s: &mut Section<'_>) -> Resources {
+    Resources {
+        cpu_millis: s.required_integer("cpu_millis", 0..=u32::MAX),
+        memory_mib: s.required_integer("memory_mib", 0..=u32::MAX),
+        accelerators: s.integer("accelerators", 0..=u16::MAX, 0),
     }
 }
 
-impl TryFrom<RawDeployment> for Deployment {
-    type Error = Error;
+fn read_domain(s: &mut Section<'_>) -> Domain {
+    Domain { weight: s.integer("weight", 0..=MAX_WEIGHT, DEFAULT_WEIGHT) }
+}
 
-    fn try_from(raw: RawDeployment) -> Result<Self> {
-        let services = raw
-            .services
-            .into_iter()
-            .map(|(name, service)| Ok((name, service.try_into()?)))
-            .collect::<Result<_>>()?;
-        let routing = RoutingPolicy::default();
-        let placement = PlacementPolicy::default();
-        Ok(Self {
-            services,
-            teams: raw.teams,
-            domains: raw.domains,
-            routing: RoutingPolicy {
-                choice: raw.routing.choice.unwrap_or(routing.choice),
-                admission: raw.routing.admission.unwrap_or(routing.admission),
-                hedging: raw.routing.hedging.unwrap_or(routing.hedging),
-                max_ejected_percent: ranged(
-                    "max_ejected_percent",
-                    raw.routing.max_ejected_percent,
-                    0..=100,
-                    routing.max_ejected_percent,
-                )?,
-            },
-            placement: PlacementPolicy {
-                fit: raw.placement.fit.unwrap_or(placement.fit),
-                lease: raw.placement.lease.unwrap_or(placement.lease),
-                report_period: raw.placement.report_period.unwrap_or(placement.report_period),
-                ..placement
-            },
-        })
-    }
+fn read_routing(s: &mut Section<'_>) -> (RoutingPolicy, SpillPolicy) {
+    let mut routing = RoutingPolicy::default();
+    routing.choice = s.word("choice", routing.choice);
+    routing.admission = s.flag("admission", routing.admission);
+    routing.hedging = s.flag("hedging", routing.hedging);
+    routing.max_ejected_percent =
+        s.integer("max_ejected_percent", 0..=100, routing.max_ejected_percent);
+    let spill = s.section("spill", |s| {
+        let default = SpillPolicy::default();
+        SpillPolicy {
+            enabled: s.flag("enabled", default.enabled),
+            margin: s.duration("margin", Duration::ZERO..=MAX_SPILL_MARGIN, default.margin),
+        }
+    });
+    (routing, spill)
 }
--- a/crates/operator/src/folder.rs
+++ b/crates/operator/src/folder.rs
@@ -1,12 +1,31 @@
 //! The configuration folder: small TOML files, merged in the order of their names.
 
-use crate::deployment::{Deployment, RawDeployment};
-use cyclamenloft_types::{Error, ErrorKind, Result};
+use crate::{
+    deployment::Deployment,
+    merge::merge_files,
+    origin::{Origin, origins},
+    report::{ConfigReport, Problem, ProblemKind},
+    section::{Context, Section},
+};
+use cyclamenloft_types::{Result, check_name};
 use serde::{Deserialize, Serialize};
-use std::path::Path;
-use toml::{Table, Value};
+use std::{
+    fs::File,
+    io::{self, Read as _},
+    path::Path,
+};
 use xxhash_rust::xxh3::Xxh3;
 
+/// Largest file of a configuration, in bytes.
+pub const MAX_FILE_BYTES: usize = 64 * 1024;
+/// Most files of a configuration.
+pub const MAX_FILES: usize = 256;
+/// Largest configuration, in bytes of all its texts.
+pub const MAX_FOLDER_BYTES: usize = 1024 * 1024;
+
+/// Ending of the names of configuration files.
+const EXTENSION: &str = ".toml";
+
 /// One file of a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigFile {
@@ -30,30 +49,43 @@
 }
 
 impl Draft {
-    /// Reads every `*.toml` file of a folder.
+    /// Reads every `*.toml` file of a folder, as [`Self::read_folder`] does.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::InvalidConfig`] naming the folder or file.
+    /// [`ErrorKind::InvalidConfig`](cyclamenloft_types::ErrorKind::InvalidConfig)
+    /// naming the folder or file.
     pub fn from_folder(folder: &Path) -> Result<Self> {
-        let bad = |path: &Path, what: String| {
-            Error::new(ErrorKind::InvalidConfig, format!("{}: {what}", path.display()))
+        Ok(Self::read_folder(folder)?)
+    }
+
+    /// Reads every `*.toml` file of a folder. Hidden files and files with
+    /// another ending are left out.
+    ///
+    /// # Errors
+    ///
+    /// Every file that can't be taken: unreadable, too large, not UTF-8; or the
+    /// folder itself, where it can't be read, is empty or is too large.
+    pub fn read_folder(folder: &Path) -> Result<Self, ConfigReport> {
+        let bad = |what: &str| {
+            Problem::new(ProblemKind::Folder, format!("folder {}: {what}", folder.display()))
         };
-        let entries = std::fs::read_dir(folder).map_err(|e| bad(folder, e.to_string()))?;
+        let names = file_names(folder).map_err(|e| bad(&e.to_string()))?;
+        if names.is_empty() {
+            return Err(bad("expected at least one .toml file, found none").into());
+        }
+        if names.len() > MAX_FILES {
+            return Err(too_many_files(names.len()).into());
+        }
+        let mut report = ConfigReport::default();
         let mut files = Vec::new();
-        for entry in entries {
-            let path = entry.map_err(|e| bad(folder, e.to_string()))?.path();
-            if path.extension().is_none_or(|e| e != "toml") {
-                continue;
+        for name in names {
+            match read_file(folder, &name) {
+                Ok(file) => files.push(file),
+                Err(problem) => report.push(*problem),
             }
-            let name = path.file_name().and_then(|n| n.to_str()).unwrap_or_default();
-            let text = std::fs::read_to_string(&path).map_err(|e| bad(&path, e.to_string()))?;
-            files.push(ConfigFile { name: name.into(), text: text.into() });
         }
-        if files.is_empty() {
-            return Err(bad(folder, "expected at least one .toml file, found none".into()));
-        }
-        Ok(Self::from_files(files))
+        report.or_ok(Self::from_files(files))
     }
 
     /// Takes files from elsewhere, such as an operator's request.
@@ -67,21 +99,33 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::InvalidConfig`] naming file, key, what was expected and what
-    /// was found.
+    /// [`ErrorKind::InvalidConfig`](cyclamenloft_types::ErrorKind::InvalidConfig)
+    /// naming file, key, what was expected and what was found, for the first
+    /// few problems. [`Checked::try_from`] reports all of them.
     pub fn check(self) -> Result<Checked> {
-        let mut merged = Table::new();
-        for file in &self.files {
-            let table: Table = file
-                .text
-                .parse()
-                .map_err(|e| Error::new(ErrorKind::InvalidConfig, format!("{}: {e}", file.name)))?;
-            merge(&mut merged, table);
+        Ok(Checked::try_from(self)?)
+    }
+}
+
+impl TryFrom<Draft> for Checked {
+    type Error = ConfigReport;
+
+    /// Merges the files and checks every value; all problems are reported.
+    fn try_from(draft: Draft) -> Result<Self, ConfigReport> {
+        let files = draft.files;
+        let mut report = ConfigReport::default();
+        check_limits(&files, &mut report);
+        if !report.is_empty() {
+            return Err(report);
         }
-        let raw: RawDeployment = Value::Table(merged)
-            .try_into()
-            .map_err(|e| Error::new(ErrorKind::InvalidConfig, e.to_string()))?;
-        Ok(Checked { files: self.files, deployment: raw.try_into()? })
+        let tree = merge_files(&files, &mut report);
+        if !report.is_empty() {
+            return Err(report);
+        }
+        let cx = Context::new(&files);
+        let deployment = Section::root(&cx, Some(&tree)).read(Deployment::read);
+        cx.into_report().or_ok(())?;
+        Ok(Self { files, deployment })
     }
 }
 
@@ -103,6 +147,13 @@
     pub fn hash(&self) -> u64 {
         hash_files(&self.files)
     }
+
+    /// Where each value that the files give comes from, in the order of the
+    /// dotted keys.
+    #[must_use]
+    pub fn origins(&self) -> Vec<Origin> {
+        origins(&self.files)
+    }
 }
 
 /// Hash of names and texts; lengths are included so that no two lists of files
@@ -119,13 +170,92 @@
     hasher.digest()
 }
 
-fn merge(into: &mut Table, from: Table) {
-    for (key, value) in from {
-        match (into.get_mut(&key), value) {
-            (Some(Value::Table(old)), Value::Table(new)) => merge(old, new),
-            (_, value) => {
-                into.insert(key, value);
-            }
+fn file_names(folder: &Path) -> io::Result<Vec<Box<str>>> {
+    let mut names = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let name = name.to_string_lossy();
+        if name.ends_with(EXTENSION) && !name.starts_with('.') {
+            names.push(name.into());
         }
     }
+    names.sort();
+    Ok(names)
+}
+
+fn read_file(folder: &Path, name: &str) -> Result<ConfigFile, Box<Problem>> {
+    let bad = |what: String| {
+        let message = format!("file {name}: {what}");
+        Box::new(Problem::new(ProblemKind::File, message).in_file(name))
+    };
+    let path = folder.join(name);
+    // Opening a pipe would wait for a writer.
+    if !std::fs::metadata(&path).map_err(|e| bad(e.to_string()))?.is_file() {
+        return Err(bad("expected a regular file".into()));
+    }
+    let mut bytes = Vec::new();
+    File::open(&path)
+        .and_then(|f| f.take(MAX_FILE_BYTES as u64 + 1).read_to_end(&mut bytes))
+        .map_err(|e| bad(e.to_string()))?;
+    if bytes.len() > MAX_FILE_BYTES {
+        return Err(Box::new(large_file(name)));
+    }
+    match String::from_utf8(bytes) {
+        Ok(text) => Ok(ConfigFile { name: name.into(), text: text.into() }),
+        Err(e) => Err(Box::new(not_utf8(name, &e))),
+    }
+}
+
+fn not_utf8(name: &str, e: &std::string::FromUtf8Error) -> Problem {
+    let valid = e.utf8_error().valid_up_to();
+    let found = e.as_bytes().get(valid).copied().unwrap_or_default();
+    let message = format!("file {name}: expected UTF-8, found byte 0x{found:02x}");
+    let text = String::from_utf8_lossy(e.as_bytes()).into();
+    // Up to the offending byte the lossy text equals the file.
+    let file = ConfigFile { name: name.into(), text };
+    Problem::new(ProblemKind::NotUtf8, message).at(&file, valid..valid + 1)
+}
+
+fn large_file(name: &str) -> Problem {
+    let message = format!("file {name}: expected at most {MAX_FILE_BYTES} bytes, found more");
+    Problem::new(ProblemKind::TooLarge, message).in_file(name)
+}
+
+fn too_many_files(found: usize) -> Problem {
+    let message = format!("configuration: expected at most {MAX_FILES} files, found {found}");
+    Problem::new(ProblemKind::TooLarge, message)
+}
+
+fn check_limits(files: &[ConfigFile], report: &mut ConfigReport) {
+    if files.len() > MAX_FILES {
+        report.push(too_many_files(files.len()));
+    }
+    let bytes: usize = files.iter().map(|file| file.text.len()).sum();
+    if bytes > MAX_FOLDER_BYTES {
+        let message =
+            format!("configuration: expected at most {MAX_FOLDER_BYTES} bytes, found {bytes}");
+        report.push(Problem::new(ProblemKind::TooLarge, message));
+    }
+    for file in files {
+        if file.text.len() > MAX_FILE_BYTES {
+            report.push(large_file(&file.name));
+        }
+        check_file_name(&file.name, report);
+    }
+    for pair in files.windows(2).filter(|pair| pair[0].name == pair[1].name) {
+        let name = &pair[0].name;
+        let message = format!("file {name}: the name occurs twice");
+        report.push(Problem::new(ProblemKind::DuplicateName, message).in_file(name));
+    }
+}
+
+fn check_file_name(name: &str, report: &mut ConfigReport) {
+    let message = match check_name("file", name) {
+        Err(e) => e.detail,
+        Ok(_) if !name.ends_with(EXTENSION) || name.starts_with('.') => {
+            format!("file {name:?}: expected a name such as \"20-matchdesk.toml\"").into()
+        }
+        Ok(_) => return,
+    };
+    report.push(Problem::new(ProblemKind::BadName, message).in_file(name));
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,8 +7,18 @@
 
 pub mod deployment;
 pub mod folder;
+pub mod keys;
+mod merge;
+pub mod origin;
+pub mod report;
+mod section;
+pub mod service;
 pub mod state;
+mod variants;
+pub mod work;
 
 pub use deployment::Deployment;
 pub use folder::{Checked, ConfigFile, Draft};
+pub use origin::{KeyChange, Origin, diff};
+pub use report::{ConfigReport, Problem, ProblemKind};
 pub use state::{Accepted, ConfigCommand, ConfigState};
--- /dev/null
+++ b/crates/operator/src/origin.rs
@@ -0,0 +1,125 @@
+//! Where the values of a configuration come from, and what differs between
+//! two configurations.
+
+use crate::{
+    folder::{Checked, ConfigFile},
+    merge::{Node, Site, Tree, merge_files},
+    report::{ConfigReport, Position},
+    section::join,
+};
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+
+/// A place in a file of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// The file's name.
+    pub file: Box<str>,
+    /// Line, from 1.
+    pub line: u32,
+}
+
+/// Where one value comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The dotted key, such as `services.matchdesk.slots`.
+    pub key: Box<str>,
+    /// The value, as TOML spells it.
+    pub value: Box<str>,
+    /// Where it stands.
+    pub place: Place,
+    /// Where the values it replaces stand, oldest first.
+    pub overrides: Vec<Place>,
+}
+
+/// A key that differs between two configurations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyChange {
+    /// The dotted key.
+    pub key: Box<str>,
+    /// What became of it.
+    #[serde(flatten)]
+    pub change: Change,
+}
+
+/// What became of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "change", rename_all = "kebab-case")]
+pub enum Change {
+    /// Only the later configuration gives it.
+    Added {
+        /// Its value.
+        value: Box<str>,
+    },
+    /// Only the earlier configuration gives it.
+    Removed {
+        /// Its value.
+        value: Box<str>,
+    },
+    /// Both give it.
+    Changed {
+        /// Value in the earlier configuration.
+        from: Box<str>,
+        /// Value in the later configuration.
+        to: Box<str>,
+    },
+}
+
+/// Lists the keys whose values differ, in the order of the dotted keys.
+#[must_use]
+pub fn diff(earlier: &Checked, later: &Checked) -> Vec<KeyChange> {
+    let mut old = earlier.origins().into_iter().peekable();
+    let mut new = later.origins().into_iter().peekable();
+    let mut changes = Vec::new();
+    loop {
+        let order = match (old.peek(), new.peek()) {
+            (None, None) => return changes,
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (Some(a), Some(b)) => a.key.cmp(&b.key),
+        };
+        let a = if order.is_le() { old.next() } else { None };
+        let b = if order.is_ge() { new.next() } else { None };
+        changes.extend(change(a, b));
+    }
+}
+
+fn change(old: Option<Origin>, new: Option<Origin>) -> Option<KeyChange> {
+    let (key, change) = match (old, new) {
+        (Some(a), Some(b)) if a.value == b.value => return None,
+        (Some(a), Some(b)) => (a.key, Change::Changed { from: a.value, to: b.value }),
+        (Some(a), None) => (a.key, Change::Removed { value: a.value }),
+        (None, Some(b)) => (b.key, Change::Added { value: b.value }),
+        (None, None) => return None,
+    };
+    Some(KeyChange { key, change })
+}
+
+/// Where each value of `files` comes from, in the order of the dotted keys.
+pub(crate) fn origins(files: &[ConfigFile]) -> Vec<Origin> {
+    let tree = merge_files(files, &mut ConfigReport::default());
+    let mut found = Vec::new();
+    collect(files, &tree, "", &mut found);
+    found.sort_by(|a, b| a.key.cmp(&b.key));
+    found
+}
+
+fn collect(files: &[ConfigFile], tree: &Tree, path: &str, found: &mut Vec<Origin>) {
+    for (key, entry) in tree {
+        let key = join(path, key);
+        match &entry.node {
+            Node::Table(tree) => collect(files, tree, &key, found),
+            Node::Leaf(leaf) => found.push(Origin {
+                key,
+                value: leaf.value.to_string().into(),
+                place: place(files, &leaf.site),
+                overrides: leaf.overrides.iter().map(|site| place(files, site)).collect(),
+            }),
+        }
+    }
+}
+
+fn place(files: &[ConfigFile], site: &Site) -> Place {
+    let file = &files[site.file];
+    Place { file: file.name.clone(), line: Position::of(&file.text, site.span.start).line }
+}
--- /dev/null
+++ b/crates/operator/src/service.rs
@@ -0,0 +1,116 @@
+//! What a configuration says of one service.
+
+use crate::section::Section;
+use cyclamenloft_routing::ServicePolicy;
+use cyclamenloft_types::Priority;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Most requests that one target may work on at once.
+const MAX_SLOTS: u16 = 1024;
+/// Most connections that one target may take.
+const MAX_CONNECTIONS: u16 = 4096;
+/// Most requests of a service that may wait at one entry host.
+const MAX_QUEUE: u32 = 100_000;
+/// Range of deadlines and latency targets.
+const MIN_TIME: Duration = Duration::from_millis(1);
+/// Longest deadline and latency target.
+const MAX_TIME: Duration = Duration::from_secs(3600);
+/// Largest body limit.
+const MAX_BODY_BYTES: u32 = 64 * 1024 * 1024;
+/// Body limit of services that state none.
+const DEFAULT_BODY_BYTES: u32 = 1024 * 1024;
+/// Latency target of services that state none; no longer than the deadline.
+const DEFAULT_LATENCY_P99: Duration = Duration::from_millis(250);
+
+/// Which requests of a service are idempotent where a request doesn't say so.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum IdempotentDefault {
+    /// Those whose HTTP method is.
+    #[default]
+    ByMethod,
+    /// All.
+    Always,
+    /// None.
+    Never,
+}
+
+/// How requests of one service are treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestPolicy {
+    /// Whether idempotent requests may be sent twice to cut the tail; true by
+    /// default. `routing.hedging = false` forbids it for all services.
+    pub hedging: bool,
+    /// Which requests are idempotent where they don't say so; by their method
+    /// by default.
+    pub idempotent: IdempotentDefault,
+    /// Priority among services when room is short; `service` by default.
+    pub priority: Priority,
+    /// Latency that 99% of the requests should stay under; 250 ms by default,
+    /// or the deadline where that is shorter.
+    pub latency_p99: Duration,
+    /// Largest body of a request or an answer, in bytes; 1 MiB by default.
+    pub body_limit_bytes: u32,
+}
+
+impl Default for RequestPolicy {
+    fn default() -> Self {
+        Self {
+            hedging: true,
+            idempotent: IdempotentDefault::ByMethod,
+            priority: Priority::Service,
+            latency_p99: DEFAULT_LATENCY_P99,
+            body_limit_bytes: DEFAULT_BODY_BYTES,
+        }
+    }
+}
+
+pub(crate) fn read_service(s: &mut Section<'_>) -> (ServicePolicy, RequestPolicy) {
+    let policy = read_policy(s);
+    let request = read_request(s, policy.deadline);
+    (policy, request)
+}
+
+fn read_policy(s: &mut Section<'_>) -> ServicePolicy {
+    let mut policy = ServicePolicy::default();
+    policy.slots = s.integer("slots", 1..=MAX_SLOTS, policy.slots);
+    policy.connections = s.integer("connections", 1..=MAX_CONNECTIONS, policy.connections);
+    policy.deadline = s.duration("deadline", MIN_TIME..=MAX_TIME, policy.deadline);
+    policy.queue = s.integer("queue", 0..=MAX_QUEUE, policy.queue);
+    policy.retry_percent = s.integer("retry_percent", 0..=100, policy.retry_percent);
+    // A request holds a connection of its own.
+    if policy.connections < policy.slots {
+        let expected = format_args!("at least slots ({})", policy.slots);
+        s.contradiction("connections", "slots", expected);
+    }
+    policy
+}
+
+fn read_request(s: &mut Section<'_>, deadline: Duration) -> RequestPolicy {
+    let default = RequestPolicy::default();
+    let hedging_given = s.has("hedging");
+    let policy = RequestPolicy {
+        hedging: s.flag("hedging", default.hedging),
+        idempotent: s.word("idempotent", default.idempotent),
+        priority: s.word("priority", default.priority),
+        latency_p99: s.duration(
+            "latency_p99",
+            MIN_TIME..=MAX_TIME,
+            default.latency_p99.min(deadline),
+        ),
+        body_limit_bytes: s.integer(
+            "body_limit_bytes",
+            1..=MAX_BODY_BYTES,
+            default.body_limit_bytes,
+        ),
+    };
+    if policy.latency_p99 > deadline {
+        let expected = format_args!("at most deadline ({})", humantime::format_duration(deadline));
+        s.contradiction("latency_p99", "deadline", expected);
+    }
+    if hedging_given && policy.hedging && policy.idempotent == IdempotentDefault::Never {
+        s.contradiction("hedging", "idempotent", "false where idempotent is \"never\"");
+    }
+    policy
+}
--- /dev/null
+++ b/crates/operator/tests/check.rs
@@ -0,0 +1,170 @@
+//! What the checks of a configuration report, word for word.
+
+use cyclamenloft_operator::{
+    Checked, ConfigFile, ConfigReport, Draft, ProblemKind,
+    folder::{MAX_FILE_BYTES, MAX_FILES},
+    report::{MAX_PROBLEMS, Position},
+};
+use cyclamenloft_types::{Error, ErrorKind};
+use miette::Diagnostic as _;
+
+fn file(name: &str, text: &str) -> ConfigFile {
+    ConfigFile { name: name.into(), text: text.into() }
+}
+
+fn report(files: &[(&str, &str)]) -> ConfigReport {
+    let files = files.iter().map(|(name, text)| file(name, text)).collect();
+    Checked::try_from(Draft::from_files(files)).expect_err("the files have a problem")
+}
+
+/// Each case: files, kind of the first problem, text of the error for the wire.
+macro_rules! bad {
+    ($($name:ident: [$($file:expr),*] => $kind:ident, $text:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let report = report(&[$($file),*]);
+            assert_eq!(report.problems()[0].kind(), ProblemKind::$kind);
+            let error = Error::from(report);
+            assert_eq!(error.kind, ErrorKind::InvalidConfig);
+            assert_eq!(&*error.detail, $text);
+        }
+    )*};
+}
+
+bad! {
+    integer_below_range: [("20-matchdesk.toml", "[services.matchdesk]\nslots = 0\n")] => OutOfRange,
+        "key \"slots\" in 20-matchdesk.toml: expected 1..=1024, found 0 (line 2, column 9)";
+    integer_above_range: [("a.toml", "[services.m]\nqueue = 100_001")] => OutOfRange,
+        "key \"queue\" in a.toml: expected 0..=100000, found 100001 (line 2, column 9)";
+    integer_beyond_64_bits: [("a.toml", "[domains.d]\nweight = 99999999999999999999")] => OutOfRange,
+        "key \"weight\" in a.toml: expected 0..=10000, found 99999999999999999999 (line 2, column 10)";
+    integer_of_wrong_type: [("a.toml", "[services.m]\nslots = \"8\"")] => WrongType,
+        "key \"slots\" in a.toml: expected integer 1..=1024, found string \"8\" (line 2, column 9)";
+    integer_as_table: [("a.toml", "[services.m.slots]\nx = 1")] => WrongType,
+        "key \"slots\" in a.toml: expected integer 1..=1024, found table (line 1, column 13)";
+    duration_of_wrong_type: [("a.toml", "[services.m]\ndeadline = 2")] => WrongType,
+        "key \"deadline\" in a.toml: expected duration such as \"2s\", found integer 2 (line 2, column 12)";
+    duration_that_is_none: [("a.toml", "[services.m]\ndeadline = \"soon\"")] => WrongType,
+        "key \"deadline\" in a.toml: expected duration such as \"2s\", found string \"soon\" (line 2, column 12)";
+    duration_out_of_range: [("a.toml", "[placement]\nlease = \"1h\"")] => OutOfRange,
+        "key \"lease\" in a.toml: expected 1s..=10m, found \"1h\" (line 2, column 9)";
+    boolean_of_wrong_type: [("a.toml", "[routing]\nadmission = 1")] => WrongType,
+        "key \"admission\" in a.toml: expected true or false, found integer 1 (line 2, column 13)";
+    word_that_is_none: [("a.toml", "[placement]\nfit = \"worst-fit\"")] => OutOfRange,
+        "key \"fit\" in a.toml: expected \"scored\", \"first-fit\" or \"best-fit\", found \"worst-fit\" (line 2, column 7)";
+    table_of_wrong_type: [("a.toml", "services = [1]")] => WrongType,
+        "key \"services\" in a.toml: expected a table, found array (line 1, column 12)";
+    name_with_wrong_type: [("a.toml", "[teams]\nquotes = 3.5")] => WrongType,
+        "key \"quotes\" in a.toml: expected a table, found float 3.5 (line 2, column 10)";
+    unknown_key_near_another: [("a.toml", "[services.m]\nslot = 8")] => UnknownKey,
+        "key \"slot\" in a.toml: unknown, did you mean \"slots\"? (line 2, column 1)";
+    unknown_table: [("a.toml", "\n[rooting]\nchoice = \"round-robin\"")] => UnknownKey,
+        "key \"rooting\" in a.toml: unknown, did you mean \"routing\"? (line 2, column 2)";
+    unknown_key_near_none: [("a.toml", "[routing]\nxyzzy = 8")] => UnknownKey,
+        "key \"xyzzy\" in a.toml: unknown (line 2, column 1)";
+    bad_service_name: [("a.toml", "[services.\"match desk\"]\nslots = 8")] => BadName,
+        "service \"match desk\": expected 1 to 64 letters, digits, '-', '_' or '.' (in a.toml) (line 1, column 11)";
+    missing_part_of_a_quota: [("a.toml", "[teams.t]\nquota = { cpu_millis = 1 }")] => MissingKey,
+        "key \"memory_mib\" in a.toml: missing, expected 0..=4294967295 (line 2, column 1)";
+    not_toml: [("a.toml", "[services.m]\nslots = = 8")] => NotToml,
+        "file a.toml: not TOML: extra `=`, expected nothing (line 2, column 9)";
+    key_twice_in_one_file: [("a.toml", "[routing]\nhedging = true\nhedging = false")] => NotToml,
+        "file a.toml: not TOML: duplicate key (line 3, column 1)";
+    bad_file_name: [("a b.toml", "")] => BadName,
+        "file \"a b.toml\": expected 1 to 64 letters, digits, '-', '_' or '.'";
+    file_of_another_kind: [("a.yaml", "")] => BadName,
+        "file \"a.yaml\": expected a name such as \"20-matchdesk.toml\"";
+    hidden_file: [(".a.toml", "")] => BadName,
+        "file \".a.toml\": expected a name such as \"20-matchdesk.toml\"";
+    path_as_file_name: [("../a.toml", "")] => BadName,
+        "file \"../a.toml\": expected 1 to 64 letters, digits, '-', '_' or '.'";
+    two_files_of_one_name: [("a.toml", ""), ("a.toml", "[routing]")] => DuplicateName,
+        "file a.toml: the name occurs twice";
+    large_file: [("a.toml", &" ".repeat(MAX_FILE_BYTES + 1))] => TooLarge,
+        "file a.toml: expected at most 65536 bytes, found more";
+    lease_below_three_reports: [("a.toml", "[placement]\nlease = \"5s\"")] => Contradiction,
+        "key \"lease\" in a.toml: expected at least 3 report periods (6s), found \"5s\" (line 2, column 9)";
+    report_period_above_a_third_of_the_lease: [("a.toml", "[placement]\nreport_period = \"4s\"")] => Contradiction,
+        "key \"report_period\" in a.toml: found \"4s\", but \"lease\" is expected to be at least 3 report periods (12s) (line 2, column 17)";
+    drift_margin_of_a_lease: [("a.toml", "[placement]\ndrift_margin = \"10s\"")] => Contradiction,
+        "key \"drift_margin\" in a.toml: expected less than lease (10s), found \"10s\" (line 2, column 16)";
+    fewer_connections_than_slots: [("a.toml", "[services.m]\nslots = 65")] => Contradiction,
+        "key \"slots\" in a.toml: found 65, but \"connections\" is expected to be at least slots (65) (line 2, column 9)";
+    latency_target_beyond_the_deadline: [("a.toml", "[services.m]\nlatency_p99 = \"3s\"")] => Contradiction,
+        "key \"latency_p99\" in a.toml: expected at most deadline (2s), found \"3s\" (line 2, column 15)";
+    hedging_of_what_must_run_once: [("a.toml", "[services.m]\nhedging = true\nidempotent = \"never\"")] => Contradiction,
+        "key \"hedging\" in a.toml: expected false where idempotent is \"never\", found true (line 2, column 11)";
+    later_file_is_named: [("10-a.toml", "[services.m]\nslots = 8"), ("90-b.toml", "[services.m]\nslots = 0")] => OutOfRange,
+        "key \"slots\" in 90-b.toml: expected 1..=1024, found 0 (line 2, column 9)";
+    several_problems: [("a.toml", "[services.m]\nslots = 0\nqueue = true"), ("b.toml", "[teams.t]\nweigth = 1")] => OutOfRange,
+        "key \"slots\" in a.toml: expected 1..=1024, found 0 (line 2, column 9); \
+         key \"queue\" in a.toml: expected integer 0..=100000, found boolean true (line 3, column 9); \
+         key \"weigth\" in b.toml: unknown, did you mean \"weight\"? (line 2, column 1)";
+}
+
+#[test]
+fn every_file_that_is_not_toml_is_reported() {
+    let report = report(&[("a.toml", "="), ("b.toml", ""), ("c.toml", "[")]);
+    let files: Vec<_> = report.problems().iter().filter_map(|p| p.file()).collect();
+    assert_eq!(files, ["a.toml", "c.toml"]);
+}
+
+#[test]
+fn too_many_files_and_bytes_are_refused() {
+    let many = (0..=MAX_FILES).map(|i| file(&format!("{i:03}.toml"), "")).collect();
+    let error = Draft::from_files(many).check().expect_err("one file too many");
+    assert_eq!(&*error.detail, "configuration: expected at most 256 files, found 257");
+
+    let text = " ".repeat(MAX_FILE_BYTES);
+    let large = (0..17).map(|i| file(&format!("{i}.toml"), &text)).collect();
+    let error = Draft::from_files(large).check().expect_err("more than a mebibyte");
+    assert_eq!(&*error.detail, "configuration: expected at most 1048576 bytes, found 1114112");
+}
+
+#[test]
+fn a_report_is_bounded() {
+    let text: String = (0..1000).map(|i| format!("key{i} = {i}\n")).collect();
+    let report = report(&[("a.toml", &text)]);
+    assert_eq!(report.problems().len(), MAX_PROBLEMS);
+    assert_eq!(report.omitted(), 1000 - MAX_PROBLEMS);
+    assert_eq!(report.to_string(), "the configuration has 1000 problems");
+    assert!(Error::from(report).detail.ends_with("; 992 more problems"));
+}
+
+#[test]
+fn deeply_nested_tables_are_refused() {
+    let key = vec!["a"; 30_000].join(".");
+    let dotted = report(&[("a.toml", &format!("{key} = 1"))]);
+    assert_eq!(dotted.problems()[0].kind(), ProblemKind::NotToml);
+    let arrays = report(&[("a.toml", &format!("a = {}", "[".repeat(60_000)))]);
+    assert_eq!(arrays.problems()[0].kind(), ProblemKind::NotToml);
+}
+
+#[test]
+fn miette_shows_file_line_and_column() {
+    let report = report(&[("20-matchdesk.toml", "[services.matchdesk]\nslots = 0\nqeue = 5\n")]);
+    let mut shown = String::new();
+    let handler = miette::NarratableReportHandler::new();
+    handler.render_report(&mut shown, &report).expect("a string takes everything");
+    for part in [
+        "the configuration has 2 problems",
+        "key \"slots\" in 20-matchdesk.toml: expected 1..=1024, found 0",
+        "Begin snippet for 20-matchdesk.toml starting at line 1, column 1",
+        "snippet line 2: slots = 0",
+        "label at line 2, column 9: services.matchdesk.slots",
+        "label at line 3, columns 1 to 4: services.matchdesk.qeue",
+        "diagnostic help: known here: slots, connections, deadline, queue,",
+    ] {
+        assert!(shown.contains(part), "{part:?} is missing in:\n{shown}");
+    }
+    assert_eq!(report.code().expect("a code").to_string(), "invalid-config");
+}
+
+#[test]
+fn positions_count_characters() {
+    let text = "a = \"é\"\n[é]";
+    assert_eq!(Position::of(text, 0), Position { line: 1, column: 1 });
+    assert_eq!(Position::of(text, 7), Position { line: 1, column: 7 });
+    assert_eq!(Position::of(text, 9), Position { line: 2, column: 1 });
+    assert_eq!(Position::of(text, 99), Position { line: 2, column: 4 });
+}
