Configuration state: bounded history, file-level deltas, and InForce for every process

For each file the number of its last change is kept, and removed names up to 1,024, so since(n) needs no old content. Amend proposes only what changes. InForce takes updates in any order, checks the hash of the content, parses only when the number grows and passes deltas on. A conflict tells number, holder and hash of what stands.

--- a/crates/operator/src/folder.rs
+++ b/crates/operator/src/folder.rs
@@ -41,8 +41,9 @@
     files: Vec<ConfigFile>,
 }
 
-/// A configuration whose every value is typed and in range.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A configuration whose every value is typed and in range. The default one has
+/// no files.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Checked {
     files: Vec<ConfigFile>,
     deployment: Deployment,
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,10 +3,14 @@
 //!
 //! A configuration lives through [`Draft`] (files as read) and [`Checked`]
 //! (every value typed and in range) until the config group accepts it under a
-//! number, which [`ConfigState`] records.
+//! number, which [`ConfigState`] records. Every process keeps the highest that
+//! it has seen as [`InForce`], fed with [`Update`]s.
 
+pub mod changes;
 pub mod deployment;
 pub mod folder;
+pub mod history;
+pub mod in_force;
 pub mod keys;
 mod merge;
 pub mod origin;
@@ -17,8 +21,11 @@
 mod variants;
 pub mod work;
 
+pub use changes::Update;
 pub use deployment::Deployment;
 pub use folder::{Checked, ConfigFile, Draft};
+pub use history::Holder;
+pub use in_force::{InForce, Offered};
 pub use origin::{KeyChange, Origin, diff};
 pub use report::{ConfigReport, Problem, ProblemKind};
 pub use state::{Accepted, ConfigCommand, ConfigState};
--- a/crates/operator/src/state.rs
+++ b/crates/operator/src/state.rs
@@ -1,10 +1,22 @@
 //! The numbered history of configurations, as the config group agrees on it.
+//!
+//! A proposal must bear the number after the last accepted one. A number that
+//! is taken gives the same answer again for the same content, so that an
+//! operator who lost an answer may resend; for other content it is a conflict
+//! that names who holds the number.
 
-use crate::folder::{ConfigFile, hash_files};
+use crate::{
+    changes::{Changes, Update, amended, compare},
+    folder::{ConfigFile, hash_files},
+    history::{History, Holder},
+};
 use cyclamenloft_replication::StateMachine;
 use cyclamenloft_types::{ConfigNumber, Error, ErrorKind, LogIndex, Result};
 use serde::{Deserialize, Serialize};
 
+/// First byte of a snapshot.
+const SNAPSHOT_VERSION: u8 = 1;
+
 /// A change that the config group agrees on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigCommand {
@@ -19,6 +31,22 @@
         /// Wall clock at the proposal, in milliseconds since the Unix epoch.
         at_unix_ms: u64,
     },
+    /// The same, as what changes against the configuration one number lower,
+    /// which is the only one that it can be accepted after.
+    Amend {
+        /// The number; one more than the last accepted.
+        number: ConfigNumber,
+        /// The files that are new or changed.
+        changed: Vec<ConfigFile>,
+        /// Names of the files that are left out.
+        removed: Vec<Box<str>>,
+        /// Hash of the whole content that follows.
+        hash: u64,
+        /// Who proposes, for the losers of a race.
+        author: Box<str>,
+        /// Wall clock at the proposal, in milliseconds since the Unix epoch.
+        at_unix_ms: u64,
+    },
 }
 
 /// An accepted configuration in the history.
@@ -38,53 +66,128 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
     files: Vec<ConfigFile>,
-    history: Vec<Accepted>,
+    changes: Changes,
+    history: History,
 }
 
 impl ConfigState {
     /// Number in force; 0 before the first.
     #[must_use]
     pub fn number(&self) -> ConfigNumber {
-        self.history.last().map_or(0, |a| a.number)
+        self.last().map_or(0, |a| a.number)
     }
 
-    /// Content in force.
+    /// Hash of the content in force.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        self.last().map_or_else(|| hash_files(&[]), |a| a.hash)
+    }
+
+    /// The configuration in force; `None` before the first.
+    #[must_use]
+    pub fn last(&self) -> Option<&Accepted> {
+        self.history.last()
+    }
+
+    /// Content in force, sorted by name.
     #[must_use]
     pub fn files(&self) -> &[ConfigFile] {
         &self.files
     }
 
-    /// The accepted configurations, oldest first.
+    /// The last [`RECENT`](crate::history::RECENT) accepted configurations,
+    /// oldest first.
     #[must_use]
     pub fn history(&self) -> &[Accepted] {
-        &self.history
+        self.history.recent()
     }
 
-    fn propose(
-        &mut self,
+    /// Who holds `number`.
+    #[must_use]
+    pub fn holder(&self, number: ConfigNumber) -> Holder {
+        self.history.holder(number)
+    }
+
+    /// What a process that has `number` in force lacks: the files changed
+    /// since, or the whole where that isn't known or `number` is 0.
+    #[must_use]
+    pub fn since(&self, number: ConfigNumber) -> Update {
+        self.changes.since(number, &self.files, self.number(), self.hash())
+    }
+
+    /// The shortest command that proposes `files` under `number`.
+    #[must_use]
+    pub fn command(
+        &self,
         number: ConfigNumber,
-        files: &[ConfigFile],
-        author: &str,
+        files: Vec<ConfigFile>,
+        author: impl Into<Box<str>>,
         at_unix_ms: u64,
-    ) -> Result<Accepted> {
-        let hash = hash_files(files);
-        if number == self.number() + 1 {
-            let accepted = Accepted { number, hash, author: author.into(), at_unix_ms };
-            self.files = files.to_vec();
-            self.history.push(accepted.clone());
-            return Ok(accepted);
+    ) -> ConfigCommand {
+        let author = author.into();
+        let files = sorted(&files);
+        // Another number is refused, or follows entries not applied here yet.
+        if number != self.number() + 1 {
+            return ConfigCommand::Propose { number, files, author, at_unix_ms };
+        }
+        let hash = hash_files(&files);
+        let (changed, removed) = compare(&self.files, &files);
+        ConfigCommand::Amend { number, changed, removed, hash, author, at_unix_ms }
+    }
+
+    fn decide(&mut self, proposal: Accepted, files: Option<Vec<ConfigFile>>) -> Result<Accepted> {
+        let number = proposal.number;
+        match self.holder(number) {
+            Holder::Free if number == self.number() + 1 => self.accept(proposal, files),
+            Holder::Free => Err(self.conflict(&format!("expected {}", self.number() + 1), number)),
+            Holder::Known(same) if same.hash == proposal.hash => Ok(same),
+            Holder::Known(other) => {
+                let what = format!("taken by {} with content {:016x}", other.author, other.hash);
+                Err(self.conflict(&what, number))
+            }
+            Holder::Forgotten => Err(self.conflict("taken too long ago to compare", number)),
+        }
+    }
+
+    fn accept(&mut self, accepted: Accepted, files: Option<Vec<ConfigFile>>) -> Result<Accepted> {
+        let files = files.unwrap_or_default();
+        let invalid = |what| Err(Error::new(ErrorKind::InvalidConfig, what));
+        if files.is_empty() {
+            return invalid("configuration: expected at least one file, found none");
         }
-        match self.history.iter().find(|a| a.number == number) {
-            Some(same) if same.hash == hash => Ok(same.clone()),
-            Some(other) => Err(Error::new(
-                ErrorKind::Conflict,
-                format!("number {number} is taken by {} with other content", other.author),
-            )),
-            None => Err(Error::new(
-                ErrorKind::Conflict,
-                format!("number {number}: expected {}", self.number() + 1),
-            )),
+        if files.windows(2).any(|pair| pair[0].name == pair[1].name) {
+            return invalid("configuration: expected files of different names");
         }
+        if hash_files(&files) != accepted.hash {
+            return Err(Error::new(
+                ErrorKind::Internal,
+                format!("configuration {}: the changes don't give its content", accepted.number),
+            ));
+        }
+        let (changed, removed) = compare(&self.files, &files);
+        self.changes.note(&changed, &removed, accepted.number);
+        self.files = files;
+        self.history.push(accepted.clone());
+        Ok(accepted)
+    }
+
+    fn conflict(&self, what: &str, number: ConfigNumber) -> Error {
+        let stands = self.last().map_or_else(
+            || "none is accepted yet".into(),
+            |a| format!("in force is {} by {}, content {:016x}", a.number, a.author, a.hash),
+        );
+        Error::new(ErrorKind::Conflict, format!("number {number}: {what}; {stands}"))
+    }
+
+    fn is_sound(&self) -> bool {
+        let rising = |pair: &[ConfigFile]| pair[0].name < pair[1].name;
+        let number = self.number();
+        self.history.is_sound()
+            && number < ConfigNumber::MAX
+            && (number == 0) == self.files.is_empty()
+            && self.files.windows(2).all(rising)
+            && self.changes.fits(&self.files, number)
+            && self.hash() == hash_files(&self.files)
     }
 }
 
@@ -93,16 +196,48 @@
     type Answer = Result<Accepted>;
 
     fn apply(&mut self, _index: LogIndex, command: &ConfigCommand) -> Result<Accepted> {
-        let ConfigCommand::Propose { number, files, author, at_unix_ms } = command;
-        self.propose(*number, files, author, *at_unix_ms)
+        match command {
+            ConfigCommand::Propose { number, files, author, at_unix_ms } => {
+                let files = sorted(files);
+                let hash = hash_files(&files);
+                let (number, at_unix_ms) = (*number, *at_unix_ms);
+                let proposal = Accepted { number, hash, author: author.clone(), at_unix_ms };
+                self.decide(proposal, Some(files))
+            }
+            ConfigCommand::Amend { number, changed, removed, hash, author, at_unix_ms } => {
+                let (number, hash, at_unix_ms) = (*number, *hash, *at_unix_ms);
+                let proposal = Accepted { number, hash, author: author.clone(), at_unix_ms };
+                let next = number == self.number() + 1;
+                let files = next.then(|| amended(&self.files, changed, removed));
+                self.decide(proposal, files)
+            }
+        }
     }
 
     fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a state of plain data always encodes")
+        let buf = vec![SNAPSHOT_VERSION];
+        postcard::to_extend(self, buf).expect("a state of plain data always encodes")
     }
 
     fn decode(bytes: &[u8]) -> Result<Self> {
-        postcard::from_bytes(bytes)
-            .map_err(|e| Error::new(ErrorKind::Corrupt, format!("config snapshot: {e}")))
+        let corrupt = |what: String| Error::new(ErrorKind::Corrupt, what);
+        let Some((&SNAPSHOT_VERSION, body)) = bytes.split_first() else {
+            let found = bytes.first().map_or("none".into(), ToString::to_string);
+            return Err(corrupt(format!(
+                "config snapshot: expected version {SNAPSHOT_VERSION}, found {found}"
+            )));
+        };
+        let state: Self =
+            postcard::from_bytes(body).map_err(|e| corrupt(format!("config snapshot: {e}")))?;
+        if !state.is_sound() {
+            return Err(corrupt("config snapshot: its parts contradict each other".into()));
+        }
+        Ok(state)
     }
 }
+
+fn sorted(files: &[ConfigFile]) -> Vec<ConfigFile> {
+    let mut files = files.to_vec();
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    files
+}
