Operators' messages and what their command line prints

Cause: entry listener, command line and control had no common typed messages, and each would have had to write its own output.

Change: messages (apply, check, show, history, update) with their checks, and check, apply, show, history and diff as functions that return text or JSON. The reader of sections is split in two files.

--- /dev/null
+++ b/crates/operator/src/cli.rs
@@ -0,0 +1,216 @@
+//! What the operators' command line prints, as text or JSON.
+
+use crate::{
+    folder::{Checked, Draft},
+    messages::{
+        ApplyAnswer, CheckAnswer, ContentHash, Entry, HistoryAnswer, ReportMessage, ShowAnswer,
+    },
+    origin::{Change, KeyChange, Origin, Place, diff},
+    report::ConfigReport,
+};
+use cyclamenloft_types::Result;
+use miette::{GraphicalReportHandler, GraphicalTheme};
+use serde::Serialize;
+use std::{
+    fmt::Write as _,
+    path::Path,
+    time::{Duration, UNIX_EPOCH},
+};
+
+/// Last millisecond of the year 9999, beyond which times are not printed.
+const MAX_UNIX_MS: u64 = 253_402_300_799_999;
+
+/// How output is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For readers.
+    #[default]
+    Text,
+    /// For programs: one JSON document.
+    Json,
+}
+
+/// What a command prints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rendered {
+    /// The output; it ends with a line break.
+    pub text: Box<str>,
+    /// Whether the command succeeded, for the exit code.
+    pub ok: bool,
+}
+
+/// Output of `config check FOLDER`.
+#[must_use]
+pub fn check(folder: &Path, format: Format) -> Rendered {
+    let result = Draft::read_folder(folder).and_then(Checked::try_from);
+    let ok = result.is_ok();
+    let text = match (format, &result) {
+        (Format::Json, result) => json(&CheckAnswer::from(result)),
+        (Format::Text, Ok(checked)) => in_order(checked),
+        (Format::Text, Err(report)) => report_text(report),
+    };
+    Rendered { text: text.into(), ok }
+}
+
+/// Output of `config apply`.
+#[must_use]
+pub fn apply(answer: &ApplyAnswer, format: Format) -> Rendered {
+    let ok = matches!(answer, ApplyAnswer::Accepted(_));
+    let text = match (format, answer) {
+        (Format::Json, answer) => json(answer),
+        (Format::Text, ApplyAnswer::Accepted(entry)) => format!("accepted: {}\n", line(entry)),
+        (Format::Text, ApplyAnswer::Conflict { asked, holder, last }) => {
+            let held = match (holder, last) {
+                (Some(holder), _) => format!("taken: {}", line(holder)),
+                (None, Some(last)) if last.number >= *asked => "taken too long ago".into(),
+                (None, last) => {
+                    let next = last.as_ref().map_or(0, |last| last.number).saturating_add(1);
+                    format!("expected {next}")
+                }
+            };
+            let stands = last.as_ref().map_or_else(|| "nothing".into(), line);
+            format!("conflict: number {asked} is not accepted\n  {held}\n  in force: {stands}\n")
+        }
+        (Format::Text, ApplyAnswer::Invalid(report)) => report_lines(report),
+    };
+    Rendered { text: text.into(), ok }
+}
+
+/// Output of `config show`, with `--origin` where `origin` is set. The text is
+/// a configuration file itself.
+///
+/// # Errors
+///
+/// [`ErrorKind::InvalidConfig`](cyclamenloft_types::ErrorKind::InvalidConfig)
+/// where this version can't read what is in force.
+pub fn show(answer: &ShowAnswer, origin: bool, format: Format) -> Result<Rendered> {
+    let checked = Draft::from_files(answer.files.clone()).check()?;
+    let origins = checked.origins();
+    let text = match format {
+        Format::Json => json(&Shown { number: answer.number, hash: answer.hash, values: &origins }),
+        Format::Text => show_text(answer, &origins, origin),
+    };
+    Ok(Rendered { text: text.into(), ok: true })
+}
+
+/// Output of `config history`.
+#[must_use]
+pub fn history(answer: &HistoryAnswer, format: Format) -> Rendered {
+    let text = match format {
+        Format::Json => json(answer),
+        Format::Text => {
+            let mut text: String = answer.entries.iter().map(|e| line(e) + "\n").collect();
+            if answer.entries.is_empty() {
+                text.push_str("no configuration is accepted yet\n");
+            }
+            if let (true, Some(last)) = (answer.older, answer.entries.last()) {
+                let _ = writeln!(text, "older ones: --before {}", last.number);
+            }
+            text
+        }
+    };
+    Rendered { text: text.into(), ok: true }
+}
+
+/// Output of `config diff`: what `later` changes against `earlier`.
+#[must_use]
+pub fn difference(earlier: &Checked, later: &Checked, format: Format) -> Rendered {
+    let changes = diff(earlier, later);
+    let text = match format {
+        Format::Json => json(&changes),
+        Format::Text if changes.is_empty() => "no differences\n".into(),
+        Format::Text => changes.iter().map(change_line).collect(),
+    };
+    Rendered { text: text.into(), ok: true }
+}
+
+#[derive(Serialize)]
+struct Shown<'a> {
+    number: u64,
+    hash: ContentHash,
+    values: &'a [Origin],
+}
+
+fn json(value: &impl Serialize) -> String {
+    let text = serde_json::to_string_pretty(value).expect("plain data always encodes");
+    text + "\n"
+}
+
+fn in_order(checked: &Checked) -> String {
+    let content = checked.deployment();
+    let mut text = String::from("the configuration is in order\n");
+    let counts = [
+        ("files", checked.files().len()),
+        ("services", content.services.len()),
+        ("teams", content.teams.len()),
+        ("domains", content.domains.len()),
+        ("job classes", content.classes.len()),
+    ];
+    for (what, count) in counts {
+        let _ = writeln!(text, "  {what}: {count}");
+    }
+    let _ = writeln!(text, "  content: {}", ContentHash(checked.hash()));
+    text
+}
+
+fn report_text(report: &ConfigReport) -> String {
+    let mut text = String::new();
+    let handler = GraphicalReportHandler::new_themed(GraphicalTheme::unicode_nocolor());
+    match handler.render_report(&mut text, report) {
+        Ok(()) => text,
+        Err(_) => report_lines(&report.into()),
+    }
+}
+
+fn report_lines(report: &ReportMessage) -> String {
+    let mut text = String::new();
+    for problem in &report.problems {
+        if let (Some(file), Some(at)) = (&problem.file, problem.position) {
+            let _ = write!(text, "{file}:{}:{}: ", at.line, at.column);
+        }
+        let _ = writeln!(text, "{}", problem.message);
+    }
+    if report.omitted > 0 {
+        let _ = writeln!(text, "{} more problems", report.omitted);
+    }
+    text
+}
+
+fn show_text(answer: &ShowAnswer, origins: &[Origin], origin: bool) -> String {
+    let stands = match (&answer.entry, answer.number) {
+        (Some(entry), _) => line(entry),
+        (None, 0) => "nothing".into(),
+        (None, number) => format!("{number}, content {}", answer.hash),
+    };
+    let mut text = format!("# in force: {stands}\n");
+    for Origin { key, value, place, overrides } in origins {
+        let _ = write!(text, "{key} = {value}");
+        if origin {
+            let _ = write!(text, " # {}", place_text(place));
+        }
+        if origin && !overrides.is_empty() {
+            let places: Vec<String> = overrides.iter().map(place_text).collect();
+            let _ = write!(text, ", overrides {}", places.join(", "));
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn place_text(place: &Place) -> String {
+    format!("{}:{}", place.file, place.line)
+}
+
+fn line(entry: &Entry) -> String {
+    let at = UNIX_EPOCH + Duration::from_millis(entry.at_unix_ms.min(MAX_UNIX_MS));
+    let at = humantime::format_rfc3339_seconds(at);
+    format!("{} at {at} by {}, content {}", entry.number, entry.author, entry.hash)
+}
+
+fn change_line(KeyChange { key, change }: &KeyChange) -> String {
+    match change {
+        Change::Added { value } => format!("+ {key} = {value}\n"),
+        Change::Removed { value } => format!("- {key} = {value}\n"),
+        Change::Changed { from, to } => format!("~ {key} = {from} -> {to}\n"),
+    }
+}
--- a/crates/operator/src/folder.rs
+++ b/crates/operator/src/folder.rs
@@ -1,11 +1,12 @@
 //! The configuration folder: small TOML files, merged in the order of their names.
 
 use crate::{
+    context::Context,
     deployment::Deployment,
     merge::merge_files,
     origin::{Origin, origins},
     report::{ConfigReport, Problem, ProblemKind},
-    section::{Context, Section},
+    section::Section,
 };
 use cyclamenloft_types::{Result, check_name};
 use serde::{Deserialize, Serialize};
--- a/crates/operator/src/keys.rs
+++ b/crates/operator/src/keys.rs
@@ -1,10 +1,7 @@
 //! The table of all keys that a configuration may hold, for the operators'
 //! page and for shells that complete keys.
 
-use crate::{
-    deployment::Deployment,
-    section::{Context, Section},
-};
+use crate::{context::Context, deployment::Deployment, section::Section};
 use serde::Serialize;
 
 /// One key that a configuration may hold.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,12 +7,15 @@
 //! it has seen as [`InForce`], fed with [`Update`]s.
 
 pub mod changes;
+pub mod cli;
+mod context;
 pub mod deployment;
 pub mod folder;
 pub mod history;
 pub mod in_force;
 pub mod keys;
 mod merge;
+pub mod messages;
 pub mod origin;
 pub mod report;
 mod section;
--- a/crates/operator/src/origin.rs
+++ b/crates/operator/src/origin.rs
@@ -2,10 +2,10 @@
 //! two configurations.
 
 use crate::{
+    context::join,
     folder::{Checked, ConfigFile},
     merge::{Node, Site, Tree, merge_files},
     report::{ConfigReport, Position},
-    section::join,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
--- a/crates/operator/src/section.rs
+++ b/crates/operator/src/section.rs
@@ -3,45 +3,14 @@
 //! ([`known_keys`](crate::keys::known_keys)) lists.
 
 use crate::{
-    folder::ConfigFile,
+    context::{Context, join, nearest},
     keys::{KeyRow, default_text},
     merge::{Entry, Leaf, Node, Scalar, Site, Tree},
-    report::{ConfigReport, Problem, ProblemKind},
+    report::ProblemKind,
     variants::{self, Variants},
 };
 use cyclamenloft_types::check_name;
-use std::{cell::RefCell, collections::BTreeMap, fmt, ops::RangeInclusive, time::Duration};
-
-/// Least likeness, from 0 to 1, of a key that is suggested for an unknown one.
-const MIN_LIKENESS: f64 = 0.5;
-
-/// What all sections of one configuration share.
-#[derive(Debug)]
-pub(crate) struct Context<'a> {
-    files: &'a [ConfigFile],
-    report: RefCell<ConfigReport>,
-    rows: RefCell<Option<Vec<KeyRow>>>,
-}
-
-impl<'a> Context<'a> {
-    /// Reads a configuration.
-    pub(crate) fn new(files: &'a [ConfigFile]) -> Self {
-        Self { files, report: RefCell::default(), rows: RefCell::new(None) }
-    }
-
-    /// Records the keys that are asked for.
-    pub(crate) fn recording() -> Context<'static> {
-        Context { files: &[], report: RefCell::default(), rows: RefCell::new(Some(Vec::new())) }
-    }
-
-    pub(crate) fn into_report(self) -> ConfigReport {
-        self.report.into_inner()
-    }
-
-    pub(crate) fn into_rows(self) -> Vec<KeyRow> {
-        self.rows.into_inner().unwrap_or_default()
-    }
-}
+use std::{collections::BTreeMap, fmt, ops::RangeInclusive, time::Duration};
 
 /// A table with the place of its key.
 #[derive(Clone, Copy, Debug)]
@@ -95,7 +64,7 @@
         read: impl FnOnce(&mut Section<'a>) -> T,
     ) -> Option<T> {
         let table = self.table(key);
-        let recording = self.cx.rows.borrow().is_some();
+        let recording = self.cx.is_recording();
         (table.is_some() || recording)
             .then(|| Section::inner(self.cx, table, self.dotted(key)).read(read))
     }
@@ -109,7 +78,7 @@
         read: impl Fn(&mut Section<'a>) -> T,
     ) -> BTreeMap<Box<str>, T> {
         let path = self.dotted(key);
-        if self.cx.rows.borrow().is_some() {
+        if self.cx.is_recording() {
             Section::inner(self.cx, None, format!("{path}.<{what}>").into()).read(&read);
         }
         let mut read_all = BTreeMap::new();
@@ -326,14 +295,12 @@
     }
 
     fn record(&self, key: &str, kind: &str, expected: &str, default: Option<String>) {
-        if let Some(rows) = self.cx.rows.borrow_mut().as_mut() {
-            rows.push(KeyRow {
-                key: self.dotted(key),
-                kind: kind.into(),
-                expected: expected.into(),
-                default: default.map(Into::into),
-            });
-        }
+        self.cx.record(KeyRow {
+            key: self.dotted(key),
+            kind: kind.into(),
+            expected: expected.into(),
+            default: default.map(Into::into),
+        });
     }
 
     fn report_unknown(&self) {
@@ -343,55 +310,8 @@
                 Some(known) => format!("unknown, did you mean \"{known}\"?"),
                 None => "unknown".into(),
             };
-            let shown: String = key.chars().take(cyclamenloft_types::MAX_NAME_BYTES).collect();
-            let file = &self.cx.files[entry.key.file];
-            let text = format!("key {shown:?} in {}: {message}", file.name);
-            let problem = Problem::new(ProblemKind::UnknownKey, text)
-                .at(file, entry.key.span.clone())
-                .key(self.dotted(key))
-                .help(format!("known here: {}", self.asked.join(", ")));
-            self.cx.report.borrow_mut().push(problem);
+            let help = format!("known here: {}", self.asked.join(", "));
+            self.cx.unknown_key(&entry.key, &self.dotted(key), key, &message, help);
         }
     }
 }
-
-impl Context<'_> {
-    fn wrong_type(&self, dotted: &str, key: &str, leaf: &Leaf, expected: &str) {
-        let message = format!("expected {expected}, found {}", leaf.value.described());
-        self.key_problem(ProblemKind::WrongType, &leaf.site, dotted, key, &message);
-    }
-
-    fn key_problem(&self, kind: ProblemKind, site: &Site, dotted: &str, key: &str, what: &str) {
-        let text = format!("key \"{key}\" in {}: {what}", self.files[site.file].name);
-        self.report_at(kind, site, dotted, text);
-    }
-
-    fn problem(&self, kind: ProblemKind, site: &Site, dotted: &str, what: &str) {
-        let text = format!("{what} (in {})", self.files[site.file].name);
-        self.report_at(kind, site, dotted, text);
-    }
-
-    fn report_at(&self, kind: ProblemKind, site: &Site, dotted: &str, text: String) {
-        let file = &self.files[site.file];
-        let problem = Problem::new(kind, text).at(file, site.span.clone()).key(dotted);
-        self.report.borrow_mut().push(problem);
-    }
-}
-
-/// Joins a path and a key; a key that TOML would not take bare is quoted.
-pub(crate) fn join(path: &str, key: &str) -> Box<str> {
-    let bare = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
-    let quoted = key.is_empty() || !key.chars().all(bare);
-    match (path.is_empty(), quoted) {
-        (true, false) => key.into(),
-        (true, true) => format!("{key:?}").into(),
-        (false, false) => format!("{path}.{key}").into(),
-        (false, true) => format!("{path}.{key:?}").into(),
-    }
-}
-
-fn nearest<'k>(key: &str, known: &[&'k str]) -> Option<&'k str> {
-    let likeness = |known: &str| strsim::normalized_damerau_levenshtein(key, known);
-    let best = known.iter().copied().max_by(|a, b| likeness(a).total_cmp(&likeness(b)))?;
-    (likeness(best) >= MIN_LIKENESS).then_some(best)
-}
