--- /dev/null
+++ b/crates/operator/examples/known_keys.rs
@@ -0,0 +1,10 @@
+//! Prints the table of keys of `docs/CONFIGURATION.md`, without the meanings.
+
+use cyclamenloft_operator::keys::known_keys;
+
+fn main() {
+    for row in known_keys() {
+        let default = row.default.as_deref().unwrap_or("none");
+        println!("| `{}` | {} | {} | {default} | |", row.key, row.kind, row.expected);
+    }
+}
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -50,8 +50,8 @@
         "key \"lease\" in a.toml: expected 1s..=10m, found \"1h\" (line 2, column 9)";
     boolean_of_wrong_type: [("a.toml", "[routing]\nadmission = 1")] => WrongType,
         "key \"admission\" in a.toml: expected true or false, found integer 1 (line 2, column 13)";
-    word_that_is_none: [("a.toml", "[placement]\nfit = \"worst-fit\"")] => OutOfRange,
-        "key \"fit\" in a.toml: expected \"scored\", \"first-fit\" or \"best-fit\", found \"worst-fit\" (line 2, column 7)";
+    word_that_is_none: [("a.toml", "[services.m]\nidempotent = \"sometimes\"")] => OutOfRange,
+        "key \"idempotent\" in a.toml: expected \"by-method\", \"always\" or \"never\", found \"sometimes\" (line 2, column 14)";
     table_of_wrong_type: [("a.toml", "services = [1]")] => WrongType,
         "key \"services\" in a.toml: expected a table, found array (line 1, column 12)";
     name_with_wrong_type: [("a.toml", "[teams]\nquotes = 3.5")] => WrongType,
@@ -82,15 +82,15 @@
         "file a.toml: the name occurs twice";
     large_file: [("a.toml", &" ".repeat(MAX_FILE_BYTES + 1))] => TooLarge,
         "file a.toml: expected at most 65536 bytes, found more";
-    lease_below_three_reports: [("a.toml", "[placement]\nlease = \"5s\"")] => Contradiction,
+    lease_below_three_reports: [("a.toml", "[placement]\nlease = \"5s\"\nreport_period = \"2s\"")] => Contradiction,
         "key \"lease\" in a.toml: expected at least 3 report periods (6s), found \"5s\" (line 2, column 9)";
     report_period_above_a_third_of_the_lease: [("a.toml", "[placement]\nreport_period = \"4s\"")] => Contradiction,
         "key \"report_period\" in a.toml: found \"4s\", but \"lease\" is expected to be at least 3 report periods (12s) (line 2, column 17)";
-    drift_margin_of_a_lease: [("a.toml", "[placement]\ndrift_margin = \"10s\"")] => Contradiction,
+    drift_margin_of_a_lease: [("a.toml", "[placement]\ndrift_margin = \"10s\"\nlease = \"10s\"")] => Contradiction,
         "key \"drift_margin\" in a.toml: expected less than lease (10s), found \"10s\" (line 2, column 16)";
     fewer_connections_than_slots: [("a.toml", "[services.m]\nslots = 65")] => Contradiction,
         "key \"slots\" in a.toml: found 65, but \"connections\" is expected to be at least slots (65) (line 2, column 9)";
-    latency_target_beyond_the_deadline: [("a.toml", "[services.m]\nlatency_p99 = \"3s\"")] => Contradiction,
+    latency_target_beyond_the_deadline: [("a.toml", "[services.m]\nlatency_p99 = \"3s\"\ndeadline = \"2s\"")] => Contradiction,
         "key \"latency_p99\" in a.toml: expected at most deadline (2s), found \"3s\" (line 2, column 15)";
     hedging_of_what_must_run_once: [("a.toml", "[services.m]\nhedging = true\nidempotent = \"never\"")] => Contradiction,
         "key \"hedging\" in a.toml: expected false where idempotent is \"never\", found true (line 2, column 11)";
