--- /dev/null
+++ b/crates/operator/examples/config_cost.rs
@@ -0,0 +1,170 @@
+//! Measures what a configuration costs: time to parse and check, memory of a
+//! checked one, and sizes of the state, of log entries and of updates.
+//!
+//! `cargo run --release -p cyclamenloft-operator --example config_cost`
+
+use cyclamenloft_operator::{Checked, ConfigFile, ConfigState, Draft, InForce, Offered, diff};
+use cyclamenloft_replication::StateMachine;
+use std::{
+    fmt::Write as _,
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+/// Services for which the cost is measured.
+const SERVICES: [usize; 3] = [10, 100, 1_000];
+/// Teams of every configuration.
+const TEAMS: usize = 110;
+/// Failure domains of every configuration.
+const DOMAINS: usize = 27;
+/// Services in one file.
+const SERVICES_PER_FILE: usize = 10;
+/// Repetitions of each timed step.
+const REPEATS: usize = 51;
+/// Copies by which memory is measured.
+const COPIES: usize = 40;
+/// Lengths of the history for which sizes are measured.
+const HISTORY: [u64; 3] = [10, 1_000, 60_000];
+
+fn main() {
+    println!("services  files  bytes  check p50  check max  origins p50  diff p50  memory");
+    for services in SERVICES {
+        cost_of_content(services);
+    }
+    println!();
+    println!("history  snapshot  encode p50  decode p50  Propose  Amend  whole  delta  offer p50");
+    for length in HISTORY {
+        cost_of_state(length);
+    }
+}
+
+fn cost_of_content(services: usize) {
+    let files = content(services, 0);
+    let bytes: usize = files.iter().map(|f| f.text.len()).sum();
+    let (check, check_max) = timed(|| checked(&files));
+    let now = checked(&files);
+    let later = checked(&content(services, 1));
+    let (origins, _) = timed(|| now.origins());
+    let (difference, _) = timed(|| diff(&now, &later));
+    let memory = memory_of(&files);
+    let count = files.len();
+    println!(
+        "{services:8}  {count:5}  {bytes:5}  {check:.2?}  {check_max:.2?}  {origins:.2?}  \
+         {difference:.2?}  {memory} B"
+    );
+}
+
+fn cost_of_state(length: u64) {
+    let mut state = ConfigState::default();
+    for number in 1..=length {
+        apply(&mut state, number, content(10, number));
+    }
+    let snapshot = state.encode();
+    let (encode, _) = timed(|| state.encode());
+    let (decode, _) = timed(|| ConfigState::decode(&snapshot).expect("encoded just now"));
+    let mut behind = InForce::default();
+    behind.offer(&state.since(0));
+
+    let next = content(10, length + 1);
+    let whole = state.command(length + 2, next.clone(), "operator-3", length);
+    let amend = state.command(length + 1, next.clone(), "operator-3", length);
+    apply(&mut state, length + 1, next);
+    let (full, delta) = (state.since(0), state.since(length));
+    let (offer, _) = timed(|| {
+        let mut process = behind.clone();
+        assert!(matches!(process.offer(&delta), Offered::Applied));
+        process
+    });
+    println!(
+        "{length:7}  {} B  {encode:.2?}  {decode:.2?}  {} B  {} B  {} B  {} B  {offer:.2?}",
+        snapshot.len(),
+        postcard_len(&whole),
+        postcard_len(&amend),
+        postcard_len(&full),
+        postcard_len(&delta),
+    );
+}
+
+/// Accepts `files`, as one of 20 operators.
+fn apply(state: &mut ConfigState, number: u64, files: Vec<ConfigFile>) {
+    let author = format!("operator-{}", number % 20);
+    let at_unix_ms = 1_796_320_800_000 + number * 14_400;
+    let command = state.command(number, files, author, at_unix_ms);
+    state.apply(number, &command).expect("the next number is accepted");
+}
+
+/// A configuration whose late file differs with `edition`.
+fn content(services: usize, edition: u64) -> Vec<ConfigFile> {
+    let mut files = vec![named("10-domains.toml", &domains()), named("30-teams.toml", &teams())];
+    for first in (0..services).step_by(SERVICES_PER_FILE) {
+        let mut text = String::new();
+        for i in first..services.min(first + SERVICES_PER_FILE) {
+            let _ = write!(
+                text,
+                "[services.service-{i}]\nslots = 8\nconnections = 64\ndeadline = \"2s\"\n\
+                 latency_p99 = \"150ms\"\nqueue = 512\nretry_percent = 10\n\
+                 idempotent = \"by-method\"\n\n"
+            );
+        }
+        files.push(named(&format!("20-services-{first:04}.toml"), &text));
+    }
+    let late = format!("[services.service-0]\nqueue = {}\n", 100 + edition % 1_000);
+    files.push(named("90-late.toml", &late));
+    files
+}
+
+fn domains() -> String {
+    (0..DOMAINS).map(|i| format!("[domains.domain-{i}]\nweight = 1\n")).collect()
+}
+
+fn teams() -> String {
+    let team = |i| {
+        format!(
+            "[teams.team-{i}]\nweight = 2\n\
+             quota = {{ cpu_millis = 400_000, memory_mib = 1_500_000, accelerators = 4 }}\n"
+        )
+    };
+    (0..TEAMS).map(team).collect()
+}
+
+fn named(name: &str, text: &str) -> ConfigFile {
+    ConfigFile { name: name.into(), text: text.into() }
+}
+
+fn checked(files: &[ConfigFile]) -> Checked {
+    Draft::from_files(files.to_vec()).check().expect("the content is in order")
+}
+
+/// Median and longest time of `run`.
+fn timed<T>(run: impl Fn() -> T) -> (Duration, Duration) {
+    let mut times: Vec<Duration> = (0..REPEATS)
+        .map(|_| {
+            let start = Instant::now();
+            black_box(run());
+            start.elapsed()
+        })
+        .collect();
+    times.sort();
+    (times[REPEATS / 2], times[REPEATS - 1])
+}
+
+/// Resident bytes that one checked configuration takes.
+fn memory_of(files: &[ConfigFile]) -> usize {
+    let before = resident_bytes();
+    let copies: Vec<Checked> = (0..COPIES).map(|_| checked(files)).collect();
+    let after = resident_bytes();
+    black_box(copies.len());
+    after.saturating_sub(before) / COPIES
+}
+
+fn resident_bytes() -> usize {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<usize>().ok());
+    kib.unwrap_or_default() * 1024
+}
+
+fn postcard_len(value: &impl serde::Serialize) -> usize {
+    postcard::to_stdvec(value).map_or(0, |bytes| bytes.len())
+}
