--- /dev/null
+++ b/crates/replication/src/apply.rs
@@ -0,0 +1,104 @@
+//! Applying committed entries, answering proposals, and taking snapshots.
+
+use crate::{
+    core::Core,
+    entry::{Blob, Entry, Payload, Snapshot},
+    machine::StateMachine,
+    storage::DiskWrite,
+};
+use cyclamenloft_types::{Error, ErrorKind, LogIndex, Result};
+
+/// Entries that stay in memory after a snapshot, as a share of those between
+/// two snapshots, so that a follower a little behind needs no snapshot.
+const KEPT_SHARE: u64 = 4;
+
+/// Decodes a command that stands in the log.
+fn decode_command<M: StateMachine>(entry: &Entry, blob: &Blob) -> Result<M::Command> {
+    postcard::from_bytes(&blob.0).map_err(|e| {
+        Error::new(ErrorKind::Corrupt, format!("command of entry {}: {e}", entry.index))
+    })
+}
+
+impl<M: StateMachine> Core<M> {
+    /// Applies every committed entry that isn't yet.
+    pub fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            if let Err(error) = self.apply_next() {
+                self.fail(error);
+                return;
+            }
+        }
+        self.snapshot_if_due();
+    }
+
+    fn apply_next(&mut self) -> Result<()> {
+        let index = self.applied + 1;
+        let Some(entry) = self.log.get(index) else {
+            let detail = format!("entry {index} is committed but not in the log");
+            return Err(Error::new(ErrorKind::Internal, detail));
+        };
+        let term = entry.term;
+        let answer = match &entry.payload {
+            Payload::Command(blob) => {
+                let command = decode_command::<M>(entry, blob)?;
+                Some(self.machine.apply(index, &command))
+            }
+            Payload::Noop | Payload::Membership(_) => None,
+        };
+        self.applied = index;
+        let Some(proposal) = self.proposals.remove(&index) else { return Ok(()) };
+        let result = match answer {
+            Some(answer) if proposal.term == term => Ok(answer),
+            _ => Err(overwritten(index)),
+        };
+        let _ = proposal.tx.send(result);
+        Ok(())
+    }
+
+    fn snapshot_if_due(&mut self) {
+        let last = self.snapshot.as_ref().map_or(0, |s| s.index);
+        if self.applied < last + self.cfg.snapshot_entries {
+            return;
+        }
+        let term = self.log.term(self.applied);
+        let membership = self.memberships.at(self.applied).cloned();
+        let (Some(term), Some(membership)) = (term, membership) else { return };
+        let data = Blob(self.machine.encode().into());
+        let snapshot = Snapshot { index: self.applied, term, membership, data };
+        self.write(DiskWrite::Snapshot(snapshot.clone()));
+        self.memberships.reset(snapshot.index, snapshot.membership.clone());
+        self.snapshot = Some(snapshot);
+        let kept = self.cfg.snapshot_entries / KEPT_SHARE;
+        self.log.compact(self.applied.saturating_sub(kept).max(self.log.base()));
+    }
+
+    /// Makes the speculative state: the applied one and the rest of the log.
+    pub fn begin_speculation(&mut self) {
+        match M::decode(&self.machine.encode()) {
+            Ok(machine) => self.speculative = Some(machine),
+            Err(error) => return self.fail(error),
+        }
+        for index in self.applied + 1..=self.log.last_index() {
+            self.speculate(index);
+        }
+    }
+
+    /// Applies the entry at `index` to the speculative state.
+    pub fn speculate(&mut self, index: LogIndex) {
+        let Some(machine) = &mut self.speculative else { return };
+        let Some(entry) = self.log.get(index) else { return };
+        let Payload::Command(blob) = &entry.payload else { return };
+        match decode_command::<M>(entry, blob) {
+            Ok(command) => drop(machine.apply(index, &command)),
+            Err(error) => self.fail(error),
+        }
+    }
+}
+
+/// The answer to a proposal whose entry another leader's entry has replaced.
+pub(crate) fn overwritten(index: LogIndex) -> Error {
+    Error::new(
+        ErrorKind::NotLeader,
+        format!("another leader's entry took the place of entry {index}"),
+    )
+}
--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -36,8 +36,12 @@
     pub(crate) election_timeout: Duration,
     pub(crate) early_visibility: bool,
     pub(crate) snapshot_entries: u64,
+    pub(crate) segment_bytes: u64,
 }
 
+/// Size past which a segment of the log takes no more entries, in bytes.
+const SEGMENT_BYTES: u64 = 8 << 20;
+
 impl Config {
     /// Settings for replica `id` of `group`, with files under `folder`.
     #[must_use]
@@ -56,6 +60,7 @@
             election_timeout: Duration::from_millis(500),
             early_visibility: false,
             snapshot_entries: 10_000,
+            segment_bytes: SEGMENT_BYTES,
         }
     }
 
@@ -89,6 +94,21 @@
         self
     }
 
+    /// Sets the size past which a segment of the log takes no more entries.
+    #[must_use]
+    pub fn segment_bytes(mut self, bytes: u64) -> Self {
+        self.segment_bytes = bytes;
+        self
+    }
+
+    /// How long a heartbeat that a majority answered lets the leader be sure
+    /// that it leads. Followers refuse votes for an election timeout after
+    /// they heard the leader; the rest is the margin for clocks that run at
+    /// different rates.
+    pub(crate) fn lease(&self) -> Duration {
+        self.election_timeout * 4 / 5
+    }
+
     /// Checks the settings against each other.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/replication/src/core.rs
@@ -0,0 +1,264 @@
+//! The state of one replica, and the transitions between its roles.
+
+use crate::{
+    config::Config,
+    entry::{Entry, HardState, Identity, Payload, Snapshot},
+    install::Incoming,
+    leader::Leading,
+    log::Log,
+    machine::StateMachine,
+    membership::{Membership, MembershipHistory},
+    replica::Role,
+    storage::{DiskWrite, Record, Recovered},
+};
+use cyclamenloft_types::{Error, ErrorKind, LogIndex, ReplicaId, Result, Term};
+use futures_channel::oneshot;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// A proposal that waits for its entry to be committed.
+pub(crate) struct Proposal<A> {
+    pub term: Term,
+    pub tx: oneshot::Sender<Result<A>>,
+}
+
+/// Writes that wait for the disk. Each has a number; numbers are done in order.
+#[derive(Default)]
+pub(crate) struct DiskQueue {
+    pub waiting: Vec<DiskWrite>,
+    pub queued: u64,
+    pub done: u64,
+    /// Number of the last write of term or vote.
+    pub hard: u64,
+}
+
+/// The state of one replica.
+pub(crate) struct Core<M: StateMachine> {
+    pub cfg: Config,
+    pub me: Identity,
+    pub hard: HardState,
+    pub role: Role,
+    pub leader: Option<ReplicaId>,
+    pub log: Log,
+    pub memberships: MembershipHistory,
+    /// The newest snapshot, which followers far behind are sent.
+    pub snapshot: Option<Snapshot>,
+    pub incoming: Option<Incoming>,
+    pub machine: M,
+    /// The state with all entries of the log applied, on a leader with early
+    /// visibility.
+    pub speculative: Option<M>,
+    pub commit: LogIndex,
+    pub applied: LogIndex,
+    /// Last entry that is durable here.
+    pub durable: LogIndex,
+    pub disk: DiskQueue,
+    pub leading: Option<Leading>,
+    pub proposals: BTreeMap<LogIndex, Proposal<M::Answer>>,
+    /// When proposals of a term that is over are given up.
+    pub proposals_expire: Option<Instant>,
+    pub heard_leader: Option<Instant>,
+    pub election_at: Instant,
+    /// The leader has asked this replica to seek election at once.
+    pub take_over: bool,
+    pub failed: Option<Error>,
+    pub stopping: bool,
+    /// The writer has ended and released the folder.
+    pub closed: bool,
+    rng: SmallRng,
+}
+
+impl<M: StateMachine> Core<M> {
+    /// A replica as its folder left it.
+    pub fn new(cfg: Config, empty: M, recovered: Recovered, now: Instant) -> Result<Self> {
+        let me = Identity { id: cfg.id, incarnation: recovered.incarnation };
+        let mut memberships = MembershipHistory::default();
+        let mut machine = empty;
+        let mut base = (0, 0);
+        if let Some(snapshot) = &recovered.snapshot {
+            machine = M::decode(&snapshot.data.0)?;
+            memberships.reset(snapshot.index, snapshot.membership.clone());
+            base = (snapshot.index, snapshot.term);
+        }
+        for entry in &recovered.entries {
+            if let Payload::Membership(membership) = &entry.payload {
+                memberships.push(entry.index, membership.clone());
+            }
+        }
+        let log = Log::new(base.0, base.1, recovered.entries);
+        let durable = log.last_index();
+        let mut core = Self {
+            me,
+            hard: recovered.hard,
+            role: Role::Follower,
+            leader: None,
+            log,
+            memberships,
+            snapshot: recovered.snapshot,
+            incoming: None,
+            machine,
+            speculative: None,
+            commit: base.0,
+            applied: base.0,
+            durable,
+            disk: DiskQueue::default(),
+            leading: None,
+            proposals: BTreeMap::new(),
+            proposals_expire: None,
+            // The replica may have promised a leader its silence just before
+            // it ended.
+            heard_leader: (recovered.hard.term > 0).then_some(now),
+            election_at: now,
+            take_over: false,
+            failed: None,
+            stopping: false,
+            closed: false,
+            rng: SmallRng::from_os_rng(),
+            cfg,
+        };
+        if core.is_only_voter() {
+            core.heard_leader = None;
+        } else {
+            core.put_off_election(now);
+        }
+        Ok(core)
+    }
+
+    pub fn membership(&self) -> Option<&Membership> {
+        self.memberships.latest().map(|(_, m)| m)
+    }
+
+    /// Whether this replica alone decides for its group.
+    pub fn is_only_voter(&self) -> bool {
+        self.membership().is_some_and(|m| m.is_voter(self.me) && m.voters().count() == 1)
+    }
+
+    /// Whether the replica takes part no more.
+    pub fn is_over(&self) -> bool {
+        self.stopping || self.failed.is_some()
+    }
+
+    /// Sets the next election at a random time, so that replicas seldom seek
+    /// election together.
+    pub fn put_off_election(&mut self, now: Instant) {
+        let timeout = self.cfg.election_timeout;
+        let jitter = self.rng.random_range(0.0..1.0);
+        self.election_at = now + timeout + timeout.mul_f64(jitter) + self.witness_delay();
+    }
+
+    /// A witness leaves elections to the voters that may lead for long.
+    fn witness_delay(&self) -> Duration {
+        match self.membership() {
+            Some(m) if !m.may_lead(self.me) => self.cfg.election_timeout * 2,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Queues a write for the disk.
+    pub fn write(&mut self, write: DiskWrite) {
+        self.disk.queued += 1;
+        if matches!(write, DiskWrite::Record(Record::Hard(_))) {
+            self.disk.hard = self.disk.queued;
+        }
+        self.disk.waiting.push(write);
+    }
+
+    /// Changes term and vote; the change is durable once the write queued here
+    /// is done.
+    pub fn set_hard(&mut self, hard: HardState) {
+        if self.hard != hard {
+            self.hard = hard;
+            self.write(DiskWrite::Record(Record::Hard(hard)));
+        }
+    }
+
+    /// Appends an entry to the log in memory and queues it for the disk.
+    pub fn append(&mut self, entry: Entry) {
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push(entry.index, membership.clone());
+        }
+        self.write(DiskWrite::Record(Record::Entry(entry.clone())));
+        self.log.push(entry);
+    }
+
+    /// Removes the entries at `index` and after, which another leader's log
+    /// replaces.
+    pub fn truncate(&mut self, index: LogIndex) -> Result<()> {
+        if index <= self.commit {
+            return Err(Error::new(
+                ErrorKind::Internal,
+                format!("entry {index} is committed and may not be replaced"),
+            ));
+        }
+        self.log.truncate(index);
+        self.memberships.truncate(index);
+        self.durable = self.durable.min(index - 1);
+        Ok(())
+    }
+
+    /// Follows `leader`, if known, in `term`, which is at least the present one.
+    pub fn follow(&mut self, term: Term, leader: Option<ReplicaId>, now: Instant) {
+        if term > self.hard.term {
+            self.set_hard(HardState { term, vote: None });
+            self.incoming = None;
+        }
+        if self.leading.take().is_some() {
+            self.speculative = None;
+            self.proposals_expire = Some(now + self.cfg.election_timeout * 2);
+            self.put_off_election(now);
+            tracing::info!(group = %self.cfg.group, replica = self.me.id, term, "stepped down");
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        if leader.is_some() {
+            self.heard_leader = Some(now);
+            self.put_off_election(now);
+        }
+    }
+
+    /// Whether a leader may rely on this replica's refusal to vote.
+    pub fn hears_leader(&self, now: Instant) -> bool {
+        if self.leading.is_some() {
+            return self.holds_lease(now);
+        }
+        self.heard_leader.is_some_and(|at| now < at + self.cfg.election_timeout)
+    }
+
+    /// Stops taking part for good: nothing is acknowledged from here on.
+    pub fn fail(&mut self, error: Error) {
+        if self.failed.is_some() {
+            return;
+        }
+        tracing::error!(group = %self.cfg.group, replica = self.me.id, %error, "replica failed");
+        self.leading = None;
+        self.speculative = None;
+        self.role = Role::Follower;
+        self.leader = None;
+        for (_, proposal) in std::mem::take(&mut self.proposals) {
+            let _ = proposal.tx.send(Err(error.clone()));
+        }
+        self.failed = Some(error);
+    }
+
+    /// Gives up proposals whose fate can't be known in time.
+    pub fn expire_proposals(&mut self, now: Instant) {
+        if self.leading.is_some() || self.proposals_expire.is_none_or(|at| now < at) {
+            return;
+        }
+        self.proposals_expire = None;
+        for (index, proposal) in std::mem::take(&mut self.proposals) {
+            let _ = proposal.tx.send(Err(change_unknown(index)));
+        }
+    }
+}
+
+/// The answer to a proposal whose entry may or may not be committed later.
+pub(crate) fn change_unknown(index: LogIndex) -> Error {
+    Error::new(
+        ErrorKind::ChangeUnknown,
+        format!("entry {index} was appended, but leadership ended before it was committed"),
+    )
+}
--- /dev/null
+++ b/crates/replication/src/hand_over.rs
@@ -0,0 +1,61 @@
+//! Handing leadership over, at a planned stop and by a witness that was
+//! elected only because it alone had the newest log.
+
+use crate::{
+    core::Core, entry::Identity, machine::StateMachine, membership::MemberRecord, shared::Shared,
+};
+use cyclamenloft_types::ReplicaId;
+use std::time::Instant;
+
+impl<M: StateMachine> Core<M> {
+    /// Takes no more proposals and gives up the lease.
+    fn begin_hand_over(&mut self) -> bool {
+        let Some(leading) = &mut self.leading else { return false };
+        leading.handing_over = true;
+        true
+    }
+
+    /// The replica to hand over to: a voter that may lead, has the whole log
+    /// and answers. The choice stands for as long as that holds.
+    pub fn choose_successor(&mut self, now: Instant) -> Option<ReplicaId> {
+        if !self.leading.as_ref()?.handing_over {
+            return None;
+        }
+        let membership = self.membership()?;
+        let fits = |identity: &Identity| {
+            *identity != self.me
+                && membership.may_lead(*identity)
+                && self.answers_lately(*identity, now)
+                && self.matched(*identity) == Some(self.log.last_index())
+        };
+        let fitting: Vec<_> =
+            membership.voters().map(MemberRecord::identity).filter(fits).map(|i| i.id).collect();
+        let leading = self.leading.as_mut()?;
+        leading.successor =
+            leading.successor.filter(|id| fitting.contains(id)).or(fitting.first().copied());
+        leading.successor
+    }
+}
+
+impl<M: StateMachine> Shared<M> {
+    /// Waits until another replica leads, or for as long as an election takes.
+    /// The peer tasks bring a successor up to date and ask it to take over.
+    pub async fn hand_over(&self) {
+        let alone = self.core().is_only_voter();
+        if alone || !self.with(Core::begin_hand_over) {
+            return;
+        }
+        self.log.notify();
+        let deadline = Instant::now() + self.core().cfg.election_timeout * 2;
+        loop {
+            let seen = self.standing.seen();
+            // This replica's vote may still be needed.
+            if self.core().leader.is_some_and(|id| id != self.core().me.id) {
+                return;
+            }
+            if compio::time::timeout_at(deadline, self.standing.wait(seen)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/leader.rs
@@ -0,0 +1,202 @@
+//! What a leader knows of its followers, and what follows from it: the commit
+//! index and the leader lease.
+
+use crate::{
+    core::Core,
+    entry::{Entry, Identity, Incarnation, Payload},
+    machine::StateMachine,
+    membership::UNKNOWN_INCARNATION,
+    replica::Role,
+};
+use cyclamenloft_types::{LogIndex, ReplicaId};
+use std::{collections::BTreeMap, time::Instant};
+
+/// What the leader knows of one follower.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    pub incarnation: Incarnation,
+    /// Last entry known to be durable there.
+    pub matched: LogIndex,
+    /// Entry to send next.
+    pub next: LogIndex,
+    /// Whether the follower's log is being searched for the last common entry:
+    /// one message at a time.
+    pub probing: bool,
+    /// Counts the times that sending began anew; answers to older messages
+    /// move nothing but `matched`.
+    pub epoch: u64,
+    /// Messages with entries or pieces of the present epoch without an answer.
+    pub in_flight: usize,
+    /// Offset of the snapshot's next piece.
+    pub piece_offset: u64,
+    pub heartbeat_at: Instant,
+    /// Before this time no entries are sent.
+    pub retry_at: Instant,
+    /// Before this time the follower isn't asked to take over.
+    pub take_over_at: Instant,
+    /// When the newest answered message of this term was sent.
+    pub answered_sent_at: Option<Instant>,
+}
+
+impl Progress {
+    fn new(next: LogIndex, now: Instant) -> Self {
+        Self {
+            incarnation: UNKNOWN_INCARNATION,
+            matched: 0,
+            next,
+            probing: true,
+            epoch: 0,
+            in_flight: 0,
+            piece_offset: 0,
+            heartbeat_at: now,
+            retry_at: now,
+            take_over_at: now,
+            answered_sent_at: None,
+        }
+    }
+
+    /// Begins to send anew from `next`, one message at a time.
+    pub fn restart(&mut self, next: LogIndex) {
+        self.next = next.max(self.matched + 1);
+        self.probing = true;
+        self.epoch += 1;
+        self.in_flight = 0;
+        self.piece_offset = 0;
+    }
+}
+
+/// What a replica knows while it leads.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    pub since: Instant,
+    /// First entry of the leader's own term; once it is committed, so is all
+    /// before it.
+    pub first_index: LogIndex,
+    pub peers: BTreeMap<ReplicaId, Progress>,
+    /// No proposal is taken any more, and the lease is given up.
+    pub handing_over: bool,
+    /// The replica that was asked to take over; two would split the vote.
+    pub successor: Option<ReplicaId>,
+}
+
+impl Leading {
+    /// The progress of `peer`, made where there is none.
+    pub fn progress(&mut self, peer: ReplicaId, last: LogIndex, now: Instant) -> &mut Progress {
+        self.peers.entry(peer).or_insert_with(|| Progress::new(last + 1, now))
+    }
+
+    fn of(&self, identity: Identity) -> Option<&Progress> {
+        self.peers.get(&identity.id).filter(|p| p.incarnation == identity.incarnation)
+    }
+}
+
+impl<M: StateMachine> Core<M> {
+    /// Takes office in the present term.
+    pub fn lead(&mut self, now: Instant) {
+        tracing::info!(
+            group = %self.cfg.group, replica = self.me.id, term = self.hard.term, "leads"
+        );
+        self.role = Role::Leader;
+        self.leader = Some(self.me.id);
+        self.leading = Some(Leading {
+            since: now,
+            first_index: self.log.last_index() + 1,
+            peers: BTreeMap::new(),
+            handing_over: !self.may_lead(),
+            successor: None,
+        });
+        if self.cfg.early_visibility {
+            self.begin_speculation();
+        }
+        if self.may_lead() {
+            let payload = match self.membership() {
+                Some(membership) if self.log.last_index() == 0 => {
+                    Payload::Membership(membership.clone())
+                }
+                _ => Payload::Noop,
+            };
+            self.append_own(payload);
+        }
+    }
+
+    /// Whether this replica may lead for longer than it takes to hand over.
+    pub fn may_lead(&self) -> bool {
+        self.membership().is_some_and(|m| m.may_lead(self.me))
+    }
+
+    /// Appends an entry of the present term; gives its index.
+    pub fn append_own(&mut self, payload: Payload) -> LogIndex {
+        let index = self.log.last_index() + 1;
+        let term = self.hard.term;
+        self.append(Entry { index, term, payload });
+        index
+    }
+
+    /// Whether an entry of the leader's own term is committed, so that its
+    /// state has all that earlier leaders acknowledged.
+    pub fn has_committed_own(&self) -> bool {
+        self.leading.as_ref().is_some_and(|l| self.applied >= l.first_index)
+    }
+
+    /// When the newest message was sent that a majority has answered.
+    fn quorum_answered(&self, now: Instant) -> Option<Instant> {
+        let leading = self.leading.as_ref()?;
+        self.membership()?.quorum_value(|identity| {
+            if identity == self.me {
+                return Some(now);
+            }
+            leading.of(identity)?.answered_sent_at
+        })
+    }
+
+    /// Whether no other replica can have been elected at `now`.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.leading.as_ref().is_some_and(|l| !l.handing_over)
+            && self.quorum_answered(now).is_some_and(|at| now < at + self.cfg.lease())
+    }
+
+    /// Steps down where no majority has answered for long.
+    pub fn check_quorum(&mut self, now: Instant) {
+        let Some(leading) = &self.leading else { return };
+        let newest = self.quorum_answered(now).unwrap_or(leading.since).max(leading.since);
+        if now >= newest + self.cfg.election_timeout * 2 {
+            self.follow(self.hard.term, None, now);
+        }
+    }
+
+    /// Commits what a majority has made durable. Only an entry of the leader's
+    /// own term is committed by counting; those before it follow.
+    pub fn advance_commit(&mut self) {
+        let Some(leading) = &self.leading else { return };
+        let Some(membership) = self.membership() else { return };
+        let durable = membership.quorum_value(|identity| {
+            if identity == self.me {
+                return Some(self.durable);
+            }
+            leading.of(identity).map(|p| p.matched)
+        });
+        let Some(index) = durable.filter(|i| *i > self.commit) else { return };
+        if self.log.term(index) == Some(self.hard.term) {
+            self.commit = index;
+            self.apply_committed();
+        }
+    }
+
+    /// Voters that answered within the last election timeout, this one
+    /// included.
+    pub fn answers_lately(&self, identity: Identity, now: Instant) -> bool {
+        let within = |at: Instant| now < at + self.cfg.election_timeout;
+        identity == self.me
+            || self
+                .leading
+                .as_ref()
+                .and_then(|l| l.of(identity))
+                .and_then(|p| p.answered_sent_at)
+                .is_some_and(within)
+    }
+
+    /// Last entry known to be durable on the follower `identity`.
+    pub fn matched(&self, identity: Identity) -> Option<LogIndex> {
+        self.leading.as_ref()?.of(identity).map(|p| p.matched)
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -3,13 +3,38 @@
 //!
 //! A [`StateMachine`] says what is agreed on, a [`Transport`] carries messages
 //! to the other replicas, and a [`Replica`] ties both to a log on disk.
+//!
+//! All of a replica runs on one thread. Its state stands in one place
+//! (`core`), and a few tasks work on it: the driver seeks election when the
+//! leader falls silent (`election`), one task for each peer sends it the log
+//! (`peer`), and the writer makes writes durable in groups (`writer`).
+//! Requests of other replicas are answered in `follower`.
 
 pub mod config;
 pub mod machine;
 pub mod replica;
 pub mod transport;
 
+mod apply;
+mod change;
+mod core;
+mod election;
+mod entry;
+mod follower;
+mod formation;
+mod hand_over;
+mod install;
+mod leader;
+mod log;
+mod membership;
+mod message;
+mod peer;
+mod shared;
+mod signal;
+mod storage;
+mod writer;
+
 pub use config::{Config, Member, MemberKind};
 pub use machine::StateMachine;
-pub use replica::{Replica, Role, Status};
+pub use replica::{MemberStatus, Replica, Role, Status};
 pub use transport::Transport;
--- /dev/null
+++ b/crates/replication/src/shared.rs
@@ -0,0 +1,141 @@
+//! What the tasks of one replica share: its state, and the signals that tell
+//! of changes to it.
+
+use crate::{core::Core, machine::StateMachine, replica::Role, signal::Signal};
+use cyclamenloft_types::{Error, ErrorKind, LogIndex, ReplicaId, Result, Term};
+use std::cell::{Ref, RefCell};
+
+/// The parts of the state that tasks wait for.
+#[derive(PartialEq, Eq)]
+struct Summary {
+    queued: u64,
+    done: u64,
+    last_index: LogIndex,
+    applied: LogIndex,
+    role: Role,
+    term: Term,
+    leader: Option<ReplicaId>,
+    take_over: bool,
+    over: bool,
+}
+
+impl Summary {
+    fn of<M: StateMachine>(core: &Core<M>) -> Self {
+        Self {
+            queued: core.disk.queued,
+            done: core.disk.done,
+            last_index: core.log.last_index(),
+            applied: core.applied,
+            role: core.role,
+            term: core.hard.term,
+            leader: core.leader,
+            take_over: core.take_over,
+            over: core.is_over(),
+        }
+    }
+
+    fn standing(&self) -> (Role, Term, Option<ReplicaId>, bool, bool) {
+        (self.role, self.term, self.leader, self.take_over, self.over)
+    }
+}
+
+/// One replica's state and signals.
+pub(crate) struct Shared<M: StateMachine> {
+    core: RefCell<Core<M>>,
+    /// Writes wait for the disk.
+    pub writes: Signal,
+    /// Writes are durable, or never will be.
+    pub durable: Signal,
+    /// There is more to send to the followers.
+    pub log: Signal,
+    /// Role, term or leader changed, or the replica is over.
+    pub standing: Signal,
+    /// More entries are applied, or the role, term or leader changed.
+    pub applied: Signal,
+    /// A follower answered.
+    pub answered: Signal,
+    /// The writer has ended and released the folder.
+    pub closed: Signal,
+}
+
+impl<M: StateMachine> Shared<M> {
+    pub fn new(core: Core<M>) -> Self {
+        Self {
+            core: RefCell::new(core),
+            writes: Signal::default(),
+            durable: Signal::default(),
+            log: Signal::default(),
+            standing: Signal::default(),
+            applied: Signal::default(),
+            answered: Signal::default(),
+            closed: Signal::default(),
+        }
+    }
+
+    /// The state, for reading.
+    pub fn core(&self) -> Ref<'_, Core<M>> {
+        self.core.borrow()
+    }
+
+    /// Changes the state and wakes the tasks that the change concerns.
+    pub fn with<R>(&self, change: impl FnOnce(&mut Core<M>) -> R) -> R {
+        let mut core = self.core.borrow_mut();
+        let before = Summary::of(&core);
+        let result = change(&mut core);
+        let after = Summary::of(&core);
+        drop(core);
+        if before != after {
+            self.notify(&before, &after);
+        }
+        result
+    }
+
+    fn notify(&self, before: &Summary, after: &Summary) {
+        let standing = before.standing() != after.standing();
+        if before.queued != after.queued || after.over {
+            self.writes.notify();
+        }
+        if before.done != after.done || after.over {
+            self.durable.notify();
+        }
+        if before.last_index != after.last_index || standing {
+            self.log.notify();
+        }
+        if before.applied != after.applied || standing {
+            self.applied.notify();
+        }
+        if standing {
+            self.standing.notify();
+            self.answered.notify();
+        }
+    }
+
+    /// Waits until the write with this number is durable.
+    ///
+    /// # Errors
+    ///
+    /// The error that ended the replica.
+    pub async fn wait_durable(&self, number: u64) -> Result<()> {
+        loop {
+            let seen = self.durable.seen();
+            {
+                let core = self.core();
+                if let Some(error) = &core.failed {
+                    return Err(error.clone());
+                }
+                if core.disk.done >= number {
+                    return Ok(());
+                }
+                if core.closed {
+                    return Err(stopping());
+                }
+            }
+            self.durable.wait(seen).await;
+        }
+    }
+}
+
+/// The error of a replica that is shutting down.
+pub(crate) fn stopping() -> Error {
+    Error::new(ErrorKind::Draining, "replica is shutting down")
+}
--- /dev/null
+++ b/crates/replication/src/signal.rs
@@ -0,0 +1,42 @@
+//! A condition that tasks of one thread wait on.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    task::{Poll, Waker},
+};
+
+/// Counts notifications and wakes whoever waits for the next one.
+#[derive(Default)]
+pub(crate) struct Signal {
+    count: Cell<u64>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Signal {
+    /// The notifications so far; take it before looking at the state that the
+    /// signal stands for, and pass it to [`Signal::wait`].
+    pub fn seen(&self) -> u64 {
+        self.count.get()
+    }
+
+    /// Wakes all who wait.
+    pub fn notify(&self) {
+        self.count.set(self.count.get() + 1);
+        self.wakers.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Waits for a notification after those `seen`.
+    pub fn wait(&self, seen: u64) -> impl Future<Output = ()> + '_ {
+        std::future::poll_fn(move |cx| {
+            if self.count.get() != seen {
+                return Poll::Ready(());
+            }
+            let mut wakers = self.wakers.borrow_mut();
+            if !wakers.iter().any(|w| w.will_wake(cx.waker())) {
+                wakers.push(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+    }
+}
--- /dev/null
+++ b/crates/replication/src/storage/file.rs
@@ -0,0 +1,60 @@
+//! The few file operations that all storage goes through, each with a fail
+//! point and with errors that name the file.
+
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+/// A damaged file.
+pub fn corrupt(path: &Path, offset: u64, what: impl AsRef<str>) -> Error {
+    let detail = format!("{} at offset {offset}: {}", path.display(), what.as_ref());
+    Error::new(ErrorKind::Corrupt, detail)
+}
+
+/// A file operation that failed.
+pub fn disk_failed(path: &Path, doing: &str, e: &io::Error) -> Error {
+    Error::new(ErrorKind::DiskFailed, format!("{}: {doing}: {e}", path.display()))
+}
+
+/// Fails where a test has set the fail point `name`.
+pub fn fail_point(name: &str) -> io::Result<()> {
+    let _ = name;
+    fail::fail_point!(name, |message| Err(io::Error::other(message.unwrap_or_default())));
+    Ok(())
+}
+
+/// Syncs the names in `folder`.
+pub fn sync_folder(folder: &Path) -> Result<()> {
+    fail_point("folder-sync")
+        .and_then(|()| File::open(folder))
+        .and_then(|f| f.sync_all())
+        .map_err(|e| disk_failed(folder, "sync folder", &e))
+}
+
+/// Removes a file.
+pub fn remove(path: &Path) -> Result<()> {
+    fs::remove_file(path).map_err(|e| disk_failed(path, "remove", &e))
+}
+
+/// Writes a whole file so that it is there completely or not at all: under a
+/// temporary name, synced, renamed, folder synced.
+pub fn write_atomically(folder: &Path, name: &str, parts: &[&[u8]]) -> Result<PathBuf> {
+    let path = folder.join(name);
+    let temporary = folder.join(format!("{name}.tmp"));
+    let write = || -> io::Result<()> {
+        fail_point("file-write")?;
+        let mut f = File::create(&temporary)?;
+        for part in parts {
+            f.write_all(part)?;
+        }
+        fail_point("file-sync")?;
+        f.sync_all()?;
+        fs::rename(&temporary, &path)
+    };
+    write().map_err(|e| disk_failed(&path, "write", &e))?;
+    sync_folder(folder)?;
+    Ok(path)
+}
--- /dev/null
+++ b/crates/replication/src/storage/mark.rs
@@ -0,0 +1,100 @@
+//! The mark: how far the log was synced when something was last acknowledged.
+//!
+//! Damage before the mark is corruption; damage after it is a torn tail that
+//! nobody was told of. The mark is written after each sync and not synced
+//! itself: it survives the end of the process, and after a loss of power an
+//! older mark still says nothing untrue. Two slots are written in turn, so a
+//! torn write spares one.
+
+use super::file::{corrupt, disk_failed, fail_point, write_atomically};
+use cyclamenloft_types::Result;
+use std::{
+    fs::{self, File},
+    io,
+    os::unix::fs::FileExt,
+    path::{Path, PathBuf},
+};
+
+pub const NAME: &str = "synced";
+const SLOT_BYTES: usize = 28;
+/// The slots lie on different pages.
+const SLOT_OFFSETS: [u64; 2] = [0, 4096];
+const FILE_BYTES: usize = SLOT_OFFSETS[1] as usize + SLOT_BYTES;
+
+/// A place in the log up to which all was synced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    pub segment: u64,
+    pub offset: u64,
+}
+
+/// The file with the two slots.
+pub struct MarkFile {
+    file: File,
+    path: PathBuf,
+    sequence: u64,
+}
+
+fn encode_slot(sequence: u64, mark: Mark) -> [u8; SLOT_BYTES] {
+    let mut slot = [0; SLOT_BYTES];
+    slot[..8].copy_from_slice(&sequence.to_le_bytes());
+    slot[8..16].copy_from_slice(&mark.segment.to_le_bytes());
+    slot[16..24].copy_from_slice(&mark.offset.to_le_bytes());
+    let crc = crc32fast::hash(&slot[..24]);
+    slot[24..].copy_from_slice(&crc.to_le_bytes());
+    slot
+}
+
+fn decode_slot(slot: &[u8]) -> Option<(u64, Mark)> {
+    let number = |at: usize| Some(u64::from_le_bytes(slot.get(at..at + 8)?.try_into().ok()?));
+    let crc = u32::from_le_bytes(slot.get(24..SLOT_BYTES)?.try_into().ok()?);
+    if crc32fast::hash(&slot[..24]) != crc {
+        return None;
+    }
+    Some((number(0)?, Mark { segment: number(8)?, offset: number(16)? }))
+}
+
+impl MarkFile {
+    /// Creates the file with `mark` in both slots.
+    pub fn create(folder: &Path, mark: Mark) -> Result<Self> {
+        let mut bytes = vec![0; FILE_BYTES];
+        for (slot, sequence) in SLOT_OFFSETS.iter().zip(0..) {
+            let at = *slot as usize;
+            bytes[at..at + SLOT_BYTES].copy_from_slice(&encode_slot(sequence, mark));
+        }
+        write_atomically(folder, NAME, &[&bytes])?;
+        Self::open(folder).map(|(marks, _)| marks)
+    }
+
+    /// Opens the file and reads the newer mark.
+    pub fn open(folder: &Path) -> Result<(Self, Mark)> {
+        let path = folder.join(NAME);
+        let bytes = match fs::read(&path) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {
+                return Err(corrupt(&path, 0, "file is missing"));
+            }
+            Err(e) => return Err(disk_failed(&path, "read", &e)),
+        };
+        if bytes.len() != FILE_BYTES {
+            let what = format!("expected {FILE_BYTES} bytes, found {}", bytes.len());
+            return Err(corrupt(&path, bytes.len().min(FILE_BYTES) as u64, what));
+        }
+        let slots = SLOT_OFFSETS.iter().filter_map(|at| decode_slot(&bytes[*at as usize..]));
+        let Some((sequence, mark)) = slots.max_by_key(|(sequence, _)| *sequence) else {
+            return Err(corrupt(&path, 0, "CRC does not match"));
+        };
+        let file =
+            File::options().write(true).open(&path).map_err(|e| disk_failed(&path, "open", &e))?;
+        Ok((Self { file, path, sequence }, mark))
+    }
+
+    /// Records that all before `mark` is synced.
+    pub fn write(&mut self, mark: Mark) -> Result<()> {
+        self.sequence += 1;
+        let at = SLOT_OFFSETS[(self.sequence % 2) as usize];
+        fail_point("mark-write")
+            .and_then(|()| self.file.write_all_at(&encode_slot(self.sequence, mark), at))
+            .map_err(|e| disk_failed(&self.path, "write", &e))
+    }
+}
--- /dev/null
+++ b/crates/replication/src/storage/mod.rs
@@ -0,0 +1,165 @@
+//! Stable storage of one replica: a folder that holds its identity, the
+//! segments of its log, a mark of how far they were synced, and a snapshot.
+//!
+//! Nothing here is asynchronous: the writer task runs [`Storage::write`] on a
+//! thread of its own and awaits it. The storage owns the folder's lock, so a
+//! write that outlives its replica keeps the folder closed until it ends.
+
+mod file;
+mod frame;
+mod identity;
+mod lock;
+mod mark;
+mod recovery;
+mod segment;
+mod snapshot;
+#[cfg(test)]
+mod tests;
+
+use crate::entry::{Entry, HardState, Incarnation, Snapshot};
+use cyclamenloft_types::{LogIndex, ReplicaId, Result, Term};
+use mark::{Mark, MarkFile};
+use segment::Segment;
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+
+/// Version of every file in the folder.
+const FORMAT_VERSION: u32 = 1;
+
+/// One record of the log's files.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Record {
+    /// First of each segment.
+    Header(Header),
+    /// An entry; it replaces what stands at its index and all after it.
+    Entry(Entry),
+    /// A new term or vote.
+    Hard(HardState),
+    /// The log is empty and goes on after `index`, which a snapshot covers.
+    Reset { index: LogIndex, term: Term },
+}
+
+/// What the segments before one must have come to, so that a lost or shortened
+/// one is noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Header {
+    version: u32,
+    segment: u64,
+    hard: HardState,
+    /// The log's last index before this segment.
+    last_index: LogIndex,
+    /// Size of the segment before.
+    previous_bytes: u64,
+}
+
+/// A write that the storage makes durable, in the order given.
+#[derive(Debug)]
+pub(crate) enum DiskWrite {
+    Record(Record),
+    Snapshot(Snapshot),
+}
+
+/// What a folder held when it was opened.
+#[derive(Debug)]
+pub(crate) struct Recovered {
+    pub incarnation: Incarnation,
+    pub hard: HardState,
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot, without gaps.
+    pub entries: Vec<Entry>,
+}
+
+/// The open files of one replica.
+pub(crate) struct Storage {
+    folder: PathBuf,
+    _lock: lock::FolderLock,
+    marks: MarkFile,
+    /// Older segments first; the last one is written to.
+    segments: Vec<Segment>,
+    hard: HardState,
+    last_index: LogIndex,
+    segment_bytes: u64,
+}
+
+impl Storage {
+    /// Opens or creates the files of replica `id` of `group` in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// `FolderInUse`, `Corrupt` naming file and offset, `DiskFailed`, or
+    /// `BadSetting` where the folder belongs to another replica.
+    pub fn open(
+        folder: &Path,
+        group: &str,
+        id: ReplicaId,
+        segment_bytes: u64,
+    ) -> Result<(Self, Recovered)> {
+        recovery::open(folder, group, id, segment_bytes)
+    }
+
+    /// Makes `writes` durable with one sync of the log for all its records.
+    ///
+    /// # Errors
+    ///
+    /// `DiskFailed`: what is on disk is unknown, so nothing more may be
+    /// written or acknowledged.
+    pub fn write(&mut self, writes: Vec<DiskWrite>) -> Result<()> {
+        let mut records = Vec::with_capacity(writes.len());
+        for write in writes {
+            match write {
+                DiskWrite::Record(record) => records.push(record),
+                DiskWrite::Snapshot(snapshot) => {
+                    self.append(&std::mem::take(&mut records))?;
+                    snapshot::write(&self.folder, &snapshot)?;
+                    self.remove_covered(snapshot.index)?;
+                }
+            }
+        }
+        self.append(&records)
+    }
+
+    fn append(&mut self, records: &[Record]) -> Result<()> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        if self.active().size() >= self.segment_bytes {
+            self.rotate()?;
+        }
+        self.active().append(records)?;
+        for record in records {
+            match record {
+                Record::Hard(hard) => self.hard = *hard,
+                Record::Entry(entry) => self.last_index = entry.index,
+                Record::Reset { index, .. } => self.last_index = *index,
+                Record::Header(_) => {}
+            }
+        }
+        let mark = Mark { segment: self.active().number(), offset: self.active().size() };
+        self.marks.write(mark)
+    }
+
+    fn active(&mut self) -> &mut Segment {
+        self.segments.last_mut().expect("storage always has a segment")
+    }
+
+    fn rotate(&mut self) -> Result<()> {
+        let header = Header {
+            version: FORMAT_VERSION,
+            segment: self.active().number() + 1,
+            hard: self.hard,
+            last_index: self.last_index,
+            previous_bytes: self.active().size(),
+        };
+        self.segments.push(Segment::create(&self.folder, header)?);
+        Ok(())
+    }
+
+    /// Removes the segments that hold nothing past `index`.
+    fn remove_covered(&mut self, index: LogIndex) -> Result<()> {
+        while self.segments.len() > 1 && self.segments[0].last_index() <= index {
+            file::remove(self.segments[0].path())?;
+            self.segments.remove(0);
+        }
+        file::sync_folder(&self.folder)
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/support/cluster.rs
@@ -0,0 +1,223 @@
+//! A group whose replicas can be started, crashed, stopped and wiped.
+
+use super::{
+    history::{History, List, Told},
+    net::Net,
+    until,
+};
+use cyclamenloft_replication::{Config, Member, MemberKind, Replica, Role};
+use cyclamenloft_types::{ErrorKind, ReplicaId, Result};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+type Adjust = Rc<dyn Fn(Config) -> Config>;
+
+#[derive(Clone)]
+pub struct Cluster {
+    pub net: Net,
+    pub history: Rc<RefCell<History>>,
+    members: Rc<Vec<Member>>,
+    replicas: Rc<RefCell<BTreeMap<ReplicaId, Replica<List>>>>,
+    folder: Rc<TempDir>,
+    adjust: Adjust,
+}
+
+pub fn voters(count: u64) -> Vec<Member> {
+    (1..=count).map(|id| Member { id, kind: MemberKind::Voter }).collect()
+}
+
+pub fn quick(cfg: Config) -> Config {
+    cfg.heartbeat(Duration::from_millis(10)).election_timeout(Duration::from_millis(60))
+}
+
+impl Cluster {
+    pub fn new(seed: u64, members: Vec<Member>) -> Self {
+        Self::adjusted(seed, members, quick)
+    }
+
+    /// A group whose replicas have settings that `adjust` changes.
+    pub fn adjusted(
+        seed: u64,
+        members: Vec<Member>,
+        adjust: impl Fn(Config) -> Config + 'static,
+    ) -> Self {
+        Self {
+            net: Net::new(seed),
+            history: Rc::default(),
+            members: Rc::new(members),
+            replicas: Rc::default(),
+            folder: Rc::new(TempDir::new().unwrap()),
+            adjust: Rc::new(adjust),
+        }
+    }
+
+    pub async fn started(self) -> Self {
+        for id in self.members.iter().map(|m| m.id) {
+            self.start(id).await;
+        }
+        self
+    }
+
+    pub fn path(&self, id: ReplicaId) -> PathBuf {
+        self.folder.path().join(id.to_string())
+    }
+
+    pub async fn try_start(&self, id: ReplicaId) -> Result<()> {
+        let mut members = (*self.members).clone();
+        if !members.iter().any(|m| m.id == id) {
+            members.push(Member { id, kind: MemberKind::Learner });
+        }
+        let cfg = (self.adjust)(Config::new("test", id, members, self.path(id)));
+        let replica = Replica::open(cfg, List::default(), self.net.link(id)).await?;
+        self.net.attach(id, replica.clone());
+        self.replicas.borrow_mut().insert(id, replica);
+        Ok(())
+    }
+
+    /// Starts a replica, once a crashed former life has let its folder go.
+    pub async fn start(&self, id: ReplicaId) {
+        loop {
+            match self.try_start(id).await {
+                Ok(()) => return,
+                Err(e) if e.kind == ErrorKind::FolderInUse => {
+                    compio::time::sleep(Duration::from_millis(1)).await;
+                }
+                Err(e) => panic!("replica {id}: {e}"),
+            }
+        }
+    }
+
+    /// Ends a replica without a word to anybody.
+    pub fn crash(&self, id: ReplicaId) {
+        self.net.detach(id);
+        let replica = self.replicas.borrow_mut().remove(&id);
+        drop(replica);
+    }
+
+    /// Crashes a replica and removes its files.
+    pub async fn wipe(&self, id: ReplicaId) {
+        self.crash(id);
+        // Opening waits for the former life's writes to end.
+        self.start(id).await;
+        self.get(id).unwrap().shut_down().await;
+        self.crash(id);
+        std::fs::remove_dir_all(self.path(id)).unwrap();
+    }
+
+    pub fn get(&self, id: ReplicaId) -> Option<Replica<List>> {
+        self.replicas.borrow().get(&id).cloned()
+    }
+
+    pub fn ids(&self) -> Vec<ReplicaId> {
+        self.replicas.borrow().keys().copied().collect()
+    }
+
+    /// The replica that surely leads, checked to be the only one.
+    pub fn sure_leader(&self) -> Option<ReplicaId> {
+        let now = Instant::now();
+        let replicas = self.replicas.borrow();
+        let leaders: Vec<_> = replicas.iter().filter(|(_, r)| r.leads(now)).collect();
+        assert!(leaders.len() <= 1, "two replicas are sure to lead");
+        leaders.first().map(|(id, _)| **id)
+    }
+
+    /// Waits until one of `among` surely leads.
+    pub async fn leader_among(&self, among: &[ReplicaId]) -> ReplicaId {
+        let mut leader = None;
+        until(|| {
+            leader = self.sure_leader().filter(|id| among.contains(id));
+            leader.is_some()
+        })
+        .await;
+        leader.unwrap()
+    }
+
+    pub async fn leader(&self) -> ReplicaId {
+        self.leader_among(&self.ids()).await
+    }
+
+    /// A replica that thinks it leads, sure or not.
+    pub fn claims_to_lead(&self) -> Option<ReplicaId> {
+        let replicas = self.replicas.borrow();
+        let mut claims = replicas.iter().filter(|(_, r)| r.status().role == Role::Leader);
+        claims.next().map(|(id, _)| *id)
+    }
+
+    /// Proposes a new value at `id` and records what came of it.
+    pub async fn propose(&self, id: ReplicaId) -> Told {
+        self.propose_filled(id, 0).await
+    }
+
+    pub async fn propose_filled(&self, id: ReplicaId, filler: usize) -> Told {
+        let Some(replica) = self.get(id) else { return Told::Refused };
+        let begun = self.history.borrow_mut().begin();
+        let result = replica.propose((begun.0, vec![7; filler])).await;
+        let told = Told::of(&result);
+        self.history.borrow_mut().end(begun, told);
+        told
+    }
+
+    /// Proposes at the leader until `count` more values are accepted.
+    pub async fn accept(&self, count: usize) {
+        let goal = self.history.borrow().accepted() + count;
+        while self.history.borrow().accepted() < goal {
+            let leader = self.leader().await;
+            self.propose(leader).await;
+            self.observe();
+        }
+    }
+
+    /// Checks every replica's state against all that was seen before.
+    pub fn observe(&self) {
+        self.sure_leader();
+        for replica in self.replicas.borrow().values() {
+            replica.state(|list| self.history.borrow_mut().observe(&list.values));
+        }
+    }
+
+    /// Waits until all replicas show the same state, and checks it.
+    pub async fn settle(&self) {
+        self.accept(1).await;
+        let leader = self.leader().await;
+        let goal = self.get(leader).unwrap().status().committed;
+        until(|| self.replicas.borrow().values().all(|r| r.status().applied >= goal)).await;
+        for replica in self.replicas.borrow().values() {
+            replica.state(|list| self.history.borrow_mut().check(&list.values));
+        }
+    }
+
+    /// Lets time pass: `count` election timeouts of the quick settings.
+    pub async fn election_timeouts(&self, count: u32) {
+        for _ in 0..count {
+            compio::time::sleep(Duration::from_millis(60)).await;
+            self.observe();
+        }
+    }
+
+    /// Starts clients that propose all over the group until `stop` is dropped.
+    pub fn spawn_clients(&self, count: usize) -> Rc<()> {
+        let stop = Rc::new(());
+        for _ in 0..count {
+            let (cluster, stop) = (self.clone(), Rc::downgrade(&stop));
+            compio::runtime::spawn(async move {
+                while stop.upgrade().is_some() {
+                    let ids = cluster.ids();
+                    let to = cluster.claims_to_lead().or(ids.first().copied());
+                    if let Some(to) = to {
+                        cluster.propose(to).await;
+                    }
+                    cluster.observe();
+                    compio::time::sleep(Duration::from_millis(1)).await;
+                }
+            })
+            .detach();
+        }
+        stop
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/support/history.rs
@@ -0,0 +1,126 @@
+//! The state that tests replicate, and the checker of what clients were told.
+
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::{Error, ErrorKind, LogIndex, Result};
+use std::collections::BTreeMap;
+
+/// A list of numbers, with filler to make states large.
+#[derive(Clone, Default)]
+pub struct List {
+    pub values: Vec<u64>,
+    pub filler: Vec<u8>,
+}
+
+/// Adds a number to the list.
+pub type Add = (u64, Vec<u8>);
+
+impl StateMachine for List {
+    type Command = Add;
+    type Answer = LogIndex;
+
+    fn apply(&mut self, index: LogIndex, (value, filler): &Add) -> LogIndex {
+        self.values.push(*value);
+        self.filler.extend(filler);
+        index
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        let values = self.values.iter().flat_map(|v| v.to_le_bytes());
+        let count = (self.values.len() as u64).to_le_bytes();
+        count.into_iter().chain(values).chain(self.filler.iter().copied()).collect()
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self> {
+        let cut = || Error::new(ErrorKind::Corrupt, "list is cut short");
+        let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
+        let (count, rest) = bytes.split_at_checked(8).ok_or_else(cut)?;
+        let (values, filler) = rest.split_at_checked(number(count) as usize * 8).ok_or_else(cut)?;
+        Ok(Self { values: values.chunks(8).map(number).collect(), filler: filler.into() })
+    }
+}
+
+/// What a client was told of one value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Accepted,
+    /// Surely not accepted.
+    Refused,
+    Unknown,
+}
+
+impl Told {
+    pub fn of(result: &Result<LogIndex>) -> Self {
+        match result {
+            Ok(_) => Self::Accepted,
+            Err(e) if matches!(e.kind, ErrorKind::NotLeader | ErrorKind::NoQuorum) => Self::Refused,
+            Err(e) if matches!(e.kind, ErrorKind::ChangeUnknown | ErrorKind::DiskFailed) => {
+                Self::Unknown
+            }
+            Err(e) => panic!("unexpected answer {e}"),
+        }
+    }
+}
+
+/// Everything that clients were told and observers saw.
+#[derive(Default)]
+pub struct History {
+    next: u64,
+    told: BTreeMap<u64, Told>,
+    /// Acceptances, each with how many there were when the value was proposed.
+    accepted: Vec<(u64, usize)>,
+    /// The longest state that any replica has shown.
+    longest: Vec<u64>,
+}
+
+impl History {
+    /// A new value, and how many were accepted before it was proposed.
+    pub fn begin(&mut self) -> (u64, usize) {
+        self.next += 1;
+        // Until its proposer hears, nobody knows.
+        self.told.insert(self.next, Told::Unknown);
+        (self.next, self.accepted.len())
+    }
+
+    pub fn end(&mut self, (value, before): (u64, usize), told: Told) {
+        self.told.insert(value, told);
+        if told == Told::Accepted {
+            self.accepted.push((value, before));
+        }
+    }
+
+    pub fn accepted(&self) -> usize {
+        self.accepted.len()
+    }
+
+    /// Checks a replica's applied state against all seen before: one must be
+    /// the beginning of the other.
+    pub fn observe(&mut self, values: &[u64]) {
+        let common = values.len().min(self.longest.len());
+        assert_eq!(values[..common], self.longest[..common], "applied state reverted");
+        if values.len() > common {
+            self.longest = values.into();
+        }
+    }
+
+    /// Checks the state that all replicas have in the end.
+    pub fn check(&mut self, values: &[u64]) {
+        self.observe(values);
+        assert_eq!(values.len(), self.longest.len(), "applied entries were lost");
+        let mut places = BTreeMap::new();
+        for (place, value) in values.iter().enumerate() {
+            assert!(places.insert(*value, place).is_none(), "{value} is there twice");
+        }
+        for (value, told) in &self.told {
+            let there = places.contains_key(value);
+            assert!(there || *told != Told::Accepted, "{value} was accepted and is lost");
+            assert!(!there || *told != Told::Refused, "{value} was refused and is there");
+        }
+        let mut greatest = Vec::new();
+        for (value, before) in &self.accepted {
+            let place = places[value];
+            let earlier = before.checked_sub(1).map(|i| greatest[i]);
+            assert!(earlier.is_none_or(|e| e < place), "{value} stands before its predecessors");
+            greatest.push(greatest.last().copied().unwrap_or(0).max(place));
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/support/net.rs
@@ -0,0 +1,175 @@
+//! The lossy transport.
+
+use cyclamenloft_replication::{Replica, Transport};
+use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result};
+use futures_util::future::{self, Either};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
+
+use super::history::List;
+
+/// How bad the links are.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// Share of messages lost, in each direction.
+    pub loss: f64,
+    /// Share of requests that arrive a second time, later.
+    pub repeat: f64,
+    /// Longest random delay in each direction.
+    pub delay: Duration,
+}
+
+struct Node {
+    replica: Replica<List>,
+    /// Dropped at a crash, which ends what the node was doing.
+    life: Rc<()>,
+}
+
+struct Inner {
+    nodes: BTreeMap<ReplicaId, Node>,
+    faults: Faults,
+    cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+    rng: SmallRng,
+    largest: usize,
+}
+
+/// The links between all replicas of a test.
+#[derive(Clone)]
+pub struct Net(Rc<RefCell<Inner>>);
+
+/// After this time a caller gives a lost message up.
+const GIVE_UP: Duration = Duration::from_millis(20);
+
+fn unreachable(to: ReplicaId) -> Error {
+    Error::new(ErrorKind::PeerUnreachable, format!("replica {to}"))
+}
+
+impl Net {
+    pub fn new(seed: u64) -> Self {
+        Self(Rc::new(RefCell::new(Inner {
+            nodes: BTreeMap::new(),
+            faults: Faults::default(),
+            cuts: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            largest: 0,
+        })))
+    }
+
+    pub fn link(&self, from: ReplicaId) -> Link {
+        Link { net: self.clone(), from }
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.0.borrow_mut().faults = faults;
+    }
+
+    pub fn attach(&self, id: ReplicaId, replica: Replica<List>) {
+        self.0.borrow_mut().nodes.insert(id, Node { replica, life: Rc::new(()) });
+    }
+
+    pub fn detach(&self, id: ReplicaId) {
+        let node = self.0.borrow_mut().nodes.remove(&id);
+        drop(node);
+    }
+
+    /// Cuts messages from `from` to `to`, and not the other way.
+    pub fn cut_one_way(&self, from: ReplicaId, to: ReplicaId) {
+        self.0.borrow_mut().cuts.insert((from, to));
+    }
+
+    /// Cuts all links between `side` and the other replicas.
+    pub fn partition(&self, side: &[ReplicaId], others: &[ReplicaId]) {
+        for a in side {
+            for b in others {
+                self.cut_one_way(*a, *b);
+                self.cut_one_way(*b, *a);
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.0.borrow_mut().cuts.clear();
+    }
+
+    /// Size of the largest message so far.
+    pub fn largest(&self) -> usize {
+        self.0.borrow().largest
+    }
+
+    pub fn random(&self, below: u64) -> u64 {
+        self.0.borrow_mut().rng.random_range(0..below)
+    }
+
+    fn roll(&self, chance: f64) -> bool {
+        chance > 0.0 && self.0.borrow_mut().rng.random_bool(chance)
+    }
+
+    /// Carries a message one way; false where it is lost.
+    async fn carry(&self, from: ReplicaId, to: ReplicaId, bytes: usize) -> bool {
+        let faults = self.0.borrow().faults;
+        if !faults.delay.is_zero() {
+            let share = self.0.borrow_mut().rng.random_range(0.0..1.0);
+            compio::time::sleep(faults.delay.mul_f64(share)).await;
+        }
+        let mut inner = self.0.borrow_mut();
+        inner.largest = inner.largest.max(bytes);
+        let cut = inner.cuts.contains(&(from, to));
+        drop(inner);
+        !cut && !self.roll(faults.loss)
+    }
+
+    async fn deliver(&self, to: ReplicaId, message: &[u8]) -> Result<Vec<u8>> {
+        let (replica, life) = {
+            let inner = self.0.borrow();
+            let node = inner.nodes.get(&to).ok_or_else(|| unreachable(to))?;
+            (node.replica.clone(), Rc::downgrade(&node.life))
+        };
+        let crashed = pin!(async {
+            while life.upgrade().is_some() {
+                compio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        match future::select(pin!(replica.handle(message)), crashed).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Err(unreachable(to)),
+        }
+    }
+}
+
+/// One replica's end of the net.
+pub struct Link {
+    net: Net,
+    from: ReplicaId,
+}
+
+impl Transport for Link {
+    async fn call(&self, to: ReplicaId, message: Vec<u8>) -> Result<Vec<u8>> {
+        if !self.net.carry(self.from, to, message.len()).await {
+            compio::time::sleep(GIVE_UP).await;
+            return Err(unreachable(to));
+        }
+        let repeat = self.net.0.borrow().faults.repeat;
+        if self.net.roll(repeat) {
+            let (net, from, message) = (self.net.clone(), self.from, message.clone());
+            compio::runtime::spawn(async move {
+                compio::time::sleep(GIVE_UP).await;
+                if net.carry(from, to, 0).await {
+                    let _ = net.deliver(to, &message).await;
+                }
+            })
+            .detach();
+        }
+        let answer = self.net.deliver(to, &message).await?;
+        if !self.net.carry(to, self.from, answer.len()).await {
+            compio::time::sleep(GIVE_UP).await;
+            return Err(unreachable(to));
+        }
+        Ok(answer)
+    }
+}
