Routing: two choices, ejection, fair admission with deadlines

The first version took targets in turn and queued in order of arrival, so a slow or failing target took its full part and an overload made every answer late.

Choice: two random free targets, the cheaper by (in flight / share) x peak-weighted latency; slow start; passive ejection with a cap and single probes. Free targets are kept in an index, so no decision scans all of them. Admission: priority, then deadline; turns by caller while crowded; requests that can't make their deadline are refused at once. Policies round-robin, least-in-flight and admission=false stay as baselines.

Choice and admission come in one commit: they share the router's state.

--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -48,6 +48,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub(crate) u64);
 
+/// The figures behind a decision, for its log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Estimates {
+    /// How long the request was expected to wait for a slot, or did wait.
+    pub wait: Duration,
+    /// Requests in flight: at the chosen target, or at all targets where none
+    /// was chosen.
+    pub in_flight: u32,
+    /// Slots that this host may use: at the chosen target, or at all targets
+    /// where none was chosen.
+    pub share: u32,
+    /// Latency: peak-weighted of the chosen target, or the service's mean time
+    /// in a slot where none was chosen.
+    pub ewma: Duration,
+}
+
 /// The right to send one request to one target. It occupies a slot until it is
 /// given back with [`ServiceRouter::release`](crate::ServiceRouter::release).
 #[derive(Debug, PartialEq, Eq)]
@@ -61,7 +77,10 @@
     pub reason: &'static str,
     /// When the permit was given.
     pub since: Instant,
+    /// The figures behind the choice.
+    pub estimates: Estimates,
     pub(crate) seq: u64,
+    pub(crate) probe: bool,
 }
 
 /// A refusal and the time after which asking again makes sense.
@@ -73,6 +92,20 @@
     pub detail: Box<str>,
     /// When to ask again.
     pub retry_after: Duration,
+    /// Why, for the decision log.
+    pub reason: &'static str,
+    /// The figures behind the refusal.
+    pub estimates: Estimates,
+}
+
+impl Refusal {
+    /// A refusal that no figures led to.
+    #[must_use]
+    pub fn new(kind: ErrorKind, detail: impl Into<Box<str>>, retry_after: Duration) -> Self {
+        let reason = kind.answer().code;
+        let estimates = Estimates::default();
+        Self { kind, detail: detail.into(), retry_after, reason, estimates }
+    }
 }
 
 /// What is decided on a request.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,11 +2,23 @@
 //! to hedge or to use another failure domain. No input or output happens here;
 //! each function that decides takes the present time.
 
+pub mod admission;
+pub mod choice;
+pub mod ejection;
+pub mod estimate;
 pub mod facts;
 pub mod policy;
+mod queue;
 pub mod service;
 pub mod slots;
+pub mod snapshot;
+mod targets;
 
-pub use facts::{AttemptResult, Decision, Permit, Refusal, RequestFacts, TargetRecord, Ticket};
+pub use ejection::{EjectionCause, Standing};
+pub use estimate::QuantileEstimates;
+pub use facts::{
+    AttemptResult, Decision, Estimates, Permit, Refusal, RequestFacts, TargetRecord, Ticket,
+};
 pub use policy::{ChoicePolicy, RoutingPolicy, ServicePolicy};
 pub use service::ServiceRouter;
+pub use snapshot::{ServiceSnapshot, TargetSnapshot};
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -1,105 +1,147 @@
-//! The decisions for one service at one entry host. This first version takes
-//! the targets in turn and keeps a bounded queue in order of arrival.
+//! The decisions for one service at one entry host.
+//!
+//! [`ServiceRouter`] holds what is known of the service: its targets, the
+//! queue of waiting requests and the measured times. The other modules add to
+//! it: [`choice`](crate::choice) picks a target, [`admission`](crate::admission)
+//! decides who waits and who is refused.
 
 use crate::{
-    facts::{AttemptResult, Decision, Permit, Refusal, RequestFacts, TargetRecord, Ticket},
-    policy::{RoutingPolicy, ServicePolicy},
+    choice::median_latency,
+    estimate::{Mean, Quantiles},
+    facts::{AttemptResult, Decision, Permit, RequestFacts, TargetRecord, Ticket},
+    policy::{ChoicePolicy, RoutingPolicy, ServicePolicy},
+    queue::FairQueue,
     slots::base_share,
+    targets::{Ordering, TargetIndex, TargetSet},
 };
-use cyclamenloft_types::{ErrorKind, HostId, TargetId};
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::{Duration, Instant},
-};
-
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+use cyclamenloft_types::{HostId, TargetId};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
-struct TargetState {
-    record: TargetRecord,
-    in_flight: u16,
-}
-
-struct Waiting {
-    ticket: Ticket,
-    facts: RequestFacts,
-}
+/// How often the median latency of the targets is computed anew.
+const MEDIAN_PERIOD: Duration = Duration::from_millis(100);
 
 /// Decides on the requests of one service at one entry host.
 pub struct ServiceRouter {
-    host: HostId,
-    roster: Vec<HostId>,
-    service: ServicePolicy,
-    targets: BTreeMap<TargetId, TargetState>,
-    queue: VecDeque<Waiting>,
+    pub(crate) host: HostId,
+    pub(crate) roster: Vec<HostId>,
+    pub(crate) routing: RoutingPolicy,
+    pub(crate) service: ServicePolicy,
+    pub(crate) targets: TargetSet,
+    /// Ejected targets, those ejected first before the others.
+    pub(crate) ejected: Vec<TargetIndex>,
+    /// No probe is due before this.
+    pub(crate) next_probe: Option<Instant>,
+    pub(crate) queue: FairQueue,
+    /// Decisions on waiting requests that were made while another was admitted.
+    pub(crate) decided: Vec<(Ticket, Decision)>,
+    /// Times that permits were held.
+    pub(crate) hold: Mean,
+    pub(crate) hold_quantiles: Quantiles,
+    /// Times to the head of a healthy answer.
+    pub(crate) latency_quantiles: Quantiles,
+    /// Median of the targets' mean latencies in seconds.
+    pub(crate) median: Option<f64>,
+    median_at: Option<Instant>,
+    pub(crate) rng: SmallRng,
     next_seq: u64,
-    turn: usize,
+    /// Position from which the next target in turn is looked for.
+    pub(crate) turn: TargetIndex,
 }
 
 impl ServiceRouter {
-    /// A router for `host`, one of `roster`, without targets yet.
+    /// A router for `host`, one of `roster`, without targets yet. Its random
+    /// choices follow from the host's name.
     #[must_use]
     pub fn new(
         host: HostId,
         roster: Vec<HostId>,
-        _routing: RoutingPolicy,
+        routing: RoutingPolicy,
         service: ServicePolicy,
     ) -> Self {
+        let mut targets = TargetSet::default();
+        targets.set_ordering(ordering(routing.choice));
         Self {
+            targets,
+            ejected: Vec::new(),
+            next_probe: None,
+            queue: FairQueue::new(service.queue as usize),
+            decided: Vec::new(),
+            hold: Mean::default(),
+            hold_quantiles: Quantiles::new(),
+            latency_quantiles: Quantiles::new(),
+            median: None,
+            median_at: None,
+            rng: SmallRng::seed_from_u64(xxh3_64(host.as_bytes())),
+            next_seq: 0,
+            turn: 0,
             host,
             roster,
+            routing,
             service,
-            targets: BTreeMap::new(),
-            queue: VecDeque::new(),
-            next_seq: 0,
-            turn: 0,
         }
     }
 
-    /// Takes a changed policy into force.
-    pub fn set_policy(&mut self, _routing: RoutingPolicy, service: ServicePolicy) {
+    /// Takes a changed policy into force. Requests that wait beyond a smaller
+    /// queue bound keep their places.
+    pub fn set_policy(&mut self, routing: RoutingPolicy, service: ServicePolicy) {
+        self.queue.set_bound(service.queue as usize);
+        self.targets.set_ordering(ordering(routing.choice));
+        self.routing = routing;
         self.service = service;
+        self.median_at = None;
     }
 
     /// Takes in a target's announcement; records with an older sequence are ignored.
     /// Waiting requests that can go now come back with their decisions.
     pub fn announce(&mut self, record: TargetRecord, now: Instant) -> Vec<(Ticket, Decision)> {
-        match self.targets.get_mut(&record.id) {
-            Some(state) if record.sequence < state.record.sequence => {}
-            Some(state) => state.record = record,
-            None => {
-                let id = record.id.clone();
-                self.targets.insert(id, TargetState { record, in_flight: 0 });
-            }
+        if let Some(i) = self.targets.announce(record, now) {
+            self.refresh(i, now);
         }
+        self.advance(now);
         self.drain(now)
     }
 
+    /// Takes in how many of the requests that a target is working on came from
+    /// this host, as the target counts them in the announcement taken in last.
+    /// It frees slots of abandoned requests sooner than the count of all hosts'
+    /// requests does.
+    pub fn observe_own_in_flight(&mut self, target: &str, count: u16, now: Instant) {
+        let Some(i) = self.targets.find(target) else { return };
+        if let Some(target) = self.targets.get_mut(i) {
+            target.bound_abandoned(count);
+        }
+        self.refresh(i, now);
+    }
+
     /// Decides on a new request, or on one that may be tried again.
     /// `avoid` names targets that have failed this request already.
+    ///
+    /// A waiting request may lose its place to this one: the decisions on such
+    /// requests come from [`ServiceRouter::take_decided`].
     pub fn admit(&mut self, facts: RequestFacts, avoid: &[TargetId], now: Instant) -> Decision {
-        if facts.deadline <= now {
-            return refuse(ErrorKind::DeadlinePassed, "the deadline has passed");
+        self.advance(now);
+        if let Some(refusal) = self.refuse_at_once(&facts, avoid, now) {
+            return Decision::Refuse(refusal);
         }
-        if let Some(permit) = self.pick(avoid, now) {
+        if let Some(permit) = self.pick_for_new(&facts, avoid, now) {
             return Decision::Dispatch(permit);
         }
-        if !self.targets.values().any(|t| usable(&t.record, now)) {
-            return refuse(ErrorKind::NoTarget, "no target has announced itself");
-        }
-        if self.queue.len() >= self.service.queue as usize {
-            return refuse(ErrorKind::Overloaded, "the queue is full");
-        }
-        let ticket = Ticket(self.next_seq());
-        self.queue.push_back(Waiting { ticket, facts });
-        Decision::Wait(ticket)
+        self.enqueue(facts, avoid, now)
+    }
+
+    /// The decisions on waiting requests that lost their places since the last
+    /// call. To be called after each [`ServiceRouter::admit`] that answered
+    /// [`Decision::Wait`]; `release`, `announce` and `tick` hand them out too.
+    pub fn take_decided(&mut self) -> Vec<(Ticket, Decision)> {
+        std::mem::take(&mut self.decided)
     }
 
     /// Takes a waiting request out because its caller has gone. Returns false
     /// where its decision has been made already.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|w| w.ticket != ticket);
-        self.queue.len() < before
+        self.queue.remove(ticket).is_some()
     }
 
     /// Gives a permit back. Waiting requests that can go now come back with
@@ -107,67 +149,72 @@
     pub fn release(
         &mut self,
         permit: Permit,
-        _result: AttemptResult,
+        result: AttemptResult,
         now: Instant,
     ) -> Vec<(Ticket, Decision)> {
-        if let Some(state) = self.targets.get_mut(&permit.target) {
-            state.in_flight = state.in_flight.saturating_sub(1);
+        let held = now.saturating_duration_since(permit.since);
+        self.hold.observe(held);
+        if result.healthy {
+            self.hold_quantiles.observe(held, now);
+            self.latency_quantiles.observe(result.latency, now);
+        }
+        if let Some(i) = self.targets.find(&permit.target) {
+            self.targets.finish(i, &result, now);
+            self.judge(i, permit.probe, &result, now);
+            self.refresh(i, now);
         }
+        self.advance(now);
         self.drain(now)
     }
 
     /// Drops what has expired. To be called every few milliseconds.
     pub fn tick(&mut self, now: Instant) -> Vec<(Ticket, Decision)> {
-        self.targets.retain(|_, t| t.record.expires > now || t.in_flight > 0);
+        self.advance(now);
         self.drain(now)
     }
 
-    fn drain(&mut self, now: Instant) -> Vec<(Ticket, Decision)> {
-        let mut decided = Vec::new();
-        while let Some(first) = self.queue.front() {
-            let (ticket, deadline) = (first.ticket, first.facts.deadline);
-            if deadline <= now {
-                let refusal = refuse(ErrorKind::DeadlinePassed, "the deadline passed in the queue");
-                decided.push((ticket, refusal));
-            } else if let Some(permit) = self.pick(&[], now) {
-                decided.push((ticket, Decision::Dispatch(permit)));
-            } else {
-                break;
-            }
-            self.queue.pop_front();
+    /// Brings what depends on time alone up to date.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        let expired = self.targets.expire(now);
+        if !expired.is_empty() {
+            self.ejected.retain(|i| self.targets.get(*i).is_some());
         }
-        decided
+        let due = self.median_at.is_none_or(|t| now.saturating_duration_since(t) >= MEDIAN_PERIOD);
+        if due {
+            self.median_at = Some(now);
+            self.median = median_latency(&self.targets);
+            self.enforce_ejection_cap(now);
+            self.refresh_all(now);
+        }
+    }
+
+    /// Slots that this host may use at a target.
+    pub(crate) fn allowance(&self, target: &str, _now: Instant) -> u16 {
+        base_share(self.service.slots, target, &self.roster, &self.host)
     }
 
-    fn pick(&mut self, avoid: &[TargetId], now: Instant) -> Option<Permit> {
-        let count = self.targets.len();
-        let start = self.turn;
-        let (slots, roster, host) = (self.service.slots, &self.roster, &self.host);
-        let chosen = self
-            .targets
-            .values_mut()
-            .enumerate()
-            .filter(|(_, t)| usable(&t.record, now) && !avoid.contains(&t.record.id))
-            .filter(|(_, t)| t.in_flight < base_share(slots, &t.record.id, roster, host))
-            .min_by_key(|(i, _)| (i + count - start % count.max(1)) % count.max(1))?;
-        self.turn = chosen.0 + 1;
-        let state = chosen.1;
-        state.in_flight += 1;
-        let (target, addr) = (state.record.id.clone(), state.record.addr);
-        let seq = self.next_seq();
-        Some(Permit { target, addr, reason: "round-robin", since: now, seq })
+    pub(crate) fn refresh(&mut self, i: TargetIndex, now: Instant) {
+        let Some(target) = self.targets.get(i) else { return };
+        let allowance = self.allowance(&target.record.id, now);
+        self.targets.refresh(i, allowance, now);
     }
 
-    fn next_seq(&mut self) -> u64 {
+    fn refresh_all(&mut self, now: Instant) {
+        for i in self.targets.indices() {
+            self.refresh(i, now);
+        }
+    }
+
+    pub(crate) fn next_seq(&mut self) -> u64 {
         self.next_seq += 1;
         self.next_seq
     }
 }
 
-fn usable(record: &TargetRecord, now: Instant) -> bool {
-    !record.leaving && record.expires > now
-}
-
-fn refuse(kind: ErrorKind, detail: &str) -> Decision {
-    Decision::Refuse(Refusal { kind, detail: detail.into(), retry_after: RETRY_AFTER })
+fn ordering(choice: ChoicePolicy) -> Ordering {
+    match choice {
+        ChoicePolicy::TwoChoices => Ordering::None,
+        ChoicePolicy::RoundRobin => Ordering::ByIndex,
+        ChoicePolicy::LeastInFlight => Ordering::ByInFlight,
+    }
 }
--- /dev/null
+++ b/crates/routing/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the decisions on requests.
+#![allow(clippy::unwrap_used)]
+
+mod admission;
+mod choice;
+mod invariants;
+mod overload;
+mod support;
--- /dev/null
+++ b/crates/routing/tests/all/support.rs
@@ -0,0 +1,143 @@
+//! Builders that the tests share.
+
+use cyclamenloft_routing::{
+    AttemptResult, ChoicePolicy, Decision, Permit, Refusal, RequestFacts, RoutingPolicy,
+    ServicePolicy, ServiceRouter, TargetRecord,
+};
+use cyclamenloft_types::{Outcome, Priority, TargetId};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+/// Names each case of a test that takes arguments.
+macro_rules! cases {
+    ($f:ident: $($name:ident($($arg:expr),* $(,)?);)+) => {
+        $(#[test]
+        fn $name() {
+            $f($($arg),*);
+        })+
+    };
+}
+pub(crate) use cases;
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn target(n: usize) -> TargetId {
+    format!("t{n}").into()
+}
+
+pub fn record(n: usize, sequence: u64, expires: Instant) -> TargetRecord {
+    TargetRecord {
+        id: target(n),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000)),
+        domain: "north".into(),
+        sequence,
+        leaving: false,
+        in_flight: 0,
+        expires,
+    }
+}
+
+pub fn request(caller: &str, deadline: Instant) -> RequestFacts {
+    RequestFacts {
+        id: "r".into(),
+        caller: caller.into(),
+        idempotent: true,
+        priority: Priority::Service,
+        deadline,
+        hopped: false,
+    }
+}
+
+pub fn healthy(latency: Duration) -> AttemptResult {
+    AttemptResult { outcome: Outcome::Done, healthy: true, latency, abandoned: false }
+}
+
+pub fn failed(latency: Duration) -> AttemptResult {
+    AttemptResult { outcome: Outcome::Unknown, healthy: false, latency, abandoned: false }
+}
+
+pub fn abandoned(latency: Duration) -> AttemptResult {
+    AttemptResult { outcome: Outcome::Unknown, healthy: false, latency, abandoned: true }
+}
+
+pub fn with_choice(choice: ChoicePolicy) -> RoutingPolicy {
+    RoutingPolicy { choice, ..RoutingPolicy::default() }
+}
+
+/// A router that alone has all slots of its targets, which never expire.
+pub fn router(
+    targets: usize,
+    routing: RoutingPolicy,
+    service: ServicePolicy,
+    now: Instant,
+) -> ServiceRouter {
+    let mut router = ServiceRouter::new("a".into(), vec!["a".into()], routing, service);
+    for n in 0..targets {
+        assert!(router.announce(record(n, 1, now + ms(10_000_000)), now).is_empty());
+    }
+    router
+}
+
+pub fn permit(decision: Decision) -> Permit {
+    match decision {
+        Decision::Dispatch(permit) => permit,
+        other => panic!("expected a permit, found {other:?}"),
+    }
+}
+
+pub fn refusal(decision: Decision) -> Refusal {
+    match decision {
+        Decision::Refuse(refusal) => refusal,
+        other => panic!("expected a refusal, found {other:?}"),
+    }
+}
+
+/// Sends a request and ends it after `latency`, one at a time.
+pub fn run_one(
+    router: &mut ServiceRouter,
+    now: &mut Instant,
+    result: impl Fn(&str) -> AttemptResult,
+) -> TargetId {
+    let permit = permit(router.admit(request("c", *now + ms(60_000)), &[], *now));
+    let target = permit.target.clone();
+    let result = result(&target);
+    *now += result.latency;
+    assert!(router.release(permit, result, *now).is_empty());
+    target
+}
+
+/// Sends `count` requests, `concurrency` at a time, and ends each after its
+/// result's latency. Returns how many went to target `watched`.
+pub fn run_many(
+    router: &mut ServiceRouter,
+    now: &mut Instant,
+    concurrency: usize,
+    count: usize,
+    watched: &str,
+    result: impl Fn(&str) -> AttemptResult,
+) -> usize {
+    let mut running: Vec<(Instant, Permit)> = Vec::new();
+    let mut sent_to_watched = 0;
+    for _ in 0..count {
+        while running.len() >= concurrency {
+            let first = (0..running.len()).min_by_key(|i| running[*i].0).unwrap();
+            let (end, permit) = running.swap_remove(first);
+            *now = end;
+            let result = result(&permit.target);
+            assert!(router.release(permit, result, *now).is_empty());
+        }
+        let permit = permit(router.admit(request("c", *now + ms(60_000)), &[], *now));
+        sent_to_watched += usize::from(&*permit.target == watched);
+        running.push((*now + result(&permit.target).latency, permit));
+    }
+    for (end, permit) in running {
+        *now = end.max(*now);
+        let result = result(&permit.target);
+        let _ = router.release(permit, result, *now);
+    }
+    sent_to_watched
+}
