Routing: retries and hedging within one budget

A failed request had no rule for a second attempt. One token bucket a service now pays for retries and hedged requests: a percentage of successes and one a second. A retry needs an outcome of not-run or an idempotent request, time left and a target that has not failed it; hedging waits for the observed p95.

Cancelled attempts count as a lower bound of the target's latency, not as failures. The test of invariants now also holds the targets to avoid against the decisions on waiting requests.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -60,7 +60,7 @@
     }
 
     /// Whether a target outside `avoid` is usable, with or without a free slot.
-    fn has_target(&self, avoid: &[TargetId], now: Instant) -> bool {
+    pub(crate) fn has_target(&self, avoid: &[TargetId], now: Instant) -> bool {
         let usable = |id: &&TargetId| {
             let target = self.targets.find(id).and_then(|i| self.targets.get(i));
             target.is_some_and(|t| t.usable(now))
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -20,6 +20,7 @@
 pub(crate) mod reason {
     pub(crate) const TWO_CHOICES: &str = "two-choices";
     pub(crate) const ONLY_CANDIDATE: &str = "only-candidate";
+    pub(crate) const HEDGE: &str = "hedge";
     pub(crate) const PROBE: &str = "probe";
     pub(crate) const ROUND_ROBIN: &str = "round-robin";
     pub(crate) const LEAST_IN_FLIGHT: &str = "least-in-flight";
@@ -42,15 +43,30 @@
             self.note_next_probe();
             return self.permit(i, reason::PROBE, since, now);
         }
-        let (i, reason) = match self.routing.choice {
-            ChoicePolicy::TwoChoices => self.two_choices(facts, avoid, now)?,
-            ChoicePolicy::RoundRobin => (self.in_turn(avoid, now)?, reason::ROUND_ROBIN),
-            ChoicePolicy::LeastInFlight => (self.least(avoid, now)?, reason::LEAST_IN_FLIGHT),
-        };
+        let (i, reason) = self.choose(facts, avoid, now)?;
         self.permit(i, reason, since, now)
     }
 
-    fn permit(
+    /// Chooses among the targets in use, as the policy says.
+    pub(crate) fn choose(
+        &mut self,
+        facts: &RequestFacts,
+        avoid: &[TargetId],
+        now: Instant,
+    ) -> Option<(TargetIndex, &'static str)> {
+        match self.routing.choice {
+            ChoicePolicy::TwoChoices => self.two_choices(facts, avoid, now),
+            ChoicePolicy::RoundRobin => {
+                self.in_turn(facts, avoid, now).map(|i| (i, reason::ROUND_ROBIN))
+            }
+            ChoicePolicy::LeastInFlight => {
+                self.least(facts, avoid, now).map(|i| (i, reason::LEAST_IN_FLIGHT))
+            }
+        }
+    }
+
+    /// Occupies a slot of target `i`.
+    pub(crate) fn permit(
         &mut self,
         i: TargetIndex,
         reason: &'static str,
@@ -123,21 +139,23 @@
         if cost(b) < cost(a) { b } else { a }
     }
 
-    fn in_turn(&mut self, avoid: &[TargetId], now: Instant) -> Option<TargetIndex> {
+    fn in_turn(
+        &mut self,
+        facts: &RequestFacts,
+        avoid: &[TargetId],
+        now: Instant,
+    ) -> Option<TargetIndex> {
         let order = self.targets.order();
         let from = (0, self.turn);
         let mut candidates = order.range(from..).chain(order.range(..from)).map(|(_, i)| *i);
-        let i = candidates.find(|i| self.free_for(*i, avoid, now))?;
+        let i = candidates.find(|i| self.can_take(*i, facts, avoid, now))?;
         self.turn = i + 1;
         Some(i)
     }
 
-    fn least(&self, avoid: &[TargetId], now: Instant) -> Option<TargetIndex> {
-        self.targets.order().iter().map(|(_, i)| *i).find(|i| self.free_for(*i, avoid, now))
-    }
-
-    fn free_for(&self, i: TargetIndex, avoid: &[TargetId], now: Instant) -> bool {
-        self.targets.get(i).is_some_and(|t| t.usable(now) && !avoid.contains(&t.record.id))
+    fn least(&self, facts: &RequestFacts, avoid: &[TargetId], now: Instant) -> Option<TargetIndex> {
+        let mut candidates = self.targets.order().iter().map(|(_, i)| *i);
+        candidates.find(|i| self.can_take(*i, facts, avoid, now))
     }
 
     /// An ejected target whose probe is due and may be this request.
--- a/crates/routing/src/ejection.rs
+++ b/crates/routing/src/ejection.rs
@@ -127,8 +127,11 @@
         }
         self.results += 1.0;
         if result.healthy {
-            self.consecutive_failures = 0;
+            // A cancelled attempt shows how long the target took at least.
             self.latency.observe(result.latency);
+            if !result.abandoned {
+                self.consecutive_failures = 0;
+            }
         } else {
             self.consecutive_failures = self.consecutive_failures.saturating_add(1);
             self.failed_at = Some(now);
@@ -169,7 +172,7 @@
         now: Instant,
     ) -> bool {
         let in_time = median.is_none_or(|m| result.latency.as_secs_f64() <= latency_limit(m));
-        if !result.healthy || !in_time {
+        if !result.healthy || result.abandoned || !in_time {
             self.eject(EjectionCause::FailedProbe, now);
             return false;
         }
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -124,9 +124,12 @@
 pub struct AttemptResult {
     /// Whether the request ran.
     pub outcome: Outcome,
-    /// Whether the target answered in a way that speaks for its health.
+    /// Whether the target answered in a way that speaks for its health. An
+    /// attempt that was cancelled without the target's fault (the caller has
+    /// gone, another attempt won) counts as healthy.
     pub healthy: bool,
-    /// Time from dispatch to the end of the answer's head.
+    /// Time from dispatch to the end of the answer's head, or to the end of the
+    /// attempt where no head came.
     pub latency: Duration,
     /// Whether the target may still be working on the request: the slot stays
     /// occupied until the target announces fewer requests in flight.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,12 +3,14 @@
 //! each function that decides takes the present time.
 
 pub mod admission;
+mod budget;
 pub mod choice;
 pub mod ejection;
 pub mod estimate;
 pub mod facts;
 pub mod policy;
 mod queue;
+pub mod retry;
 pub mod service;
 pub mod slots;
 pub mod snapshot;
@@ -20,5 +22,6 @@
     AttemptResult, Decision, Estimates, Permit, Refusal, RequestFacts, TargetRecord, Ticket,
 };
 pub use policy::{ChoicePolicy, RoutingPolicy, ServicePolicy};
+pub use retry::NoRetry;
 pub use service::ServiceRouter;
 pub use snapshot::{ServiceSnapshot, TargetSnapshot};
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -3,9 +3,11 @@
 //! [`ServiceRouter`] holds what is known of the service: its targets, the
 //! queue of waiting requests and the measured times. The other modules add to
 //! it: [`choice`](crate::choice) picks a target, [`admission`](crate::admission)
-//! decides who waits and who is refused.
+//! decides who waits and who is refused, [`retry`](crate::retry) who gets another
+//! attempt.
 
 use crate::{
+    budget::RetryBudget,
     choice::median_latency,
     estimate::{Mean, Quantiles},
     facts::{AttemptResult, Decision, Permit, RequestFacts, TargetRecord, Ticket},
@@ -36,6 +38,7 @@
     pub(crate) queue: FairQueue,
     /// Decisions on waiting requests that were made while another was admitted.
     pub(crate) decided: Vec<(Ticket, Decision)>,
+    pub(crate) budget: RetryBudget,
     /// Times that permits were held.
     pub(crate) hold: Mean,
     pub(crate) hold_quantiles: Quantiles,
@@ -68,6 +71,7 @@
             next_probe: None,
             queue: FairQueue::new(service.queue as usize),
             decided: Vec::new(),
+            budget: RetryBudget::new(),
             hold: Mean::default(),
             hold_quantiles: Quantiles::new(),
             latency_quantiles: Quantiles::new(),
@@ -154,9 +158,10 @@
     ) -> Vec<(Ticket, Decision)> {
         let held = now.saturating_duration_since(permit.since);
         self.hold.observe(held);
-        if result.healthy {
+        if result.healthy && !result.abandoned {
             self.hold_quantiles.observe(held, now);
             self.latency_quantiles.observe(result.latency, now);
+            self.budget.deposit(self.service.retry_percent);
         }
         if let Some(i) = self.targets.find(&permit.target) {
             self.targets.finish(i, &result, now);
@@ -183,6 +188,7 @@
         if due {
             self.median_at = Some(now);
             self.median = median_latency(&self.targets);
+            self.budget.refill(now);
             self.enforce_ejection_cap(now);
             self.refresh_all(now);
         }
--- a/crates/routing/src/snapshot.rs
+++ b/crates/routing/src/snapshot.rs
@@ -40,6 +40,8 @@
     pub queue_bound: usize,
     /// How long a new request would wait for a slot.
     pub predicted_wait: Duration,
+    /// Retries and hedged requests that may be sent now.
+    pub retry_budget: f64,
     /// Times to the head of the answer, while there are enough samples.
     pub latency: Option<QuantileEstimates>,
     /// Mean time that a request holds its slot.
@@ -55,6 +57,7 @@
             queued: self.queue.len(),
             queue_bound: self.service.queue as usize,
             predicted_wait: self.local_wait(),
+            retry_budget: self.budget.tokens(),
             latency: self.latency_quantiles.get(now),
             mean_hold: Duration::from_secs_f64(self.hold.seconds()),
         }
--- a/crates/routing/tests/all/invariants.rs
+++ b/crates/routing/tests/all/invariants.rs
@@ -4,10 +4,10 @@
 use cyclamenloft_routing::{
     ChoicePolicy, Decision, Permit, RoutingPolicy, ServicePolicy, ServiceRouter, Ticket,
 };
-use cyclamenloft_types::Priority;
+use cyclamenloft_types::{Priority, TargetId};
 use proptest::{prelude::*, test_runner::RngSeed};
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -45,7 +45,8 @@
     router: ServiceRouter,
     now: Instant,
     permits: Vec<Permit>,
-    waiting: BTreeSet<Ticket>,
+    /// Waiting requests, with the targets that have failed them.
+    waiting: BTreeMap<Ticket, Vec<TargetId>>,
     /// Newest sequence, whether it said leaving, and when it expires.
     known: HashMap<usize, (u64, bool, Instant)>,
     sequence: u64,
@@ -88,17 +89,18 @@
                 let avoid: Vec<_> = avoid.into_iter().map(target).collect();
                 match self.router.admit(facts, &avoid, self.now) {
                     Decision::Dispatch(permit) => {
-                        assert!(!avoid.contains(&permit.target));
-                        self.dispatched(permit);
+                        self.dispatched(permit, &avoid);
+                    }
+                    Decision::Wait(ticket) => {
+                        assert!(self.waiting.insert(ticket, avoid).is_none());
                     }
-                    Decision::Wait(ticket) => assert!(self.waiting.insert(ticket)),
                     Decision::Refuse(_) => {}
                 }
                 let decided = self.router.take_decided();
                 self.take(decided);
             }
             Step::Cancel(n) => {
-                if let Some(ticket) = self.waiting.iter().nth(n % (QUEUE as usize)).copied() {
+                if let Some(ticket) = self.waiting.keys().nth(n % (QUEUE as usize)).copied() {
                     assert!(self.router.cancel(ticket));
                     self.waiting.remove(&ticket);
                 }
@@ -125,16 +127,17 @@
 
     fn take(&mut self, decided: Vec<(Ticket, Decision)>) {
         for (ticket, decision) in decided {
-            assert!(self.waiting.remove(&ticket), "a ticket was decided twice");
+            let avoid = self.waiting.remove(&ticket).expect("a ticket is decided once");
             match decision {
-                Decision::Dispatch(permit) => self.dispatched(permit),
+                Decision::Dispatch(permit) => self.dispatched(permit, &avoid),
                 Decision::Refuse(_) => {}
                 Decision::Wait(_) => panic!("a decision to wait again"),
             }
         }
     }
 
-    fn dispatched(&mut self, permit: Permit) {
+    fn dispatched(&mut self, permit: Permit, avoid: &[TargetId]) {
+        assert!(!avoid.contains(&permit.target), "a request went to a target that failed it");
         let n: usize = permit.target[1..].parse().unwrap();
         let (_, leaving, expires) = self.known[&n];
         assert!(!leaving, "a request went to a target that left");
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod choice;
 mod invariants;
 mod overload;
+mod retry;
 mod support;
--- /dev/null
+++ b/crates/routing/tests/all/retry.rs
@@ -0,0 +1,182 @@
+//! Retries, hedged requests and their common budget.
+
+use crate::support::{cases, failed, healthy, ms, permit, request, router, run_one, target};
+use cyclamenloft_routing::{
+    AttemptResult, NoRetry, RequestFacts, RoutingPolicy, ServicePolicy, ServiceRouter,
+};
+use cyclamenloft_types::Outcome;
+use proptest::{prelude::*, test_runner::RngSeed};
+use std::time::{Duration, Instant};
+
+/// Tokens before any success, and per second without one.
+const INITIAL: f64 = 3.0;
+const PER_SECOND: f64 = 1.0;
+
+fn warm(targets: usize) -> (ServiceRouter, Instant) {
+    let mut now = Instant::now();
+    let mut router = router(targets, RoutingPolicy::default(), ServicePolicy::default(), now);
+    for _ in 0..100 {
+        run_one(&mut router, &mut now, |_| healthy(ms(10)));
+    }
+    (router, now)
+}
+
+fn facts(idempotent: bool, deadline: Instant) -> RequestFacts {
+    RequestFacts { idempotent, ..request("c", deadline) }
+}
+
+fn a_retry_is_safe(idempotent: bool, outcome: Outcome, refused: Option<NoRetry>) {
+    let (mut router, now) = warm(3);
+    let answer = router.retry(&facts(idempotent, now + ms(2000)), &[target(0)], outcome, now);
+    assert_eq!(answer.err(), refused);
+}
+
+cases! { a_retry_is_safe:
+    an_idempotent_request_that_may_have_run_is_tried_again(true, Outcome::Unknown, None);
+    a_request_that_may_have_run_is_not(false, Outcome::Unknown, Some(NoRetry::MayHaveRun));
+    a_request_that_did_not_run_is_tried_again(false, Outcome::NotRun, None);
+    a_request_that_ran_is_not(true, Outcome::Done, Some(NoRetry::Ran));
+}
+
+#[test]
+fn a_retry_keeps_to_the_deadline() {
+    let (mut router, now) = warm(3);
+    let mut retry =
+        |remaining| router.retry(&facts(true, now + remaining), &[target(0)], Outcome::NotRun, now);
+    assert_eq!(retry(ms(9)), Err(NoRetry::DeadlineTooShort));
+    let delay = retry(ms(100)).unwrap();
+    assert!(delay > Duration::ZERO && delay < ms(90));
+}
+
+#[test]
+fn a_retry_needs_a_target_that_has_not_failed() {
+    let (mut router, now) = warm(2);
+    let both = [target(0), target(1)];
+    let answer = router.retry(&facts(true, now + ms(2000)), &both, Outcome::NotRun, now);
+    assert_eq!(answer, Err(NoRetry::NoOtherTarget));
+}
+
+#[test]
+fn backoff_grows_and_differs() {
+    let (mut router, now) = warm(9);
+    let mut delay = |n: usize| {
+        let failed: Vec<_> = (0..n).map(target).collect();
+        router.retry(&facts(true, now + ms(2000)), &failed, Outcome::NotRun, now).unwrap()
+    };
+    let (first, again, second, third) = (delay(1), delay(1), delay(2), delay(3));
+    assert_ne!(first, again);
+    assert!(first <= ms(5) && second <= ms(10) && third <= ms(20));
+    assert!(first >= ms(5) / 2 && second >= ms(5) && third >= ms(10));
+}
+
+#[test]
+fn the_budget_is_a_share_of_successes() {
+    let (mut router, now) = warm(3);
+    let mut granted = 0;
+    while router.retry(&facts(true, now + ms(2000)), &[target(0)], Outcome::NotRun, now).is_ok() {
+        granted += 1;
+    }
+    // A hundred successes at ten percent, over the one second that they took.
+    assert!((10..=14).contains(&granted), "{granted} retries");
+    let answer = router.retry(&facts(true, now + ms(2000)), &[target(0)], Outcome::NotRun, now);
+    assert_eq!(answer, Err(NoRetry::BudgetSpent));
+    let later = now + ms(1100);
+    let answer = router.retry(&facts(true, later + ms(2000)), &[target(0)], Outcome::NotRun, later);
+    assert!(answer.is_ok(), "the floor gives one a second: {answer:?}");
+}
+
+#[test]
+fn a_hedge_goes_to_another_target_after_the_95th_percentile() {
+    let (mut router, now) = warm(3);
+    let facts = facts(true, now + ms(2000));
+    let after = router.hedge_after(&facts, now).unwrap();
+    assert!(after >= ms(10) && after < ms(12), "{after:?}");
+    let first = permit(router.admit(facts.clone(), &[], now));
+    let second = router.hedge(&facts, &first.target, now + after).unwrap();
+    assert_ne!(first.target, second.target);
+    assert_eq!(second.reason, "hedge");
+}
+
+fn no_hedge(idempotent: bool, remaining: Duration, hedging: bool) {
+    let (mut router, now) = warm(3);
+    let routing = RoutingPolicy { hedging, ..RoutingPolicy::default() };
+    router.set_policy(routing, ServicePolicy::default());
+    assert_eq!(router.hedge_after(&facts(idempotent, now + remaining), now), None);
+}
+
+cases! { no_hedge:
+    no_hedge_for_what_must_not_run_twice(false, ms(2000), true);
+    no_hedge_past_the_deadline(true, ms(15), true);
+    no_hedge_where_the_policy_says_so(true, ms(2000), false);
+}
+
+#[test]
+fn no_hedge_under_load() {
+    let (mut router, now) = warm(2);
+    let facts = facts(true, now + ms(2000));
+    let permits: Vec<_> = (0..14).map(|_| permit(router.admit(facts.clone(), &[], now))).collect();
+    assert!(router.hedge(&facts, &permits[0].target, now).is_none());
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Run { ok: bool },
+    Retry,
+    Hedge,
+    Pass(u16),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(0xb0d6e7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_budget_is_never_exceeded(
+        steps in prop::collection::vec(
+            prop_oneof![
+                4 => any::<bool>().prop_map(|ok| Step::Run { ok }),
+                4 => Just(Step::Retry),
+                2 => Just(Step::Hedge),
+                1 => (0..3000u16).prop_map(Step::Pass),
+            ],
+            1..300,
+        ),
+        retry_percent in 0..=100u8,
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let service = ServicePolicy { retry_percent, ..ServicePolicy::default() };
+        let mut router = router(4, RoutingPolicy::default(), service, now);
+        let (mut successes, mut spent) = (0u32, 0u32);
+        for step in steps {
+            let facts = facts(true, now + ms(2000));
+            match step {
+                Step::Run { ok } => {
+                    let result: AttemptResult = if ok { healthy(ms(5)) } else { failed(ms(5)) };
+                    let permit = permit(router.admit(facts, &[], now));
+                    now += ms(5);
+                    let _ = router.release(permit, result, now);
+                    successes += u32::from(ok);
+                }
+                Step::Retry => {
+                    let answer = router.retry(&facts, &[target(0)], Outcome::NotRun, now);
+                    spent += u32::from(answer.is_ok());
+                }
+                Step::Hedge => {
+                    if let Some(permit) = router.hedge(&facts, &target(0), now) {
+                        spent += 1;
+                        let _ = router.release(permit, failed(ms(1)), now);
+                    }
+                }
+                Step::Pass(n) => now += Duration::from_millis(n.into()),
+            }
+            let earned = f64::from(successes) * f64::from(retry_percent) / 100.0;
+            let by_time = (now - start).as_secs_f64() * PER_SECOND;
+            prop_assert!(f64::from(spent) <= INITIAL + earned + by_time + 1e-6);
+        }
+    }
+}
