--- a/crates/routing/tests/all/slot_world.rs
+++ b/crates/routing/tests/all/slot_world.rs
@@ -11,8 +11,6 @@
 
 /// Virtual time between two looks at everything.
 pub const STEP: Duration = Duration::from_millis(20);
-/// Period of the targets' announcements.
-const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
 
 /// How the network treats each message at each step.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +53,7 @@
     pub slots: u16,
     pub config: LeaseConfig,
     pub network: Network,
+    pub announce_period: Duration,
     /// Whether targets announce how many requests they have, or always none.
     pub counts: bool,
     bag: Vec<(usize, Envelope)>,
@@ -107,6 +106,7 @@
             slots,
             config: LeaseConfig::default(),
             network: GOOD_NETWORK,
+            announce_period: Duration::from_millis(500),
             counts: true,
             bag: Vec::new(),
             running: Vec::new(),
@@ -149,10 +149,7 @@
     /// Used and free slots of the host at a target.
     fn count(&self, host: usize, target: usize) -> (u16, u16) {
         let used = self.occupied(host, target, false);
-        let table = self.hosts[host].table.as_ref();
-        let id = &self.targets[target];
-        let total = table.map_or(0, |table| table.allowance(id, self.now(host)).total);
-        (used, total.saturating_sub(used))
+        (used, self.allowance(host, target).saturating_sub(used))
     }
 
     fn with_table(
@@ -175,12 +172,15 @@
         self.bag.extend(messages.into_iter().map(|e| (from, e)));
     }
 
+    /// Slots that the host may use at the target.
+    pub fn allowance(&self, host: usize, target: usize) -> u16 {
+        let table = self.hosts[host].table.as_ref();
+        table.map_or(0, |t| t.allowance(&self.targets[target], self.now(host)).total)
+    }
+
     /// Slots that the host may use at all targets.
     pub fn total(&self, host: usize) -> usize {
-        let now = self.now(host);
-        let table = self.hosts[host].table.as_ref();
-        let total = |id: &TargetId| table.map_or(0, |t| usize::from(t.allowance(id, now).total));
-        self.targets.iter().map(total).sum()
+        (0..self.targets.len()).map(|t| usize::from(self.allowance(host, t))).sum()
     }
 
     /// Starts as many requests as the host may.
@@ -264,7 +264,7 @@
             self.time += STEP;
             let time = self.time;
             self.running.retain(|r| r.ends > time);
-            if self.time.as_millis() % ANNOUNCE_PERIOD.as_millis() < STEP.as_millis() {
+            if self.time.as_millis() % self.announce_period.as_millis() < STEP.as_millis() {
                 self.announce();
             }
             for host in 0..self.hosts.len() {
--- a/crates/routing/tests/all/slots.rs
+++ b/crates/routing/tests/all/slots.rs
@@ -1,7 +1,7 @@
 //! Leases on shares, takeover and loans.
 
 use crate::{
-    slot_world::{Network, World},
+    slot_world::{Network, STEP, World},
     support::{cases, ms},
 };
 use cyclamenloft_routing::LeaseConfig;
@@ -93,6 +93,48 @@
     assert_eq!(world.total(0) + world.total(1) + world.total(2), all_slots());
 }
 
+/// The holder's clock is slow and those of the voters are fast. Each phase is
+/// long enough for their rounds of renewal to shift against each other.
+#[test]
+fn a_takeover_waits_for_the_slowest_clock() {
+    for phase in 0..10 {
+        let mut world = World::new(&[0.985, 1.015, 1.015], false, TARGETS, SLOTS, 1);
+        world.announce_period = STEP;
+        world.pass(SETTLING + ms(700) * phase);
+        let others = world.total(1) + world.total(2);
+        world.hosts[0].cut_off = true;
+        while world.total(0) > TARGETS {
+            world.pass(STEP);
+        }
+        // The lease may have ended anywhere in the last step.
+        let last_request = world.time - STEP + world.config.longest_request.div_f64(0.985);
+        while world.time < last_request {
+            assert_eq!(world.total(1) + world.total(2), others);
+            world.pass(STEP);
+        }
+        world.pass(ms(1000));
+        assert_eq!(world.total(1) + world.total(2), all_slots() - TARGETS);
+    }
+}
+
+#[test]
+fn voters_that_restart_keep_the_promises_that_they_forgot() {
+    let mut world = settled(3, false);
+    let shares: Vec<_> = (0..TARGETS).map(|t| world.allowance(0, t)).collect();
+    world.hosts[0].cut_off = true;
+    let cut = world.time;
+    world.start(1);
+    world.start(2);
+    while world.time < cut + world.config.lease + world.config.longest_request {
+        world.pass(STEP);
+        for (target, share) in shares.iter().enumerate() {
+            assert!(share + world.allowance(1, target) + world.allowance(2, target) <= SLOTS);
+        }
+    }
+    world.pass(ms(3000));
+    assert_eq!(world.total(1) + world.total(2), all_slots() - TARGETS);
+}
+
 #[test]
 fn a_host_that_comes_back_gets_its_share_back() {
     let mut world = settled(3, false);
