Routing: the router divides slots by leases and loans

enable_leases puts a slot table under the router: allowances follow leases and loans, a request that may outlast a lease takes floor slots only, and a permit says when its attempt has to end. Abandoned requests keep their slots until an announcement that can't be older shows that the target is done; a loan that ended without coming back waits for announced room.

The test of abandoned slots now says when announcements are taken in, and adds one that none taken in too early frees a slot.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -41,10 +41,10 @@
                 target.probing = true;
             }
             self.note_next_probe();
-            return self.permit(i, reason::PROBE, since, now);
+            return self.permit(i, facts, reason::PROBE, since, now);
         }
         let (i, reason) = self.choose(facts, avoid, now)?;
-        self.permit(i, reason, since, now)
+        self.permit(i, facts, reason, since, now)
     }
 
     /// Chooses among the targets in use, as the policy says.
@@ -69,11 +69,13 @@
     pub(crate) fn permit(
         &mut self,
         i: TargetIndex,
+        facts: &RequestFacts,
         reason: &'static str,
         since: Instant,
         now: Instant,
     ) -> Option<Permit> {
         let seq = self.next_seq();
+        let (deadline, long) = (self.attempt_deadline(facts, now), self.is_long(facts, now));
         let service_latency = self.median.unwrap_or_default();
         let target = self.targets.get(i)?;
         let permit = Permit {
@@ -81,16 +83,18 @@
             addr: target.record.addr,
             reason,
             since: now,
+            deadline,
             estimates: Estimates {
                 wait: now.saturating_duration_since(since),
                 in_flight: u32::from(target.occupied()),
-                share: u32::from(target.allowance),
+                share: u32::from(target.allowance.total),
                 ewma: Duration::from_secs_f64(target.latency(service_latency, now)),
             },
             seq,
             probe: reason == reason::PROBE,
+            long,
         };
-        self.targets.take(i, now);
+        self.targets.take(i, long, now);
         self.refresh(i, now);
         Some(permit)
     }
@@ -99,13 +103,14 @@
     fn can_take(
         &self,
         i: TargetIndex,
-        _facts: &RequestFacts,
+        facts: &RequestFacts,
         avoid: &[TargetId],
         now: Instant,
     ) -> bool {
-        self.targets.get(i).is_some_and(|t| {
-            t.usable(now) && t.occupied() < t.allowance && !avoid.contains(&t.record.id)
-        })
+        let long = self.is_long(facts, now);
+        self.targets
+            .get(i)
+            .is_some_and(|t| t.usable(now) && t.has_slot(long) && !avoid.contains(&t.record.id))
     }
 
     fn two_choices(
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -17,7 +17,8 @@
     pub addr: SocketAddr,
     /// Failure domain of the target.
     pub domain: DomainName,
-    /// Grows with each change that the target announces; older records are ignored.
+    /// Grows with each change that the target announces, of its count as of its
+    /// state; older records are ignored.
     pub sequence: u64,
     /// Whether the target wants no new requests.
     pub leaving: bool,
@@ -77,10 +78,14 @@
     pub reason: &'static str,
     /// When the permit was given.
     pub since: Instant,
+    /// When the attempt has to end: the request's deadline, or earlier where
+    /// the host may not hold a slot for so long.
+    pub deadline: Instant,
     /// The figures behind the choice.
     pub estimates: Estimates,
     pub(crate) seq: u64,
     pub(crate) probe: bool,
+    pub(crate) long: bool,
 }
 
 /// A refusal and the time after which asking again makes sense.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,12 +2,14 @@
 //! to hedge or to use another failure domain. No input or output happens here;
 //! each function that decides takes the present time.
 
+mod abandoned;
 pub mod admission;
 mod budget;
 pub mod choice;
 pub mod ejection;
 pub mod estimate;
 pub mod facts;
+pub mod leases;
 pub mod policy;
 mod queue;
 pub mod retry;
@@ -21,6 +23,7 @@
 pub use facts::{
     AttemptResult, Decision, Estimates, Permit, Refusal, RequestFacts, TargetRecord, Ticket,
 };
+pub use leases::SlotReply;
 pub use policy::{ChoicePolicy, RoutingPolicy, ServicePolicy};
 pub use retry::NoRetry;
 pub use service::ServiceRouter;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -118,7 +118,7 @@
         }
         let avoid = std::slice::from_ref(first);
         let (i, _) = self.choose(facts, avoid, now)?;
-        let permit = self.permit(i, reason::HEDGE, now, now)?;
+        let permit = self.permit(i, facts, reason::HEDGE, now, now)?;
         self.budget.spend();
         Some(permit)
     }
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -4,7 +4,7 @@
 //! queue of waiting requests and the measured times. The other modules add to
 //! it: [`choice`](crate::choice) picks a target, [`admission`](crate::admission)
 //! decides who waits and who is refused, [`retry`](crate::retry) who gets another
-//! attempt.
+//! attempt, [`leases`](crate::leases) how many slots there are.
 
 use crate::{
     budget::RetryBudget,
@@ -13,7 +13,7 @@
     facts::{AttemptResult, Decision, Permit, RequestFacts, TargetRecord, Ticket},
     policy::{ChoicePolicy, RoutingPolicy, ServicePolicy},
     queue::FairQueue,
-    slots::base_share,
+    slots::SlotTable,
     targets::{Ordering, TargetIndex, TargetSet},
 };
 use cyclamenloft_types::{HostId, TargetId};
@@ -31,6 +31,10 @@
     pub(crate) routing: RoutingPolicy,
     pub(crate) service: ServicePolicy,
     pub(crate) targets: TargetSet,
+    /// Divides the slots, where leases are in use.
+    pub(crate) table: Option<SlotTable>,
+    /// The table's changes that the targets' allowances take in.
+    pub(crate) table_changes: u64,
     /// Ejected targets, those ejected first before the others.
     pub(crate) ejected: Vec<TargetIndex>,
     /// No probe is due before this.
@@ -59,14 +63,18 @@
     #[must_use]
     pub fn new(
         host: HostId,
-        roster: Vec<HostId>,
+        mut roster: Vec<HostId>,
         routing: RoutingPolicy,
         service: ServicePolicy,
     ) -> Self {
+        roster.sort_unstable();
+        roster.dedup();
         let mut targets = TargetSet::default();
         targets.set_ordering(ordering(routing.choice));
         Self {
             targets,
+            table: None,
+            table_changes: 0,
             ejected: Vec::new(),
             next_probe: None,
             queue: FairQueue::new(service.queue as usize),
@@ -92,6 +100,9 @@
     pub fn set_policy(&mut self, routing: RoutingPolicy, service: ServicePolicy) {
         self.queue.set_bound(service.queue as usize);
         self.targets.set_ordering(ordering(routing.choice));
+        if let Some(table) = &mut self.table {
+            table.set_slots(service.slots);
+        }
         self.routing = routing;
         self.service = service;
         self.median_at = None;
@@ -100,19 +111,27 @@
     /// Takes in a target's announcement; records with an older sequence are ignored.
     /// Waiting requests that can go now come back with their decisions.
     pub fn announce(&mut self, record: TargetRecord, now: Instant) -> Vec<(Ticket, Decision)> {
+        self.advance(now);
+        let (id, in_flight) = (record.id.clone(), record.in_flight);
         if let Some(i) = self.targets.announce(record, now) {
+            if let Some(table) = &mut self.table {
+                table.announced(&id, in_flight, now);
+            }
             self.refresh(i, now);
         }
-        self.advance(now);
         self.drain(now)
     }
 
     /// Takes in how many of the requests that a target is working on came from
-    /// this host, as the target counts them in the announcement taken in last.
-    /// It frees slots of abandoned requests sooner than the count of all hosts'
+    /// this host, in this life or a former one, as the target counts them in the
+    /// announcement taken in last. It frees slots of abandoned requests, and
+    /// those held for a former life, sooner than the count of all hosts'
     /// requests does.
     pub fn observe_own_in_flight(&mut self, target: &str, count: u16, now: Instant) {
         let Some(i) = self.targets.find(target) else { return };
+        if let Some(table) = &mut self.table {
+            table.announced_own(target, count);
+        }
         if let Some(target) = self.targets.get_mut(i) {
             target.bound_abandoned(count);
         }
@@ -164,7 +183,7 @@
             self.budget.deposit(self.service.retry_percent);
         }
         if let Some(i) = self.targets.find(&permit.target) {
-            self.targets.finish(i, &result, now);
+            self.targets.finish(i, permit.long, &result, now);
             self.judge(i, permit.probe, &result, now);
             self.refresh(i, now);
         }
@@ -180,9 +199,12 @@
 
     /// Brings what depends on time alone up to date.
     pub(crate) fn advance(&mut self, now: Instant) {
-        let expired = self.targets.expire(now);
-        if !expired.is_empty() {
+        let forgotten = self.targets.expire(now);
+        if !forgotten.is_empty() {
             self.ejected.retain(|i| self.targets.get(*i).is_some());
+            if let Some(table) = &mut self.table {
+                forgotten.iter().for_each(|id| table.forget(id));
+            }
         }
         let due = self.median_at.is_none_or(|t| now.saturating_duration_since(t) >= MEDIAN_PERIOD);
         if due {
@@ -190,15 +212,12 @@
             self.median = median_latency(&self.targets);
             self.budget.refill(now);
             self.enforce_ejection_cap(now);
+        }
+        if due || self.allowances_changed(now) {
             self.refresh_all(now);
         }
     }
 
-    /// Slots that this host may use at a target.
-    pub(crate) fn allowance(&self, target: &str, _now: Instant) -> u16 {
-        base_share(self.service.slots, target, &self.roster, &self.host)
-    }
-
     pub(crate) fn refresh(&mut self, i: TargetIndex, now: Instant) {
         let Some(target) = self.targets.get(i) else { return };
         let allowance = self.allowance(&target.record.id, now);
--- a/crates/routing/src/slots/loan.rs
+++ b/crates/routing/src/slots/loan.rs
@@ -1,6 +1,6 @@
 //! Loans of idle slots between the hosts of a roster. The lender is the fence:
 //! it alone knows that the slots are lent, and it leaves them alone until they
-//! come back or the loan has surely ended.
+//! come back, or until the loan has surely ended and the target announced room.
 
 use super::{
     lease::LeaseConfig,
@@ -14,6 +14,8 @@
 
 /// Shortest time for which slots are lent.
 pub(crate) const MIN_LOAN: Duration = Duration::from_millis(100);
+/// How long a loan is remembered of which neither borrower nor target tell the end.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// Time that a borrower keeps idle slots before it returns them early.
 const MIN_USE: Duration = Duration::from_millis(50);
 
@@ -34,9 +36,8 @@
 
 impl Lender {
     /// Slots of the target that are to be left alone.
-    pub(crate) fn lent(&self, target: &str, now: Instant) -> u16 {
-        let Some(loans) = self.lent.get(target) else { return 0 };
-        loans.iter().filter(|l| l.until > now).map(|l| l.slots).sum()
+    pub(crate) fn lent(&self, target: &str) -> u16 {
+        self.lent.get(target).map_or(0, |loans| loans.iter().map(|l| l.slots).sum())
     }
 
     /// Notes a loan of the given length and returns its number.
@@ -62,16 +63,30 @@
         }
     }
 
-    pub(crate) fn forget_ended(&mut self, now: Instant) {
+    /// Takes back what has surely ended without a return, as far as the target
+    /// announced `room` for it. Returns whether that was anything.
+    pub(crate) fn take_back_ended(&mut self, target: &str, mut room: u16, now: Instant) -> bool {
+        let Some(loans) = self.lent.get_mut(target) else { return false };
+        let before = loans.len();
+        loans.retain(|loan| {
+            let ends = loan.until <= now && loan.slots <= room;
+            room -= if ends { loan.slots } else { 0 };
+            !ends
+        });
+        loans.len() < before
+    }
+
+    /// Drops what is returned, and loans of targets that have long been silent.
+    pub(crate) fn clean_up(&mut self, now: Instant) {
         self.lent.retain(|_, loans| {
-            loans.retain(|l| l.until > now);
+            loans.retain(|l| l.until + FORGET_AFTER > now);
             !loans.is_empty()
         });
     }
 
-    /// When the next loan has surely ended.
-    pub(crate) fn next_end(&self) -> Option<Instant> {
-        self.lent.values().flatten().map(|l| l.until).min()
+    /// Whether anything is lent that may still be in use.
+    pub(crate) fn has_lent(&self, now: Instant) -> bool {
+        self.lent.values().flatten().any(|l| l.until > now)
     }
 }
 
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -26,9 +26,12 @@
 //!   and the requests that may outlast it have surely ended. A loan never
 //!   reaches beyond the lender's own lease.
 //! - A target that works on after its request's deadline has passed and its
-//!   connection was closed is beyond what hosts can count. A share that a host
-//!   newly holds is therefore used at a target only after the target announced
-//!   room for it.
+//!   connection was closed is beyond what other hosts can count. A share that a
+//!   host newly holds, and a loan that ended without coming back, are therefore
+//!   used at a target only after the target announced room for them. That is a
+//!   safeguard and no proof: such requests are bounded for certain only by the
+//!   host that sent them, which [holds their slots](crate::ServiceRouter::release)
+//!   for as long as it has them.
 
 pub mod lease;
 pub mod loan;
--- a/crates/routing/src/slots/table.rs
+++ b/crates/routing/src/slots/table.rs
@@ -164,7 +164,7 @@
         let division = Division::new(target, self.slots, self.roster.len());
         let floor = division.floor(position).saturating_sub(former);
         let extra = self.open_extra(&division, announced, now);
-        let lent = self.lender.lent(target, now);
+        let lent = self.lender.lent(target);
         Allowance { total: floor + extra.saturating_sub(lent), floor }
     }
 
@@ -202,6 +202,9 @@
                 room -= extra;
             }
         }
+        if self.lender.take_back_ended(target, room, now) {
+            self.changes += 1;
+        }
     }
 
     /// Takes in how many of a target's requests in flight came from this host,
@@ -212,6 +215,15 @@
         }
     }
 
+    /// Takes a changed number of slots into force. While hosts disagree on it,
+    /// a target is given at most the larger number.
+    pub fn set_slots(&mut self, slots: u16) {
+        if self.slots != slots {
+            self.slots = slots;
+            self.changes += 1;
+        }
+    }
+
     /// Forgets a target that is gone.
     pub fn forget(&mut self, target: &str) {
         self.announced.remove(target);
@@ -250,7 +262,7 @@
         if wanted > 0 && now >= self.next_loan_request {
             self.ask_for_loan(wanted, &mut out, now);
         }
-        self.lender.forget_ended(now);
+        self.lender.clean_up(now);
         self.note_next_end(now);
         out
     }
@@ -286,10 +298,10 @@
         answer.into_iter().collect()
     }
 
-    fn note_next_end(&mut self, now: Instant) {
+    pub(crate) fn note_next_end(&mut self, now: Instant) {
         let leases = self.shares.iter().flatten().filter_map(|s| s.end(now));
         let settled = Some(self.settled_at()).filter(|t| *t > now);
-        let loans = self.borrower.next_end(now).into_iter().chain(self.lender.next_end());
+        let loans = self.borrower.next_end(now);
         self.next_end = leases.chain(loans).chain(settled).min();
     }
 }
--- a/crates/routing/src/slots/table/renewal.rs
+++ b/crates/routing/src/slots/table/renewal.rs
@@ -123,7 +123,7 @@
     pub fn stop(&mut self, now: Instant) -> Vec<Envelope> {
         self.stopped = true;
         self.changes += 1;
-        if self.lender.next_end().is_some_and(|t| t > now) {
+        if self.lender.has_lent(now) {
             return Vec::new();
         }
         let (holder, incarnation) = (&self.host, self.incarnation);
--- a/crates/routing/src/snapshot.rs
+++ b/crates/routing/src/snapshot.rs
@@ -81,7 +81,7 @@
         in_flight: target.in_flight,
         abandoned: target.abandoned.held(),
         announced_in_flight: target.record.in_flight,
-        share: target.allowance,
+        share: target.allowance.total,
         ewma: target.peak.map(|p| Duration::from_secs_f64(p.seconds(now))),
         standing: target.health.standing(),
     }
--- a/crates/routing/src/targets.rs
+++ b/crates/routing/src/targets.rs
@@ -2,9 +2,11 @@
 //! decision never looks at all of them.
 
 use crate::{
+    abandoned::Abandoned,
     ejection::Health,
     estimate::PeakEwma,
     facts::{AttemptResult, TargetRecord},
+    slots::{Allowance, Occupancy},
 };
 use cyclamenloft_types::TargetId;
 use std::{
@@ -23,47 +25,19 @@
 /// How long an expired target with unfinished requests is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// How often an expired target with unfinished requests is looked at.
+const LINGERING_PERIOD: Duration = Duration::from_secs(1);
+
 /// Position of a target in its set.
 pub(crate) type TargetIndex = u32;
 
-/// Slots held by abandoned requests, until the target is surely done with them.
-///
-/// An announcement counts every request that the target works on, so it bounds
-/// the abandoned ones among them, and finished requests never come back: the
-/// number held may fall to the smallest count announced since. The first
-/// announcement after an abandonment may have been made before the request
-/// reached the target, so counting starts with the second.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Abandoned {
-    unseen: u16,
-    counted: u16,
-}
-
-impl Abandoned {
-    pub(crate) fn held(self) -> u16 {
-        self.unseen + self.counted
-    }
-
-    fn add(&mut self) {
-        self.unseen += 1;
-    }
-
-    fn observe(&mut self, announced: u16) {
-        self.counted = self.counted.min(announced) + self.unseen;
-        self.unseen = 0;
-    }
-
-    /// Bounds what is held by a count of this host's own requests alone.
-    fn bound(&mut self, announced: u16) {
-        self.counted = self.counted.min(announced);
-    }
-}
-
 /// One target.
 #[derive(Debug)]
 pub(crate) struct Target {
     pub(crate) record: TargetRecord,
     pub(crate) in_flight: u16,
+    /// Those in flight that are for the floor only.
+    long_in_flight: u16,
     pub(crate) abandoned: Abandoned,
     pub(crate) health: Health,
     pub(crate) peak: Option<PeakEwma>,
@@ -72,7 +46,7 @@
     /// When the target last answered, or last went from idle to busy.
     progress: Instant,
     /// Slots that this host may use, as of the last refresh.
-    pub(crate) allowance: u16,
+    pub(crate) allowance: Allowance,
     free_position: Option<u32>,
     order_key: Option<u16>,
     counted_slots: u16,
@@ -84,13 +58,14 @@
         Self {
             record,
             in_flight: 0,
+            long_in_flight: 0,
             abandoned: Abandoned::default(),
             health: Health::new(now),
             peak: None,
             probing: false,
             joined: now,
             progress: now,
-            allowance: 0,
+            allowance: Allowance::default(),
             free_position: None,
             order_key: None,
             counted_slots: 0,
@@ -118,7 +93,7 @@
     pub(crate) fn cost(&self, service_latency: f64, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.joined).as_secs_f64();
         let ramp = (age / SLOW_START.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0);
-        let share = f64::from(self.allowance.max(1)) * ramp;
+        let share = f64::from(self.allowance.total.max(1)) * ramp;
         let mut latency = self.latency(service_latency, now);
         if self.in_flight > 0 {
             // A target that stopped answering shows no latency at all.
@@ -128,19 +103,26 @@
         f64::from(self.occupied() + 1) / share * latency * (1.0 + FAILURE_PENALTY * failures)
     }
 
-    /// Occupies a slot.
-    pub(crate) fn take(&mut self, now: Instant) {
+    /// Whether there is a slot for one more request; a `long` one fits the floor only.
+    pub(crate) fn has_slot(&self, long: bool) -> bool {
+        self.occupied() < self.allowance.total
+            && (!long || self.long_in_flight < self.allowance.floor)
+    }
+
+    fn take(&mut self, long: bool, now: Instant) {
         if self.in_flight == 0 {
             self.progress = now;
         }
         self.in_flight += 1;
+        self.long_in_flight += u16::from(long);
     }
 
-    /// Takes in the end of an attempt and gives its slot back or holds it.
-    pub(crate) fn finish(&mut self, result: &AttemptResult, now: Instant) {
+    /// Gives the slot of an attempt back, or holds it.
+    fn finish(&mut self, long: bool, result: &AttemptResult, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.long_in_flight = self.long_in_flight.saturating_sub(u16::from(long));
         if result.abandoned {
-            self.abandoned.add();
+            self.abandoned.add(now);
         } else {
             self.progress = now;
         }
@@ -251,9 +233,7 @@
             if known.expires > now && (old || undoes_leaving) {
                 return None;
             }
-            if record.sequence != known.sequence {
-                target.abandoned.observe(record.in_flight);
-            }
+            target.abandoned.observe(record.in_flight, now);
             target.record = record;
             return Some(i);
         }
@@ -274,14 +254,14 @@
     }
 
     /// Brings the indices up to date after a change of target `i`.
-    pub(crate) fn refresh(&mut self, i: TargetIndex, allowance: u16, now: Instant) {
+    pub(crate) fn refresh(&mut self, i: TargetIndex, allowance: Allowance, now: Instant) {
         let ordering = self.ordering;
         let Some(target) = self.get_mut(i) else { return };
         target.allowance = allowance;
         let usable = target.usable(now);
         let in_use = usable && !target.health.is_ejected();
-        let slots = if in_use { allowance } else { 0 };
-        let free = in_use && target.occupied() < allowance;
+        let slots = if in_use { allowance.total } else { 0 };
+        let free = in_use && target.has_slot(false);
         let key = free.then_some(match ordering {
             Ordering::ByInFlight => target.in_flight,
             Ordering::ByIndex | Ordering::None => 0,
@@ -329,51 +309,72 @@
     }
 
     /// Occupies a slot of target `i`; to be followed by a refresh.
-    pub(crate) fn take(&mut self, i: TargetIndex, now: Instant) {
+    pub(crate) fn take(&mut self, i: TargetIndex, long: bool, now: Instant) {
         if let Some(target) = self.get_mut(i) {
-            target.take(now);
+            target.take(long, now);
             self.in_flight += 1;
         }
     }
 
     /// Ends an attempt at target `i`; to be followed by a refresh.
-    pub(crate) fn finish(&mut self, i: TargetIndex, result: &AttemptResult, now: Instant) {
+    pub(crate) fn finish(
+        &mut self,
+        i: TargetIndex,
+        long: bool,
+        result: &AttemptResult,
+        now: Instant,
+    ) {
         if let Some(target) = self.get_mut(i) {
-            target.finish(result, now);
+            target.finish(long, result, now);
             self.in_flight = self.in_flight.saturating_sub(1);
         }
     }
 
-    /// Positions of the targets that expired since the last call, and forgets
-    /// those that have nothing in flight.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<TargetIndex> {
+    /// Takes expired targets out of use, forgets those that have nothing in
+    /// flight and returns the names of the forgotten.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<TargetId> {
         if self.next_expiry.is_none_or(|e| e > now) {
             return Vec::new();
         }
-        let expired: Vec<_> = self
-            .indices()
-            .filter(|i| self.get(*i).is_some_and(|t| t.record.expires <= now))
-            .collect();
-        for i in &expired {
-            self.refresh(*i, 0, now);
-            self.forget_if_idle(*i, now);
+        let is_expired = |i: &TargetIndex| self.get(*i).is_some_and(|t| t.record.expires <= now);
+        let expired: Vec<_> = self.indices().filter(is_expired).collect();
+        let mut forgotten = Vec::new();
+        for i in expired {
+            self.refresh(i, Allowance::default(), now);
+            forgotten.extend(self.forget_if_idle(i, now));
         }
         let ahead = self.iter().map(|t| t.record.expires).filter(|e| *e > now);
         let lingering = self.iter().any(|t| t.record.expires <= now);
-        let retry = lingering.then(|| now + Duration::from_secs(1));
+        let retry = lingering.then(|| now + LINGERING_PERIOD);
         self.next_expiry = ahead.min().into_iter().chain(retry).min();
-        expired
+        forgotten
     }
 
-    fn forget_if_idle(&mut self, i: TargetIndex, now: Instant) {
-        let Some(target) = self.get(i) else { return };
+    fn forget_if_idle(&mut self, i: TargetIndex, now: Instant) -> Option<TargetId> {
+        let target = self.get(i)?;
         let held = target.abandoned.held() > 0 && target.record.expires + FORGET_AFTER > now;
         if target.in_flight > 0 || held {
-            return;
+            return None;
         }
         let id = target.record.id.clone();
         self.ids.remove(&id);
         self.targets[i as usize] = None;
         self.vacant.push(i);
+        Some(id)
+    }
+}
+
+impl Occupancy for TargetSet {
+    fn occupied(&self, target: &str) -> u16 {
+        self.find(target).and_then(|i| self.get(i)).map_or(0, Target::occupied)
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.in_flight)
+    }
+
+    fn idle_targets(&self, most: usize) -> Vec<TargetId> {
+        let idle = self.free.iter().take(most).filter_map(|i| self.get(*i));
+        idle.map(|t| t.record.id.clone()).collect()
     }
 }
--- a/crates/routing/tests/all/admission.rs
+++ b/crates/routing/tests/all/admission.rs
@@ -192,15 +192,43 @@
     let (mut router, held) = busy(10, now);
     let ticket = wait(&mut router, request("c", now + ms(60_000)), now);
     assert!(router.release(held, abandoned(ms(2000)), now).is_empty());
-    let announce = |router: &mut ServiceRouter, sequence, in_flight| {
+    let announce = |router: &mut ServiceRouter, sequence, in_flight, after| {
         let mut record = record(0, sequence, now + ms(10_000_000));
         record.in_flight = in_flight;
-        router.announce(record, now)
+        router.announce(record, now + after)
     };
-    assert!(announce(&mut router, 2, 0).is_empty(), "made before the request reached the target");
-    assert!(announce(&mut router, 2, 0).is_empty(), "the same announcement again");
-    assert!(announce(&mut router, 3, 1).is_empty(), "the target still works on it");
-    let decided = announce(&mut router, 4, 0);
+    assert!(announce(&mut router, 2, 0, ms(600)).is_empty(), "the first since may be old");
+    assert!(announce(&mut router, 1, 0, ms(700)).is_empty(), "older than the one before");
+    assert!(announce(&mut router, 3, 1, ms(800)).is_empty(), "the target still works on it");
+    let decided = announce(&mut router, 4, 0, ms(900));
     assert_eq!(decided[0].0, ticket);
     assert!(matches!(decided[0].1, Decision::Dispatch(_)));
 }
+
+#[test]
+fn an_announcement_that_may_be_old_frees_no_abandoned_slot() {
+    let now = Instant::now();
+    let (mut router, held) = busy(10, now);
+    wait(&mut router, request("c", now + ms(60_000)), now);
+    assert!(router.release(held, abandoned(ms(2000)), now).is_empty());
+    for sequence in 2..10 {
+        let later = now + ms(sequence * 40);
+        assert!(router.announce(record(0, sequence, now + ms(10_000_000)), later).is_empty());
+    }
+    assert_eq!(router.snapshot(now).targets[0].abandoned, 1);
+}
+
+#[test]
+fn a_count_of_own_requests_frees_an_abandoned_slot_while_others_are_busy() {
+    let now = Instant::now();
+    let (mut router, held) = busy(10, now);
+    assert!(router.release(held, abandoned(ms(2000)), now).is_empty());
+    for (sequence, held) in [(2, 1), (3, 0)] {
+        let later = now + ms(600 * sequence);
+        let mut record = record(0, sequence, now + ms(10_000_000));
+        record.in_flight = 5;
+        let _ = router.announce(record, later);
+        router.observe_own_in_flight("t0", 0, later);
+        assert_eq!(router.snapshot(later).targets[0].abandoned, held);
+    }
+}
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod choice;
 mod invariants;
+mod neighbours;
 mod overload;
 mod retry;
 mod slot_world;
--- /dev/null
+++ b/crates/routing/tests/all/neighbours.rs
@@ -0,0 +1,191 @@
+//! Three routers that share one domain's targets, in virtual time. A target
+//! works on what was abandoned, and its own count is held against its slots.
+
+use crate::support::{abandoned, healthy, ms, record, request};
+use cyclamenloft_routing::{
+    Decision, LeaseConfig, Permit, RoutingPolicy, ServicePolicy, ServiceRouter, Ticket,
+    slots::Envelope,
+};
+use cyclamenloft_types::HostId;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::time::{Duration, Instant};
+
+const HOSTS: usize = 3;
+const TARGETS: usize = 10;
+const SLOTS: u16 = 8;
+const STEP: Duration = ms(5);
+const DEADLINE: Duration = ms(500);
+const ANNOUNCE_EVERY: u32 = 100;
+
+struct Running {
+    host: usize,
+    target: usize,
+    ends: Instant,
+    /// None once its host has abandoned it.
+    permit: Option<Permit>,
+}
+
+struct Domain {
+    now: Instant,
+    sequence: u64,
+    routers: Vec<ServiceRouter>,
+    running: Vec<Running>,
+    bag: Vec<Envelope>,
+    rng: SmallRng,
+    done: [u32; HOSTS],
+    refused: u32,
+    /// Share of requests that the target works on long after their deadline.
+    stuck: f64,
+}
+
+fn name(host: usize) -> HostId {
+    format!("h{host}").into()
+}
+
+impl Domain {
+    fn new(leases: bool, stuck: f64, seed: u64) -> Self {
+        let now = Instant::now();
+        let router = |h| {
+            let roster = (0..HOSTS).map(name).collect();
+            let routing = RoutingPolicy::default();
+            let mut router = ServiceRouter::new(name(h), roster, routing, ServicePolicy::default());
+            if leases {
+                router.enable_leases(1, None, LeaseConfig::default(), now);
+            }
+            router
+        };
+        let routers = (0..HOSTS).map(router).collect();
+        let (running, bag) = (Vec::new(), Vec::new());
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { now, sequence: 0, routers, running, bag, rng, done: [0; HOSTS], refused: 0, stuck }
+    }
+
+    fn count(&self, target: usize) -> usize {
+        self.running.iter().filter(|r| r.target == target).count()
+    }
+
+    fn start(&mut self, host: usize, permit: Permit) {
+        let target = permit.target[1..].parse().unwrap();
+        let stuck = self.rng.random_bool(self.stuck);
+        let takes = if stuck { ms(3000) } else { ms(self.rng.random_range(10..30)) };
+        let running = Running { host, target, ends: self.now + takes, permit: Some(permit) };
+        self.running.push(running);
+        let count = self.count(target);
+        assert!(count <= SLOTS.into(), "target {target} has {count} requests");
+    }
+
+    fn decided(&mut self, host: usize, decided: Vec<(Ticket, Decision)>) {
+        for (_, decision) in decided {
+            match decision {
+                Decision::Dispatch(permit) => self.start(host, permit),
+                Decision::Refuse(_) => self.refused += 1,
+                Decision::Wait(_) => panic!("a decision to wait again"),
+            }
+        }
+    }
+
+    fn end_requests(&mut self) {
+        for i in (0..self.running.len()).rev() {
+            let running = &mut self.running[i];
+            let ended = running.ends <= self.now;
+            let host = running.host;
+            let since = running.permit.as_ref().map(|p| p.since);
+            let late = since.is_some_and(|s| s + DEADLINE <= self.now);
+            if (ended || late)
+                && let Some(permit) = running.permit.take()
+            {
+                let took = self.now - permit.since;
+                let result = if ended { healthy(took) } else { abandoned(took) };
+                self.done[host] += u32::from(ended);
+                if ended {
+                    self.running.swap_remove(i);
+                }
+                let decided = self.routers[host].release(permit, result, self.now);
+                self.decided(host, decided);
+            } else if ended {
+                self.running.swap_remove(i);
+            }
+        }
+    }
+
+    fn announce(&mut self) {
+        self.sequence += 1;
+        for target in 0..TARGETS {
+            for host in 0..HOSTS {
+                let mut record = record(target, self.sequence, self.now + ms(3000));
+                record.in_flight = self.count(target) as u16;
+                let decided = self.routers[host].announce(record, self.now);
+                self.decided(host, decided);
+            }
+        }
+    }
+
+    fn carry(&mut self) {
+        for envelope in std::mem::take(&mut self.bag) {
+            let to = (0..HOSTS).find(|h| name(*h) == envelope.to).unwrap();
+            if !self.rng.random_bool(0.05) {
+                let reply = self.routers[to].take_slot_message(envelope.message, self.now);
+                self.bag.extend(reply.messages);
+                self.decided(to, reply.decided);
+            }
+        }
+    }
+
+    /// Lets time pass with `arrivals` requests per step at each host.
+    fn pass(&mut self, length: Duration, arrivals: [u32; HOSTS]) {
+        for step in 0..length.as_millis() as u32 / STEP.as_millis() as u32 {
+            self.now += STEP;
+            self.end_requests();
+            if step % ANNOUNCE_EVERY == 0 {
+                self.announce();
+            }
+            for (host, arrivals) in arrivals.into_iter().enumerate() {
+                for _ in 0..arrivals {
+                    let facts = request("c", self.now + DEADLINE);
+                    match self.routers[host].admit(facts, &[], self.now) {
+                        Decision::Dispatch(permit) => self.start(host, permit),
+                        Decision::Refuse(_) => self.refused += 1,
+                        Decision::Wait(_) => {}
+                    }
+                    let decided = self.routers[host].take_decided();
+                    self.decided(host, decided);
+                }
+                let messages = self.routers[host].slot_messages(self.now);
+                self.bag.extend(messages);
+                let decided = self.routers[host].tick(self.now);
+                self.decided(host, decided);
+            }
+            self.carry();
+        }
+    }
+}
+
+#[test]
+fn abandoned_requests_keep_their_slots_between_neighbours() {
+    for seed in 0..5 {
+        let mut domain = Domain::new(true, 0.02, seed);
+        domain.pass(ms(6000), [2, 2, 2]);
+        domain.pass(ms(6000), [12, 1, 1]);
+        domain.pass(ms(6000), [1, 6, 6]);
+        assert!(domain.done.iter().all(|d| *d > 1000), "{:?}", domain.done);
+        // All is over after the longest request and two announcements.
+        domain.pass(ms(6000), [0; HOSTS]);
+        let held =
+            |r: &ServiceRouter| r.snapshot(domain.now).targets.iter().any(|t| t.abandoned > 0);
+        assert!(!domain.routers.iter().any(held));
+    }
+}
+
+#[test]
+fn an_uneven_balancer_wastes_fewer_slots_with_loans() {
+    let busiest = |leases| {
+        let mut domain = Domain::new(leases, 0.0, 1);
+        domain.pass(ms(6000), [2, 2, 2]);
+        domain.done = [0; HOSTS];
+        domain.pass(ms(6000), [16, 1, 1]);
+        domain.done[0]
+    };
+    let (lent, fixed) = (busiest(true), busiest(false));
+    println!("the busiest of three hosts: {lent} requests with loans, {fixed} with fixed shares");
+    assert!(f64::from(lent) >= 1.4 * f64::from(fixed), "{lent} against {fixed}");
+}
