Routing: loans come back in the order of their targets

Returns followed the order of a hash map, which differs between runs: the test an_uneven_balancer gave 12,300 and 11,792 requests on two runs of the same code.

--- a/crates/routing/src/slots/loan.rs
+++ b/crates/routing/src/slots/loan.rs
@@ -8,7 +8,7 @@
 };
 use cyclamenloft_types::{HostId, TargetId};
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -106,7 +106,7 @@
     last_number: u64,
     /// Requests that wait for an answer, and when they were sent.
     asked: HashMap<u64, (HostId, Instant)>,
-    borrowed: HashMap<TargetId, Vec<Borrowed>>,
+    borrowed: BTreeMap<TargetId, Vec<Borrowed>>,
 }
 
 impl Borrower {
