Routing: spill to other domains by measured cost

A domain without a free slot made requests wait or refused them while others were idle. A request now goes to another domain's entry host, by one hop, where the local wait exceeds the way there and back and the wait there; reports older than two seconds count for nothing.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod service;
 pub mod slots;
 pub mod snapshot;
+pub mod spill;
 mod targets;
 
 pub use ejection::{EjectionCause, Standing};
@@ -29,3 +30,4 @@
 pub use service::ServiceRouter;
 pub use slots::{Allowance, LeaseConfig, SlotMessage, SlotTable};
 pub use snapshot::{ServiceSnapshot, TargetSnapshot};
+pub use spill::{SpillChoice, WaitReport};
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -14,6 +14,7 @@
     policy::{ChoicePolicy, RoutingPolicy, ServicePolicy},
     queue::FairQueue,
     slots::SlotTable,
+    spill::Neighbours,
     targets::{Ordering, TargetIndex, TargetSet},
 };
 use cyclamenloft_types::{HostId, TargetId};
@@ -40,6 +41,7 @@
     /// No probe is due before this.
     pub(crate) next_probe: Option<Instant>,
     pub(crate) queue: FairQueue,
+    pub(crate) neighbours: Neighbours,
     /// Decisions on waiting requests that were made while another was admitted.
     pub(crate) decided: Vec<(Ticket, Decision)>,
     pub(crate) budget: RetryBudget,
@@ -78,6 +80,7 @@
             ejected: Vec::new(),
             next_probe: None,
             queue: FairQueue::new(service.queue as usize),
+            neighbours: Neighbours::default(),
             decided: Vec::new(),
             budget: RetryBudget::new(),
             hold: Mean::default(),
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -9,4 +9,5 @@
 mod retry;
 mod slot_world;
 mod slots;
+mod spill;
 mod support;
--- /dev/null
+++ b/crates/routing/tests/all/spill.rs
@@ -0,0 +1,284 @@
+//! When requests go to another failure domain.
+
+use crate::support::{cases, healthy, ms, permit, request, router, run_one};
+use cyclamenloft_routing::{
+    Decision, Permit, RequestFacts, RoutingPolicy, ServicePolicy, ServiceRouter, WaitReport,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::{Duration, Instant},
+};
+
+fn report(wait: Duration, has_targets: bool) -> WaitReport {
+    let wait_us = wait.as_micros() as u64;
+    WaitReport { host: "far".into(), domain: "south".into(), wait_us, has_targets }
+}
+
+/// A service of one slot that takes 100 ms, with five requests waiting.
+fn crowded() -> (ServiceRouter, Instant) {
+    let mut now = Instant::now();
+    let service = ServicePolicy { slots: 1, ..ServicePolicy::default() };
+    let mut router = router(1, RoutingPolicy::default(), service, now);
+    for _ in 0..40 {
+        run_one(&mut router, &mut now, |_| healthy(ms(100)));
+    }
+    let _ = permit(router.admit(request("c", now + ms(60_000)), &[], now));
+    for _ in 0..5 {
+        let waits = router.admit(request("c", now + ms(60_000)), &[], now);
+        assert!(matches!(waits, Decision::Wait(_)));
+    }
+    (router, now)
+}
+
+/// How many of 100 requests spill after ten seconds of reports of `wait`.
+fn spilled(
+    router: &mut ServiceRouter,
+    now: &mut Instant,
+    wait: Duration,
+    link: Duration,
+    facts: impl Fn(RequestFacts) -> RequestFacts,
+) -> usize {
+    let mut count = 0;
+    for step in 0..200 {
+        *now += ms(50);
+        router.observe_remote(report(wait, true), Duration::ZERO, link, *now);
+        let facts = facts(request("c", *now + ms(60_000)));
+        count += usize::from(router.consider_spill(&facts, *now).is_some() && step >= 100);
+    }
+    count
+}
+
+fn a_request_goes_where_it_waits_less(wait: Duration, link: Duration, goes: bool) {
+    let (mut router, mut now) = crowded();
+    let count = spilled(&mut router, &mut now, wait, link, |f| f);
+    assert_eq!(count, if goes { 100 } else { 0 });
+}
+
+cases! { a_request_goes_where_it_waits_less:
+    a_short_wait_over_a_short_link(ms(100), ms(4), true);
+    the_same_wait(ms(600), ms(4), false);
+    a_short_wait_over_a_long_link(ms(0), ms(400), false);
+    a_longer_wait(ms(2000), ms(0), false);
+}
+
+#[test]
+fn a_request_hops_once_only() {
+    let (mut router, mut now) = crowded();
+    let hopped = |facts| RequestFacts { hopped: true, ..facts };
+    assert_eq!(spilled(&mut router, &mut now, ms(0), ms(4), hopped), 0);
+}
+
+#[test]
+fn a_request_without_time_for_the_way_stays() {
+    let (mut router, mut now) = crowded();
+    let from = now;
+    let late = |facts: RequestFacts| RequestFacts { deadline: from, ..facts };
+    assert_eq!(spilled(&mut router, &mut now, ms(0), ms(4), late), 0);
+}
+
+#[test]
+fn spilling_starts_and_ends_slowly() {
+    let (mut router, mut now) = crowded();
+    let mut shares = Vec::new();
+    for wait in [100, 100, 5000, 5000] {
+        for _ in 0..10 {
+            now += ms(50);
+            router.observe_remote(report(ms(wait), true), Duration::ZERO, ms(4), now);
+            let _ = router.consider_spill(&request("c", now + ms(60_000)), now);
+        }
+        shares.push(router.spill_share());
+    }
+    assert!(shares[0] > 0.0 && shares[0] <= 0.2, "{shares:?}");
+    assert!(shares[1] > shares[0] && shares[1] <= 0.4, "{shares:?}");
+    assert!(shares[2] < shares[1] && shares[3] < shares[2], "{shares:?}");
+    now += ms(60_000);
+    router.observe_remote(report(ms(100), true), Duration::ZERO, ms(4), now);
+    let _ = router.consider_spill(&request("c", now + ms(60_000)), now);
+    assert!(router.spill_share() <= 0.1, "a quiet minute has to begin anew");
+}
+
+/// With a report of the given age, from a host with or without targets.
+fn a_domain_without_targets_uses_others(age: Duration, has_targets: bool, goes: bool) {
+    let now = Instant::now() + ms(10_000);
+    let mut router = router(0, RoutingPolicy::default(), ServicePolicy::default(), now);
+    router.observe_remote(report(ms(10), has_targets), age, ms(4), now);
+    let choice = router.consider_spill(&request("c", now + ms(2000)), now);
+    assert_eq!(choice.is_some(), goes);
+    if let Some(choice) = choice {
+        assert_eq!((&*choice.host, &*choice.domain), ("far", "south"));
+        assert_eq!(choice.reason, "no-local-target");
+    }
+}
+
+cases! { a_domain_without_targets_uses_others:
+    a_fresh_report_counts(ms(100), true, true);
+    a_stale_report_does_not(ms(2100), true, false);
+    a_host_without_targets_does_not_help(ms(100), false, false);
+}
+
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let now = Instant::now() + ms(10_000);
+    let mut router = router(0, RoutingPolicy::default(), ServicePolicy::default(), now);
+    router.observe_remote(report(ms(10), false), Duration::ZERO, ms(4), now);
+    router.observe_remote(report(ms(10), true), ms(500), ms(4), now);
+    assert!(router.consider_spill(&request("c", now + ms(2000)), now).is_none());
+}
+
+const TARGETS: usize = 5;
+const SERVICE: Duration = ms(50);
+const LINK: Duration = ms(5);
+const DEADLINE: Duration = ms(500);
+const REPORT_PERIOD: Duration = ms(200);
+
+/// An event of [`two_domains`].
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { domain: usize },
+    Hop { domain: usize, deadline: Instant },
+    End { domain: usize, id: u64 },
+    Report,
+}
+
+struct Domains {
+    routers: Vec<ServiceRouter>,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    permits: BTreeMap<u64, (Permit, Instant)>,
+    waiting: Vec<BTreeMap<cyclamenloft_routing::Ticket, Instant>>,
+    last: u64,
+    in_time: u32,
+    /// Requests that hopped, for each second.
+    hops: Vec<u32>,
+}
+
+impl Domains {
+    fn push(&mut self, at: Instant, event: Event) {
+        self.last += 1;
+        self.events.push(Reverse((at, self.last, event)));
+    }
+
+    fn start(&mut self, domain: usize, permit: Permit, deadline: Instant, now: Instant) {
+        self.push(now + SERVICE, Event::End { domain, id: self.last + 1 });
+        self.permits.insert(self.last, (permit, deadline));
+    }
+
+    fn decided(&mut self, domain: usize, now: Instant) {
+        let mut decided = self.routers[domain].take_decided();
+        decided.extend(self.routers[domain].tick(now));
+        self.take(domain, decided, now);
+    }
+
+    fn take(
+        &mut self,
+        domain: usize,
+        decided: Vec<(cyclamenloft_routing::Ticket, Decision)>,
+        now: Instant,
+    ) {
+        for (ticket, decision) in decided {
+            let deadline = self.waiting[domain].remove(&ticket).unwrap();
+            if let Decision::Dispatch(permit) = decision {
+                self.start(domain, permit, deadline, now);
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        domain: usize,
+        deadline: Instant,
+        hopped: bool,
+        second: usize,
+        now: Instant,
+    ) {
+        let facts = RequestFacts { hopped, ..request("c", deadline) };
+        let decision = self.routers[domain].admit(facts.clone(), &[], now);
+        if let Decision::Dispatch(permit) = decision {
+            return self.start(domain, permit, deadline, now);
+        }
+        if let Decision::Wait(ticket) = decision {
+            self.waiting[domain].insert(ticket, deadline);
+        }
+        if self.routers[domain].consider_spill(&facts, now).is_some() {
+            self.hops[second] += 1;
+            self.push(now + LINK, Event::Hop { domain: 1 - domain, deadline });
+            if let Decision::Wait(ticket) = decision {
+                assert!(self.routers[domain].cancel(ticket));
+                self.waiting[domain].remove(&ticket);
+            }
+        }
+        self.decided(domain, now);
+    }
+}
+
+/// Two domains of equal capacity under the given loads: the share of the
+/// possible goodput, and the hops of each second.
+fn two_domains(loads: [f64; 2], seconds: u64) -> (f64, Vec<u32>) {
+    let start = Instant::now();
+    let service = ServicePolicy::default();
+    let capacity = (TARGETS * usize::from(service.slots)) as f64 / SERVICE.as_secs_f64();
+    let end = start + Duration::from_secs(seconds);
+    let make = |_| router(TARGETS, RoutingPolicy::default(), service.clone(), start);
+    let mut domains = Domains {
+        routers: (0..2).map(make).collect(),
+        events: BinaryHeap::new(),
+        permits: BTreeMap::new(),
+        waiting: vec![BTreeMap::new(), BTreeMap::new()],
+        last: 0,
+        in_time: 0,
+        hops: vec![0; seconds as usize + 1],
+    };
+    let mut rng = SmallRng::seed_from_u64(3);
+    (0..2).for_each(|domain| domains.push(start, Event::Arrive { domain }));
+    domains.push(start, Event::Report);
+    while let Some(Reverse((now, id, event))) = domains.events.pop() {
+        let second = (now - start).as_secs().min(seconds) as usize;
+        match event {
+            Event::Arrive { domain } if now < end => {
+                let gap = -rng.random_range(1e-9..1.0f64).ln() / (loads[domain] * capacity);
+                domains.push(now + Duration::from_secs_f64(gap), Event::Arrive { domain });
+                domains.admit(domain, now + DEADLINE, false, second, now);
+            }
+            Event::Hop { domain, deadline } => {
+                domains.admit(domain, deadline, true, second, now);
+            }
+            Event::End { domain, .. } => {
+                let (permit, deadline) = domains.permits.remove(&id).unwrap();
+                domains.in_time += u32::from(now <= deadline);
+                let decided = domains.routers[domain].release(permit, healthy(SERVICE), now);
+                domains.take(domain, decided, now);
+            }
+            Event::Report if now < end => {
+                for from in 0..2 {
+                    let mut report = domains.routers[from].wait_report(&"d".into());
+                    report.host = format!("h{from}").into();
+                    domains.routers[1 - from].observe_remote(report, LINK, LINK, now);
+                }
+                domains.push(now + REPORT_PERIOD, Event::Report);
+            }
+            Event::Arrive { .. } | Event::Report => {}
+        }
+    }
+    let possible = loads.iter().sum::<f64>().min(2.0) * capacity * seconds as f64;
+    (f64::from(domains.in_time) / possible, domains.hops)
+}
+
+#[test]
+fn a_crowded_domain_uses_a_quiet_one_without_swinging() {
+    let (goodput, hops) = two_domains([1.4, 0.4], 30);
+    let late = &hops[10..30];
+    let (least, most) = (late.iter().min().unwrap(), late.iter().max().unwrap());
+    println!("loads 1.4 and 0.4: goodput {goodput:.3} of what came, {least} to {most} hops/s");
+    assert!(goodput >= 0.95, "goodput {goodput:.3}, hops {hops:?}");
+    assert!(f64::from(*most) <= 1.5 * f64::from(*least), "hops {hops:?}");
+}
+
+#[test]
+fn two_crowded_domains_keep_to_themselves() {
+    let (goodput, hops) = two_domains([1.5, 1.5], 20);
+    let share = f64::from(hops.iter().sum::<u32>()) / (2.0 * 1.5 * 800.0 * 20.0);
+    println!("loads 1.5 and 1.5: goodput {goodput:.3} of capacity, {share:.4} of the requests hop");
+    assert!(goodput >= 0.95, "goodput {goodput:.3}");
+    assert!(share <= 0.05, "{share:.3} of the requests hop: {hops:?}");
+}
