Routing: the life of a request as types

An outcome of not-run could be built anywhere. A queued request now owns its message; dispatching hands it out, and only giving the same message back leads to a state that can be refused as not run. An idempotent request that is tried again after it may have run stays unknown.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod estimate;
 pub mod facts;
 pub mod leases;
+pub mod lifecycle;
 pub mod policy;
 mod queue;
 pub mod retry;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod choice;
 mod invariants;
+mod lifecycle;
 mod neighbours;
 mod overload;
 mod retry;
