--- /dev/null
+++ b/crates/routing/tests/all/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the decisions on requests.
+#![allow(clippy::unwrap_used)]
+
+mod admission;
+mod choice;
+mod invariants;
+mod lifecycle;
+mod neighbours;
+mod overload;
+mod retry;
+mod slot_world;
+mod slots;
+mod spill;
+mod support;
