placement: safety and scale of the agreed state

A loss that was committed after the worker had registered again with the same boot ended its new attempts, and a report between the proposal of a loss and its commit renewed the lease of tasks that were about to be placed elsewhere. A leader with a shorter lease in its policy did not wait out the longer leases of its predecessor. Jobs were never forgotten and every tick scanned all jobs.

A job is infeasible where no single worker holds it, not where the maxima of all workers don't.

--- a/crates/placement/src/command.rs
+++ b/crates/placement/src/command.rs
@@ -2,8 +2,8 @@
 
 use crate::messages::AttemptEnd;
 use cyclamenloft_types::{
-    AttemptNumber, BootId, DomainName, Error, JobId, JobSpec, RackName, Resources, TaskKey,
-    WorkerId,
+    AttemptNumber, BootId, DomainName, Error, JobId, JobSpec, LogIndex, RackName, Resources,
+    TaskKey, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,7 +45,10 @@
     /// The attempt.
     pub attempt: AttemptNumber,
     /// How it ended.
+    #[serde(with = "crate::codec::attempt_end")]
     pub end: AttemptEnd,
+    /// Failed attempts after which the task is given up.
+    pub max_failures: u32,
 }
 
 /// A change of the group's state.
@@ -59,6 +62,9 @@
         worker: WorkerId,
         /// The boot whose lease expired.
         boot: BootId,
+        /// Position of the log entry that registered it; the command is void
+        /// where the worker has registered again since.
+        registered: LogIndex,
     },
     /// A job was submitted.
     Submit {
@@ -75,12 +81,18 @@
     Evict(Vec<(TaskKey, AttemptNumber)>),
     /// Attempts ended.
     Ended(Vec<EndedAttempt>),
-    /// A job fits no worker that exists, or does again.
-    Feasible {
-        /// The job.
-        job: JobId,
-        /// Whether some worker is large enough.
-        feasible: bool,
+    /// No lease longer than this is granted from now on, and none that was
+    /// granted before outlasts it.
+    LeaseBound {
+        /// The bound in milliseconds.
+        lease_ms: u64,
+    },
+    /// Jobs that are over and workers that are lost are no longer remembered.
+    Forget {
+        /// The jobs; one that is not over stays.
+        jobs: Vec<JobId>,
+        /// The workers; one that is alive stays.
+        workers: Vec<WorkerId>,
     },
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,6 +3,7 @@
 //! group agrees on; [`Scheduler`] is what its leader knows besides. No input or
 //! output happens here; each function that decides takes the present time.
 
+mod codec;
 pub mod command;
 pub mod messages;
 pub mod policy;
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -30,6 +30,8 @@
     pub drift_margin: Duration,
     /// Failed attempts after which a task is given up.
     pub max_failures: u32,
+    /// Jobs that are over and still recognised when they are submitted again.
+    pub remembered_jobs: usize,
 }
 
 impl Default for PlacementPolicy {
@@ -40,6 +42,7 @@
             report_period: Duration::from_secs(2),
             drift_margin: Duration::from_millis(500),
             max_failures: 5,
+            remembered_jobs: 16_384,
         }
     }
 }
--- /dev/null
+++ b/crates/placement/src/scheduler/evicting.rs
@@ -0,0 +1,131 @@
+//! Choosing what to evict, cheapest first.
+
+use super::{Scheduler, view::WorkerView};
+use crate::{
+    command::Command,
+    state::{PlacementState, WorkerState},
+    time::Timestamp,
+};
+use cyclamenloft_types::{AttemptNumber, Priority, Resources, TaskKey, TaskState};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Time after which a proposed eviction that was not committed counts as void.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Progress in percent from which a task counts as near its end.
+const NEAR_END_PERCENT: u8 = 85;
+/// Cost of evicting a task that is near its end, besides its unsaved work.
+const NEAR_END_COST_MS: u64 = 30 * 60 * 1000;
+/// Cost of evicting a replica of a service.
+const SERVICE_COST_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// A task that could be evicted.
+#[derive(Clone, Debug)]
+pub(super) struct Victim {
+    pub(super) task: TaskKey,
+    pub(super) attempt: AttemptNumber,
+    pub(super) reserved: Resources,
+    /// Milliseconds of work that eviction is expected to cost.
+    pub(super) cost_ms: u64,
+}
+
+/// Evictions that were proposed and not committed yet.
+#[derive(Debug, Default)]
+pub(super) struct Evicting(BTreeMap<TaskKey, Instant>);
+
+impl Evicting {
+    pub(super) fn insert(&mut self, task: TaskKey, now: Timestamp) {
+        self.0.insert(task, now.instant + PROPOSAL_TIMEOUT);
+    }
+
+    pub(super) fn remove(&mut self, task: &TaskKey) {
+        self.0.remove(task);
+    }
+
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        self.0.retain(|_, expires| *expires > now.instant);
+    }
+
+    pub(super) fn contains(&self, task: &TaskKey) -> bool {
+        self.0.contains_key(task)
+    }
+}
+
+impl Scheduler {
+    /// The tasks of a worker that could be evicted, cheapest first.
+    pub(super) fn victims(&self, state: &PlacementState, worker: &WorkerState) -> Vec<Victim> {
+        let view = self.workers.get(&worker.record.id);
+        let mut victims: Vec<Victim> = worker
+            .tasks
+            .iter()
+            .filter(|key| !self.evicting.contains(key))
+            .filter_map(|key| {
+                let job = state.job(&key.job).filter(|j| !j.cancelled)?;
+                let task = job.tasks.get(key.index as usize)?;
+                let TaskState::Placed { attempt, .. } = task.state else {
+                    return None;
+                };
+                let cost_ms = cost_ms(view, key, job.spec.priority)?;
+                Some(Victim { task: key.clone(), attempt, reserved: task.reserved, cost_ms })
+            })
+            .collect();
+        victims.sort_by(|a, b| (a.cost_ms, &a.task).cmp(&(b.cost_ms, &b.task)));
+        victims
+    }
+
+    /// Evicts from workers that hold less than is reserved on them.
+    pub(super) fn evict_surplus(
+        &mut self,
+        state: &PlacementState,
+        now: Timestamp,
+    ) -> Option<Command> {
+        self.evicting.expire(now);
+        let mut evicted = Vec::new();
+        for worker in state.overcommitted() {
+            let leaving = worker.tasks.iter().filter(|key| self.leaves(state, key));
+            let mut kept =
+                leaving.filter_map(|key| state.task(key)).fold(worker.reserved, |sum, task| {
+                    sum.checked_sub(&task.reserved).unwrap_or_default()
+                });
+            for victim in self.victims(state, worker) {
+                if kept.fits_in(&worker.record.capacity) {
+                    break;
+                }
+                kept = kept.checked_sub(&victim.reserved).unwrap_or_default();
+                tracing::info!(
+                    target: "cyclamenloft::decision",
+                    task = %victim.task, attempt = victim.attempt, worker = %worker.record.id,
+                    reason = "capacity shrank", cost_ms = victim.cost_ms, "evict"
+                );
+                self.evicting.insert(victim.task.clone(), now);
+                evicted.push((victim.task, victim.attempt));
+            }
+        }
+        if evicted.is_empty() { None } else { Some(Command::Evict(evicted)) }
+    }
+
+    /// Whether a task has been asked to leave its worker.
+    pub(super) fn leaves(&self, state: &PlacementState, key: &TaskKey) -> bool {
+        let asked = || {
+            let job = state.job(&key.job)?;
+            let task = job.tasks.get(key.index as usize)?;
+            Some(job.cancelled || matches!(task.state, TaskState::Evicting { .. }))
+        };
+        self.evicting.contains(key) || asked().unwrap_or(false)
+    }
+}
+
+/// What evicting a task would cost, or `None` for urgent work.
+fn cost_ms(view: Option<&WorkerView>, key: &TaskKey, priority: Priority) -> Option<u64> {
+    let last = view.and_then(|v| v.running.get(key)).map(|r| &r.last);
+    let unsaved = last.map_or(0, |l| l.unsaved_ms);
+    let near_end = last.and_then(|l| l.progress_percent).is_some_and(|p| p >= NEAR_END_PERCENT);
+    let extra = if near_end { NEAR_END_COST_MS } else { 0 };
+    match priority {
+        Priority::Urgent => None,
+        Priority::Service => Some(unsaved.saturating_add(SERVICE_COST_MS)),
+        Priority::Batch => Some(unsaved.saturating_add(extra)),
+    }
+}
--- /dev/null
+++ b/crates/placement/src/scheduler/mod.rs
@@ -0,0 +1,163 @@
+//! What the leader of a placement group knows besides the agreed state:
+//! leases, reports, orders on their way, and what was learned from reports.
+
+mod evicting;
+mod forget;
+mod leases;
+mod orders;
+mod placing;
+mod reconcile;
+mod reports;
+mod view;
+
+use crate::{
+    command::{Command, WorkerRecord},
+    messages::{Announcement, Lease, NumberedOrder},
+    policy::PlacementPolicy,
+    state::{PlacementState, holder},
+    time::Timestamp,
+};
+use cyclamenloft_types::{BootId, TaskKey, WorkerId};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+use view::WorkerView;
+
+/// The volatile side of a placement group's leader.
+#[derive(Debug)]
+pub struct Scheduler {
+    policy: PlacementPolicy,
+    workers: BTreeMap<WorkerId, WorkerView>,
+    first_order: u64,
+    planned: placing::Planned,
+    evicting: evicting::Evicting,
+    /// Tasks that failed, with the time before which they aren't tried again.
+    retry_at: BTreeMap<TaskKey, Instant>,
+    forgetting: forget::Forgetting,
+    leases: leases::LeaseBound,
+}
+
+impl Scheduler {
+    /// A scheduler for a replica that has just begun to lead and has applied
+    /// every entry of former leaders. Since the predecessor may have renewed
+    /// any lease a moment ago, every lease is counted from `now`. Orders of
+    /// placements that the predecessor may not have delivered are queued again;
+    /// workers ignore attempts they have seen.
+    #[must_use]
+    pub fn lead(policy: PlacementPolicy, state: &PlacementState, now: Timestamp) -> Self {
+        let mut scheduler = Self {
+            policy,
+            workers: BTreeMap::new(),
+            // Numbers start above the predecessors': each lead lasts over a millisecond.
+            first_order: now.unix_ms() << 16,
+            planned: placing::Planned::default(),
+            evicting: evicting::Evicting::default(),
+            retry_at: BTreeMap::new(),
+            forgetting: forget::Forgetting::default(),
+            leases: leases::LeaseBound::new(state),
+        };
+        for worker in state.workers().filter(|w| w.alive) {
+            scheduler.view(&worker.record.id, worker.record.boot, now);
+            for task in &worker.tasks {
+                scheduler.order_for(state, task);
+            }
+        }
+        scheduler
+    }
+
+    /// Takes a changed policy into force.
+    pub fn set_policy(&mut self, policy: PlacementPolicy) {
+        self.policy = policy;
+        self.leases.recheck();
+    }
+
+    /// The lease that answers an announcement or report.
+    #[must_use]
+    pub fn lease(&self) -> Lease {
+        Lease {
+            lease_ms: self.granted().as_millis() as u64,
+            report_ms: self.policy.report_period.as_millis() as u64,
+        }
+    }
+
+    /// Takes in an announcement; the command makes the worker known. The
+    /// announcement may be answered once the command is committed.
+    pub fn announce(&mut self, announcement: &Announcement, now: Timestamp) -> Command {
+        let lease_expires = self.lease_end(now);
+        let view = self.view(&announcement.worker, announcement.boot, now);
+        if view.losing.is_some() {
+            // The loss stands before this registration in the log.
+            *view = WorkerView::new(announcement.boot, lease_expires, view.last_order);
+        }
+        view.lease_expires = lease_expires;
+        Command::Register(WorkerRecord {
+            id: announcement.worker.clone(),
+            boot: announcement.boot,
+            domain: announcement.domain.clone(),
+            rack: announcement.rack.clone(),
+            capacity: announcement.capacity,
+        })
+    }
+
+    /// Decides what is due: expired leases, placements, and what to forget.
+    pub fn tick(&mut self, state: &PlacementState, now: Timestamp) -> Vec<Command> {
+        let mut commands = self.expired(state, now);
+        commands.extend(self.lease_bound(now));
+        commands.extend(self.forget(state, now));
+        commands.extend(self.evict_surplus(state, now));
+        commands.extend(self.placements(state, now));
+        commands
+    }
+
+    /// Queues the orders that follow from a committed command.
+    pub fn committed(&mut self, state: &PlacementState, command: &Command) {
+        match command {
+            Command::Place(placements) => {
+                for p in placements {
+                    self.planned.remove(&p.task);
+                    let placed = state.task(&p.task).and_then(|t| holder(&t.state));
+                    if placed == Some((&p.worker, p.attempt)) {
+                        self.order_for(state, &p.task);
+                    }
+                }
+            }
+            Command::Evict(tasks) => {
+                for (task, _) in tasks {
+                    self.evicting.remove(task);
+                    self.order_for(state, task);
+                }
+            }
+            Command::Cancel(jobs) => {
+                for job in jobs.iter().filter_map(|id| state.job(id)) {
+                    for index in 0..job.tasks.len() as u32 {
+                        let key = TaskKey { job: job.spec.id.clone(), index };
+                        self.order_for(state, &key);
+                    }
+                }
+            }
+            Command::WorkerLost { worker, boot, .. } => {
+                // A view that isn't losing belongs to a later registration.
+                let ended = |v: &WorkerView| v.boot == *boot && v.losing.is_some();
+                if self.workers.get(worker).is_some_and(ended) {
+                    self.workers.remove(worker);
+                }
+            }
+            Command::LeaseBound { lease_ms } => {
+                self.leases.agreed(Duration::from_millis(*lease_ms));
+            }
+            Command::Register(_)
+            | Command::Submit { .. }
+            | Command::Ended(_)
+            | Command::Forget { .. } => {}
+        }
+    }
+
+    /// The orders that a worker has not handled yet.
+    pub fn orders(&mut self, worker: &str, boot: BootId, handled: u64) -> Vec<NumberedOrder> {
+        match self.workers.get_mut(worker) {
+            Some(view) if view.boot == boot => view.unhandled(handled),
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/scheduler/orders.rs
@@ -0,0 +1,41 @@
+//! Orders to workers.
+
+use super::Scheduler;
+use crate::{
+    messages::Order,
+    state::{PlacementState, holder},
+};
+use cyclamenloft_types::{TaskKey, TaskState};
+
+impl Scheduler {
+    /// Queues the order that brings a task's worker in line with the state.
+    pub(super) fn order_for(&mut self, state: &PlacementState, key: &TaskKey) {
+        let Some((job, task)) = state.job(&key.job).zip(state.task(key)) else {
+            return;
+        };
+        let Some((worker, attempt)) = holder(&task.state) else {
+            return;
+        };
+        let order = if job.cancelled {
+            Order::Stop { task: key.clone(), attempt }
+        } else if matches!(task.state, TaskState::Evicting { .. }) {
+            Order::Evict { task: key.clone(), attempt }
+        } else {
+            Order::Start {
+                task: key.clone(),
+                attempt,
+                resources: task.reserved,
+                checkpoint: task.checkpoint.clone(),
+                payload: job.spec.payload.clone(),
+                run_time_ms: job.spec.run_time_ms,
+            }
+        };
+        self.push(worker, order);
+    }
+
+    pub(super) fn push(&mut self, worker: &str, order: Order) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.push(order);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/state/jobs.rs
@@ -0,0 +1,258 @@
+//! Jobs: submission, cancellation, jobs that fit no worker, and forgetting.
+
+use super::{Job, PlacementState, Task, is_over};
+use crate::command::{Applied, Receipt};
+use cyclamenloft_types::{
+    Error, ErrorKind, JobId, JobSpec, JobState, LogIndex, Resources, Result, TaskKey, TaskState,
+    WorkerId,
+};
+
+/// Most tasks that are not over in one placement group.
+pub const MAX_LIVE_TASKS: usize = 250_000;
+
+impl PlacementState {
+    /// One job as operators see it.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::UnknownJob`] naming the job.
+    pub fn job_state(&self, id: &str) -> Result<JobState> {
+        let job = self
+            .jobs
+            .get(id)
+            .ok_or_else(|| Error::new(ErrorKind::UnknownJob, format!("no job {id:?}")))?;
+        let tasks = job.tasks.iter().map(|t| t.state.clone()).collect();
+        Ok(JobState { spec: job.spec.clone(), tasks, reason: self.reason(job) })
+    }
+
+    fn reason(&self, job: &Job) -> Box<str> {
+        if job.cancelled {
+            return "cancelled".into();
+        }
+        if !job.feasible {
+            let needs = job.spec.resources;
+            return match self.largest_worker() {
+                Some(largest) => {
+                    format!("needs {needs} a task; the largest worker holds {largest}").into()
+                }
+                None => format!("needs {needs} a task; there is no worker").into(),
+            };
+        }
+        let failed = job.tasks.iter().filter(|t| t.state == TaskState::Failed).count();
+        if failed > 0 {
+            let workers = job.failed_on.join(", ");
+            return format!("{failed} tasks failed too often, on workers {workers}").into();
+        }
+        Box::default()
+    }
+
+    /// The largest capacity of one worker, by processors, then memory.
+    #[must_use]
+    pub fn largest_worker(&self) -> Option<Resources> {
+        self.index.shapes.keys().next_back().map(|&(cpu, mem, acc)| Resources::new(cpu, mem, acc))
+    }
+
+    /// Whether some worker is large enough for `need` when it is empty.
+    #[must_use]
+    pub fn fits_some_worker(&self, need: &Resources) -> bool {
+        self.index
+            .shapes
+            .keys()
+            .rev()
+            .any(|&(cpu, mem, acc)| need.fits_in(&Resources::new(cpu, mem, acc)))
+    }
+
+    /// Jobs that are over, oldest first.
+    pub fn done_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.index.done.iter().filter_map(|(_, id)| self.jobs.get(id))
+    }
+
+    /// Number of jobs that are over and remembered, and of their tasks.
+    #[must_use]
+    pub fn done_counts(&self) -> (usize, usize) {
+        (self.index.done.len(), self.index.done_tasks)
+    }
+
+    pub(super) fn submit(&mut self, spec: &JobSpec, at_unix_ms: u64) -> Receipt {
+        let spec_hash = hash(spec);
+        if let Some(known) = self.jobs.get(&spec.id) {
+            if known.spec_hash == spec_hash {
+                return Ok(Applied::Already);
+            }
+            return Err(Error::new(
+                ErrorKind::Conflict,
+                format!("job {:?} exists with other content", spec.id),
+            ));
+        }
+        spec.check()?;
+        if self.index.live_tasks + spec.tasks as usize > MAX_LIVE_TASKS {
+            return Err(Error::new(
+                ErrorKind::Overloaded,
+                format!(
+                    "job {:?}: {} tasks besides the {} that wait or run exceed {MAX_LIVE_TASKS}",
+                    spec.id, spec.tasks, self.index.live_tasks
+                ),
+            ));
+        }
+        // Without any worker nothing is known, and the job waits.
+        let feasible = self.index.shapes.is_empty() || self.fits_some_worker(&spec.resources);
+        let state = match feasible {
+            true => TaskState::Waiting { checkpoint: None },
+            false => TaskState::CannotRun,
+        };
+        let task =
+            Task { state, attempt: 0, reserved: Resources::ZERO, checkpoint: None, failures: 0 };
+        let job = Job {
+            spec: spec.clone(),
+            spec_hash,
+            at_unix_ms,
+            tasks: vec![task; spec.tasks as usize],
+            feasible,
+            cancelled: false,
+            failed_on: Vec::new(),
+            live: spec.tasks,
+            done_at: None,
+        };
+        self.adopt(job);
+        Ok(Applied::Changed)
+    }
+
+    /// Adds a job to the jobs and indexes.
+    pub(super) fn adopt(&mut self, job: Job) {
+        let id = job.spec.id.clone();
+        for (index, task) in job.tasks.iter().enumerate() {
+            if matches!(task.state, TaskState::Waiting { .. }) {
+                let key = TaskKey { job: id.clone(), index: index as u32 };
+                self.index.queue.insert(&job.spec, job.at_unix_ms, key);
+            }
+        }
+        self.index.live_tasks += job.live as usize;
+        if let Some(at) = job.done_at {
+            self.index.done.insert((at, id.clone()));
+            self.index.done_tasks += job.tasks.len();
+        } else if !job.feasible {
+            self.index.infeasible.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+    }
+
+    pub(super) fn cancel(&mut self, index: LogIndex, id: &JobId) -> Option<()> {
+        let job = self.jobs.get_mut(id).filter(|j| !j.cancelled && j.done_at.is_none())?;
+        job.cancelled = true;
+        let stopped: Vec<TaskKey> = (0..job.tasks.len() as u32)
+            .zip(&job.tasks)
+            .filter(|(_, t)| matches!(t.state, TaskState::Waiting { .. } | TaskState::CannotRun))
+            .map(|(index, _)| TaskKey { job: id.clone(), index })
+            .collect();
+        for key in &stopped {
+            self.unqueue(key);
+            self.finish(index, key, TaskState::Cancelled);
+        }
+        Some(())
+    }
+
+    /// Forgets jobs that are over and workers that are lost.
+    pub(super) fn forget(&mut self, jobs: &[JobId], workers: &[WorkerId]) -> Applied {
+        let jobs = super::any(jobs, |id| self.forget_job(id));
+        let workers = super::any(workers, |id| self.forget_worker(id));
+        if Applied::Changed == jobs { jobs } else { workers }
+    }
+
+    fn forget_job(&mut self, id: &JobId) -> Option<()> {
+        let job = self.jobs.get(id)?;
+        let at = job.done_at?;
+        self.index.done.remove(&(at, id.clone()));
+        self.index.done_tasks -= job.tasks.len();
+        self.jobs.remove(id);
+        Some(())
+    }
+
+    /// Takes in that a worker's capacity changed, and finds the jobs that fit
+    /// a worker now, or no longer.
+    pub(super) fn change_shapes(&mut self, before: Option<Resources>, after: Option<Resources>) {
+        if before == after {
+            return;
+        }
+        let shape = |r: Resources| (r.cpu_millis, r.memory_mib, r.accelerators);
+        if let Some(after) = after {
+            let count = self.index.shapes.entry(shape(after)).or_default();
+            *count += 1;
+            if *count == 1 {
+                self.revive(&after);
+            }
+        }
+        if let Some(before) = before
+            && let Some(count) = self.index.shapes.get_mut(&shape(before))
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.index.shapes.remove(&shape(before));
+            }
+        }
+        // Also on growth: the first worker of all tells which jobs fit none.
+        self.retire();
+    }
+
+    fn revive(&mut self, shape: &Resources) {
+        let fitting: Vec<JobId> = self
+            .index
+            .infeasible
+            .iter()
+            .filter(|id| self.jobs.get(*id).is_some_and(|j| j.spec.resources.fits_in(shape)))
+            .cloned()
+            .collect();
+        for id in fitting {
+            self.index.infeasible.remove(&id);
+            self.set_feasible(&id, true);
+        }
+    }
+
+    fn retire(&mut self) {
+        if self.index.shapes.is_empty() {
+            return;
+        }
+        let misfits: Vec<JobId> = self
+            .index
+            .queue
+            .groups()
+            .filter(|(group, _)| !self.fits_some_worker(&group.resources))
+            .flat_map(|(_, tasks)| tasks.iter().map(|(_, key)| key.job.clone()))
+            .collect();
+        for id in misfits {
+            if self.index.infeasible.insert(id.clone()) {
+                self.set_feasible(&id, false);
+            }
+        }
+    }
+
+    fn set_feasible(&mut self, id: &JobId, feasible: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.feasible = feasible;
+        for (index, task) in job.tasks.iter_mut().enumerate() {
+            let key = TaskKey { job: id.clone(), index: index as u32 };
+            match (&task.state, feasible) {
+                (TaskState::CannotRun, true) => {
+                    task.state = TaskState::Waiting { checkpoint: task.checkpoint.clone() };
+                    self.index.queue.insert(&job.spec, job.at_unix_ms, key);
+                }
+                (TaskState::Waiting { .. }, false) => {
+                    task.state = TaskState::CannotRun;
+                    self.index.queue.remove(&job.spec, job.at_unix_ms, &key);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Whether each task of a job is over.
+pub(super) fn live_count(job: &Job) -> u32 {
+    job.tasks.iter().filter(|t| !is_over(&t.state)).count() as u32
+}
+
+fn hash(spec: &JobSpec) -> u64 {
+    let bytes = postcard::to_stdvec(spec).expect("a job of plain data always encodes");
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/placement/src/state/queue.rs
@@ -0,0 +1,161 @@
+//! The waiting tasks, grouped so that a decision for one task serves all of
+//! its kind and none of the queue has to be scanned.
+
+use cyclamenloft_types::{JobClass, JobSpec, Priority, Resources, TaskKey, TeamName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Assumed time to the latest start of a batch task without a deadline.
+const NO_DEADLINE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Number of a group in the queue of this process.
+pub(crate) type GroupNumber = u32;
+
+/// What the waiting tasks of a group have in common: where one finds no room,
+/// none of them does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingGroup {
+    /// Priority of the tasks.
+    pub priority: Priority,
+    /// Team of the tasks.
+    pub team: TeamName,
+    /// Class of the tasks.
+    pub class: JobClass,
+    /// What each task declares to need.
+    pub resources: Resources,
+}
+
+/// A task with the wall-clock millisecond by which it should be started.
+pub(crate) type DueTask = (u64, TaskKey);
+
+#[derive(Clone, Debug)]
+struct Group {
+    of: WaitingGroup,
+    tasks: BTreeSet<DueTask>,
+}
+
+type GroupOrder = (Priority, TeamName, JobClass, (u32, u32, u16));
+
+/// The groups of one priority and team, by the due time of their first task.
+pub(crate) type Lane = BTreeSet<(u64, GroupNumber)>;
+
+/// The waiting tasks of a placement group.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitingQueue {
+    numbers: BTreeMap<GroupOrder, GroupNumber>,
+    groups: BTreeMap<GroupNumber, Group>,
+    lanes: BTreeMap<Priority, BTreeMap<TeamName, Lane>>,
+    next: GroupNumber,
+    depth: [usize; 3],
+}
+
+impl WaitingQueue {
+    pub(crate) fn insert(&mut self, spec: &JobSpec, at_unix_ms: u64, key: TaskKey) {
+        let order = group_order(spec);
+        let number = *self.numbers.entry(order).or_insert_with(|| {
+            self.next = self.next.wrapping_add(1);
+            self.next
+        });
+        let group = self.groups.entry(number).or_insert_with(|| Group {
+            of: WaitingGroup {
+                priority: spec.priority,
+                team: spec.team.clone(),
+                class: spec.class.clone(),
+                resources: spec.resources,
+            },
+            tasks: BTreeSet::new(),
+        });
+        let before = group.tasks.first().map(|t| t.0);
+        if !group.tasks.insert((due_ms(spec, at_unix_ms), key)) {
+            return;
+        }
+        let after = group.tasks.first().map(|t| t.0);
+        self.depth[spec.priority as usize] += 1;
+        self.move_head(spec, number, before, after);
+    }
+
+    pub(crate) fn remove(&mut self, spec: &JobSpec, at_unix_ms: u64, key: &TaskKey) {
+        let order = group_order(spec);
+        let Some(&number) = self.numbers.get(&order) else {
+            return;
+        };
+        let Some(group) = self.groups.get_mut(&number) else {
+            return;
+        };
+        let before = group.tasks.first().map(|t| t.0);
+        if !group.tasks.remove(&(due_ms(spec, at_unix_ms), key.clone())) {
+            return;
+        }
+        let after = group.tasks.first().map(|t| t.0);
+        if after.is_none() {
+            self.groups.remove(&number);
+            self.numbers.remove(&order);
+        }
+        self.depth[spec.priority as usize] -= 1;
+        self.move_head(spec, number, before, after);
+    }
+
+    fn move_head(
+        &mut self,
+        spec: &JobSpec,
+        number: GroupNumber,
+        before: Option<u64>,
+        after: Option<u64>,
+    ) {
+        if before == after {
+            return;
+        }
+        let teams = self.lanes.entry(spec.priority).or_default();
+        if !teams.contains_key(&spec.team) {
+            teams.insert(spec.team.clone(), Lane::new());
+        }
+        let Some(lane) = teams.get_mut(&spec.team) else {
+            return;
+        };
+        if let Some(due) = before {
+            lane.remove(&(due, number));
+        }
+        if let Some(due) = after {
+            lane.insert((due, number));
+        }
+        if lane.is_empty() {
+            teams.remove(&spec.team);
+        }
+    }
+
+    /// The teams that have tasks of `priority` waiting, with their groups.
+    pub(crate) fn lanes(&self, priority: Priority) -> impl Iterator<Item = (&TeamName, &Lane)> {
+        self.lanes.get(&priority).into_iter().flatten()
+    }
+
+    /// One group with its tasks in the order of their due times.
+    pub(crate) fn group(&self, number: GroupNumber) -> Option<(&WaitingGroup, &BTreeSet<DueTask>)> {
+        self.groups.get(&number).map(|g| (&g.of, &g.tasks))
+    }
+
+    /// All groups with their tasks.
+    pub(crate) fn groups(&self) -> impl Iterator<Item = (&WaitingGroup, &BTreeSet<DueTask>)> {
+        self.groups.values().map(|g| (&g.of, &g.tasks))
+    }
+
+    /// Number of waiting tasks of `priority`.
+    pub(crate) fn depth(&self, priority: Priority) -> usize {
+        self.depth[priority as usize]
+    }
+}
+
+fn group_order(spec: &JobSpec) -> GroupOrder {
+    let r = spec.resources;
+    let shape = (r.cpu_millis, r.memory_mib, r.accelerators);
+    (spec.priority, spec.team.clone(), spec.class.clone(), shape)
+}
+
+/// The wall-clock millisecond by which a task of the job should be started:
+/// for batch the latest start that meets its deadline, else its submission.
+pub(crate) fn due_ms(spec: &JobSpec, at_unix_ms: u64) -> u64 {
+    match spec.priority {
+        Priority::Batch => at_unix_ms
+            .saturating_add(spec.deadline_ms.unwrap_or(NO_DEADLINE_MS))
+            .saturating_sub(spec.run_time_ms),
+        Priority::Service | Priority::Urgent => at_unix_ms,
+    }
+}
--- /dev/null
+++ b/crates/placement/src/state/snapshot.rs
@@ -0,0 +1,85 @@
+//! Snapshots: workers and jobs are written, everything else is worked out anew.
+
+use super::{Job, PlacementState, WorkerState, holder, jobs::live_count};
+use crate::command::WorkerRecord;
+use cyclamenloft_types::{Error, ErrorKind, LogIndex, Resources, Result, TaskKey};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+#[derive(Serialize)]
+struct ImageOut<'a> {
+    workers: Vec<(&'a WorkerRecord, bool, LogIndex)>,
+    jobs: Vec<&'a Job>,
+    lease_bound_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Image {
+    workers: Vec<(WorkerRecord, bool, LogIndex)>,
+    jobs: Vec<Job>,
+    lease_bound_ms: u64,
+}
+
+pub(super) fn encode(state: &PlacementState) -> Vec<u8> {
+    let workers = state.workers.values().map(|w| (&w.record, w.alive, w.registered)).collect();
+    let jobs = state.jobs.values().collect();
+    let image = ImageOut { workers, jobs, lease_bound_ms: state.lease_bound_ms };
+    postcard::to_stdvec(&image).expect("a state of plain data always encodes")
+}
+
+pub(super) fn decode(bytes: &[u8]) -> Result<PlacementState> {
+    let image: Image = postcard::from_bytes(bytes).map_err(|e| corrupt(&e.to_string()))?;
+    let mut state =
+        PlacementState { lease_bound_ms: image.lease_bound_ms, ..PlacementState::default() };
+    for (record, alive, registered) in image.workers {
+        let (id, capacity) = (record.id.clone(), record.capacity);
+        if state.workers.contains_key(&id) {
+            return Err(corrupt("a worker stands twice"));
+        }
+        let (reserved, tasks) = (Resources::ZERO, BTreeSet::new());
+        let worker = WorkerState { record, alive, registered, reserved, tasks };
+        state.change_worker(&id, |slot| *slot = Some(worker));
+        state.change_shapes(None, Some(capacity));
+    }
+    for job in image.jobs {
+        if state.jobs.contains_key(&job.spec.id) || job.live != live_count(&job) {
+            return Err(corrupt("a job stands twice or miscounts its tasks"));
+        }
+        if job.tasks.len() != job.spec.tasks as usize {
+            return Err(corrupt("a job has not the tasks that it declares"));
+        }
+        if (job.live == 0) != job.done_at.is_some() {
+            return Err(corrupt("a job is over without its last task"));
+        }
+        reserve(&mut state, &job)?;
+        state.adopt(job);
+    }
+    Ok(state)
+}
+
+fn reserve(state: &mut PlacementState, job: &Job) -> Result<()> {
+    for (index, task) in job.tasks.iter().enumerate() {
+        let Some((worker, _)) = holder(&task.state) else {
+            continue;
+        };
+        let key = TaskKey { job: job.spec.id.clone(), index: index as u32 };
+        let total = state
+            .workers
+            .get(worker)
+            .filter(|w| w.alive)
+            .and_then(|w| w.reserved.checked_add(&task.reserved))
+            .ok_or_else(|| corrupt("a reservation has no worker"))?;
+        state.change_worker(worker, |slot| {
+            if let Some(w) = slot {
+                w.reserved = total;
+                w.tasks.insert(key);
+            }
+        });
+        state.index.teams.entry(job.spec.team.clone()).or_default().add(&task.reserved);
+    }
+    Ok(())
+}
+
+fn corrupt(what: &str) -> Error {
+    Error::new(ErrorKind::Corrupt, format!("placement snapshot: {what}"))
+}
--- /dev/null
+++ b/crates/placement/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the decisions on tasks.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+mod scheduler;
+mod state;
--- /dev/null
+++ b/crates/placement/tests/all/state.rs
@@ -0,0 +1,386 @@
+//! The rules of the state under random commands.
+
+use cyclamenloft_placement::{
+    AttemptEnd, Command, EndedAttempt, Placement, PlacementState, WorkerRecord, command::Applied,
+    state::holder,
+};
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::{ErrorKind, JobSpec, Priority, Resources, TaskKey, TaskState, WorkerId};
+use proptest::{prelude::*, test_runner::RngSeed};
+use std::collections::BTreeMap;
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn resources() -> impl Strategy<Value = Resources> {
+    (1..9u32, 1..9u32, 0..2u16).prop_map(|(c, m, a)| Resources::new(c * 1000, m * 1024, a))
+}
+
+fn worker_id() -> impl Strategy<Value = WorkerId> {
+    (0..3u32).prop_map(|n| format!("w{n}").into())
+}
+
+fn task_key() -> impl Strategy<Value = TaskKey> {
+    (0..4u32, 0..3u32).prop_map(|(n, index)| TaskKey { job: format!("j{n}").into(), index })
+}
+
+fn spec() -> impl Strategy<Value = JobSpec> {
+    (0..4u32, 0..3u8, 1..4u32, resources()).prop_map(|(n, priority, tasks, resources)| JobSpec {
+        id: format!("j{n}").into(),
+        team: format!("t{}", n % 2).into(),
+        class: "class".into(),
+        priority: [Priority::Batch, Priority::Service, Priority::Urgent][priority as usize],
+        tasks,
+        resources,
+        run_time_ms: 1000,
+        deadline_ms: (n == 0).then_some(5000),
+        home: None,
+        payload: "payload".into(),
+    })
+}
+
+fn end() -> impl Strategy<Value = AttemptEnd> {
+    prop_oneof![
+        Just(AttemptEnd::Finished),
+        Just(AttemptEnd::Failed { reason: "broken".into() }),
+        Just(AttemptEnd::Refused { reason: "full".into() }),
+        proptest::option::of(0..1000u32)
+            .prop_map(|c| AttemptEnd::Evicted { checkpoint: c.map(|c| format!("c{c}").into()) }),
+        Just(AttemptEnd::Stopped),
+    ]
+}
+
+/// A command whose numbers are mostly the present ones, else off by one.
+#[derive(Clone, Debug)]
+enum Step {
+    Register(WorkerId, u64, Resources),
+    Lost(WorkerId, bool),
+    Submit(JobSpec),
+    Cancel(Vec<u32>),
+    Place(Vec<(TaskKey, WorkerId, Resources, bool)>),
+    Evict(TaskKey, bool),
+    Ended(TaskKey, bool, AttemptEnd),
+    Forget,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let stale = || proptest::bool::weighted(0.2);
+    let placement = (task_key(), worker_id(), resources(), stale());
+    prop_oneof![
+        2 => (worker_id(), 1..3u64, resources()).prop_map(|(w, b, r)| Step::Register(w, b, r)),
+        1 => (worker_id(), stale()).prop_map(|(w, s)| Step::Lost(w, s)),
+        2 => spec().prop_map(Step::Submit),
+        1 => proptest::collection::vec(0..5u32, 1..3).prop_map(Step::Cancel),
+        8 => proptest::collection::vec(placement, 1..4).prop_map(Step::Place),
+        2 => (task_key(), stale()).prop_map(|(k, s)| Step::Evict(k, s)),
+        4 => (task_key(), stale(), end()).prop_map(|(k, s, e)| Step::Ended(k, s, e)),
+        1 => Just(Step::Forget),
+    ]
+}
+
+fn command(state: &PlacementState, step: Step) -> Command {
+    let attempt = |key: &TaskKey, stale: bool| {
+        state.task(key).map_or(1, |t| if stale { t.attempt.saturating_sub(1) } else { t.attempt })
+    };
+    match step {
+        Step::Register(id, boot, capacity) => Command::Register(WorkerRecord {
+            id,
+            boot,
+            domain: "d".into(),
+            rack: "r".into(),
+            capacity,
+        }),
+        Step::Lost(worker, stale) => {
+            let known = state.worker(&worker);
+            let registered = known.map_or(1, |w| w.registered) - u64::from(stale);
+            Command::WorkerLost { boot: known.map_or(1, |w| w.record.boot), worker, registered }
+        }
+        Step::Submit(spec) => Command::Submit { spec, at_unix_ms: 1_000_000 },
+        Step::Cancel(jobs) => {
+            Command::Cancel(jobs.into_iter().map(|n| format!("j{n}").into()).collect())
+        }
+        Step::Place(placements) => Command::Place(
+            placements
+                .into_iter()
+                .map(|(task, worker, reserved, stale)| Placement {
+                    attempt: attempt(&task, stale) + 1,
+                    boot: state.worker(&worker).map_or(1, |w| w.record.boot),
+                    task,
+                    worker,
+                    reserved,
+                })
+                .collect(),
+        ),
+        Step::Evict(task, stale) => Command::Evict(vec![(task.clone(), attempt(&task, stale))]),
+        Step::Ended(task, stale, end) => Command::Ended(vec![EndedAttempt {
+            attempt: attempt(&task, stale),
+            task,
+            end,
+            max_failures: 3,
+        }]),
+        Step::Forget => Command::Forget {
+            jobs: state.jobs().map(|j| j.spec.id.clone()).collect(),
+            workers: state.workers().map(|w| w.record.id.clone()).collect(),
+        },
+    }
+}
+
+/// Where attempts may be running, kept apart from the state's own books.
+#[derive(Default)]
+struct MayRun(BTreeMap<TaskKey, (WorkerId, u32)>);
+
+impl MayRun {
+    /// Takes in what a command surely ends, by the state before it.
+    fn before(&mut self, state: &PlacementState, command: &Command) {
+        match command {
+            Command::Register(record) => {
+                let rebooted =
+                    state.worker(&record.id).is_some_and(|w| w.record.boot != record.boot);
+                if rebooted {
+                    self.0.retain(|_, (w, _)| *w != record.id);
+                }
+            }
+            Command::WorkerLost { worker, boot, registered } => {
+                let current = state
+                    .worker(worker)
+                    .is_some_and(|w| w.record.boot == *boot && w.registered == *registered);
+                if current {
+                    self.0.retain(|_, (w, _)| w != worker);
+                }
+            }
+            Command::Ended(ended) => {
+                for e in ended {
+                    if self.0.get(&e.task).is_some_and(|(_, a)| *a == e.attempt) {
+                        self.0.remove(&e.task);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn after(&mut self, state: &PlacementState) -> Result<(), TestCaseError> {
+        for job in state.jobs() {
+            for (index, task) in job.tasks.iter().enumerate() {
+                let key = TaskKey { job: job.spec.id.clone(), index: index as u32 };
+                let held = holder(&task.state).map(|(w, a)| (w.clone(), a));
+                match (self.0.get(&key), held) {
+                    (Some(running), held) => prop_assert_eq!(Some(running.clone()), held),
+                    (None, Some(held)) => {
+                        self.0.insert(key, held);
+                    }
+                    (None, None) => {}
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn reserved(state: &PlacementState) -> BTreeMap<WorkerId, (Resources, Resources)> {
+    state.workers().map(|w| (w.record.id.clone(), (w.reserved, w.record.capacity))).collect()
+}
+
+proptest! {
+    #![proptest_config(config(41))]
+
+    #[test]
+    fn rules_hold_under_random_commands(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut state = PlacementState::default();
+        let mut may_run = MayRun::default();
+        for (index, step) in steps.into_iter().enumerate() {
+            let command = command(&state, step);
+            let attempts: BTreeMap<_, _> = state
+                .jobs()
+                .flat_map(|j| j.tasks.iter().enumerate().map(|(i, t)| {
+                    (TaskKey { job: j.spec.id.clone(), index: i as u32 }, t.attempt)
+                }))
+                .collect();
+            let before = reserved(&state);
+            may_run.before(&state, &command);
+            let _ = state.apply(index as u64 + 1, &command);
+            prop_assert_eq!(state.verify(), Ok(()));
+            may_run.after(&state)?;
+            for (id, (now, capacity)) in reserved(&state) {
+                let was = before.get(&id).map_or(Resources::ZERO, |(r, _)| *r);
+                prop_assert!(now.fits_in(&capacity) || now.fits_in(&was), "{} grew to {}", id, now);
+            }
+            for (key, attempt) in attempts {
+                if let Some(task) = state.task(&key) {
+                    prop_assert!(task.attempt >= attempt);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn snapshots_round_trip(steps in proptest::collection::vec(step(), 1..60)) {
+        let mut state = PlacementState::default();
+        for (index, step) in steps.into_iter().enumerate() {
+            let command = command(&state, step);
+            let _ = state.apply(index as u64 + 1, &command);
+            let bytes = postcard::to_stdvec(&command).unwrap();
+            prop_assert_eq!(postcard::from_bytes::<Command>(&bytes).unwrap(), command);
+        }
+        let restored = PlacementState::decode(&state.encode()).unwrap();
+        prop_assert_eq!(&restored, &state);
+        prop_assert_eq!(restored.verify(), Ok(()));
+        prop_assert_eq!(restored.capacity(), state.capacity());
+        prop_assert_eq!(restored.reserved(), state.reserved());
+        prop_assert_eq!(restored.done_counts(), state.done_counts());
+    }
+
+    #[test]
+    fn replicas_agree(steps in proptest::collection::vec(step(), 1..60), cut in 0..60usize) {
+        let mut state = PlacementState::default();
+        let mut replica = PlacementState::default();
+        for (index, step) in steps.into_iter().enumerate() {
+            if index == cut {
+                replica = PlacementState::decode(&replica.encode()).unwrap();
+            }
+            let command = command(&state, step);
+            let receipt = state.apply(index as u64 + 1, &command);
+            let other = replica.apply(index as u64 + 1, &command);
+            prop_assert_eq!(format!("{receipt:?}"), format!("{other:?}"));
+        }
+        prop_assert_eq!(state, replica);
+    }
+
+    #[test]
+    fn damaged_snapshots_never_panic(
+        steps in proptest::collection::vec(step(), 1..30),
+        flips in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut state = PlacementState::default();
+        for (index, step) in steps.into_iter().enumerate() {
+            let command = command(&state, step);
+            let _ = state.apply(index as u64 + 1, &command);
+        }
+        let mut bytes = state.encode();
+        for (at, value) in flips {
+            let at = at.index(bytes.len());
+            bytes[at] ^= value;
+        }
+        if let Ok(state) = PlacementState::decode(&bytes) {
+            let _ = state.verify();
+        }
+        let _ = PlacementState::decode(&bytes[..cut.index(bytes.len())]);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..256)) {
+        if let Err(e) = PlacementState::decode(&bytes) {
+            prop_assert_eq!(e.kind, ErrorKind::Corrupt);
+        }
+    }
+}
+
+fn applied(state: &mut PlacementState, index: u64, command: &Command) -> Applied {
+    state.apply(index, command).expect("a valid command")
+}
+
+fn record(id: &str, capacity: Resources) -> WorkerRecord {
+    WorkerRecord { id: id.into(), boot: 1, domain: "d".into(), rack: "r".into(), capacity }
+}
+
+fn one_job(id: &str, resources: Resources) -> JobSpec {
+    let mut spec = crate::common::job(id, 1, 1);
+    spec.resources = resources;
+    spec
+}
+
+#[test]
+fn a_job_that_fits_no_worker_is_named_and_revived() {
+    let mut state = PlacementState::default();
+    // Each kind has a worker that is large enough, but no worker has both.
+    let wide = Resources::new(16_000, 1024, 0);
+    let deep = Resources::new(1000, 65_536, 0);
+    applied(&mut state, 1, &Command::Register(record("w0", wide)));
+    applied(&mut state, 2, &Command::Register(record("w1", deep)));
+    let spec = one_job("both", Resources::new(8000, 32_768, 0));
+    applied(&mut state, 3, &Command::Submit { spec, at_unix_ms: 1 });
+    let shown = state.job_state("both").unwrap();
+    assert_eq!(shown.tasks, [TaskState::CannotRun]);
+    assert_eq!(
+        &*shown.reason,
+        "needs 8000 mCPU, 32768 MiB, 0 accelerators a task; \
+         the largest worker holds 16000 mCPU, 1024 MiB, 0 accelerators"
+    );
+    assert_eq!(state.waiting().count(), 0);
+    let large = Resources::new(16_000, 65_536, 0);
+    applied(&mut state, 4, &Command::Register(record("w2", large)));
+    assert_eq!(state.waiting().count(), 1);
+    assert_eq!(state.verify(), Ok(()));
+}
+
+#[test]
+fn a_loss_decided_before_a_new_registration_is_void() {
+    let mut state = PlacementState::default();
+    let capacity = Resources::new(4000, 4096, 0);
+    applied(&mut state, 1, &Command::Register(record("w0", capacity)));
+    let lost = Command::WorkerLost { worker: "w0".into(), boot: 1, registered: 1 };
+    assert_eq!(applied(&mut state, 2, &lost), Applied::Changed);
+    applied(&mut state, 3, &Command::Register(record("w0", capacity)));
+    assert_eq!(applied(&mut state, 4, &lost), Applied::Already);
+    assert!(state.worker("w0").unwrap().alive);
+}
+
+#[test]
+fn a_finished_job_is_recognised_until_it_is_forgotten() {
+    let mut state = PlacementState::default();
+    let spec = one_job("j", Resources::new(1000, 1024, 0));
+    let submit = Command::Submit { spec: spec.clone(), at_unix_ms: 1 };
+    applied(&mut state, 1, &submit);
+    applied(&mut state, 2, &Command::Cancel(vec!["j".into()]));
+    assert_eq!(applied(&mut state, 3, &submit), Applied::Already);
+    let mut other = spec;
+    other.payload = Box::default();
+    let conflict = state.apply(4, &Command::Submit { spec: other, at_unix_ms: 1 }).unwrap_err();
+    assert_eq!(conflict.kind, ErrorKind::Conflict);
+    let forget = Command::Forget { jobs: vec!["j".into()], workers: vec![] };
+    applied(&mut state, 5, &forget);
+    assert_eq!(applied(&mut state, 6, &submit), Applied::Changed);
+}
+
+#[test]
+fn a_late_finish_of_a_lost_worker_counts_until_the_task_is_placed_again() {
+    let mut state = PlacementState::default();
+    let capacity = Resources::new(4000, 4096, 0);
+    applied(&mut state, 1, &Command::Register(record("w0", capacity)));
+    let spec = one_job("j", Resources::new(1000, 1024, 0));
+    applied(&mut state, 2, &Command::Submit { spec, at_unix_ms: 1 });
+    let place = |attempt| {
+        Command::Place(vec![Placement {
+            task: crate::common::key("j", 0),
+            attempt,
+            worker: "w0".into(),
+            boot: 1,
+            reserved: Resources::new(1000, 1024, 0),
+        }])
+    };
+    let finished = |attempt| {
+        Command::Ended(vec![EndedAttempt {
+            task: crate::common::key("j", 0),
+            attempt,
+            end: AttemptEnd::Finished,
+            max_failures: 5,
+        }])
+    };
+    applied(&mut state, 3, &place(1));
+    let lost = Command::WorkerLost { worker: "w0".into(), boot: 1, registered: 1 };
+    applied(&mut state, 4, &lost);
+    applied(&mut state, 5, &Command::Register(record("w0", capacity)));
+    let mut placed_again = state.clone();
+    assert_eq!(applied(&mut state, 6, &finished(1)), Applied::Changed);
+    assert_eq!(state.job_state("j").unwrap().tasks, [TaskState::Finished]);
+    applied(&mut placed_again, 6, &place(2));
+    assert_eq!(applied(&mut placed_again, 7, &finished(1)), Applied::Already);
+    assert_eq!(placed_again.worker("w0").unwrap().tasks.len(), 1);
+}
