placement: learning with covariances, relief that stays off innocent tasks

Cause: with least mean squares a class that was always beside a service took the blame for a newcomer, and a task that was evicted for a service went straight back to the same worker.

Change: a Kalman filter with covariances for each victim class; a task is blamed only with a part of the largest effect; a class that was evicted for relief stays away from the worker for a quarter of an hour.

--- a/crates/placement/src/learn/interference.rs
+++ b/crates/placement/src/learn/interference.rs
@@ -3,8 +3,9 @@
 //! The tail latency of a service, relative to its target, is modelled as a
 //! base that depends on the service's own load, plus a weight for each class
 //! beside it times the share of the worker's processors that the class uses,
-//! scaled with the service's load. The weights follow the errors of the
-//! prediction (normalised least mean squares), so that old evidence fades.
+//! scaled with the service's load. A Kalman filter estimates bases and weights
+//! from noisy reports. Its covariances keep a class that was always there from
+//! being blamed for what a newcomer does, and let old evidence fade.
 
 use super::MAX_CLASSES;
 use cyclamenloft_types::JobClass;
@@ -14,19 +15,25 @@
 const LOAD_LEVELS: usize = 12;
 /// Load that each level spans, as a share of what a replica is sized for.
 const LOAD_STEP: f64 = 0.125;
-/// Share of an error by which the model is corrected.
-const RATE: f64 = 0.25;
+/// Most aggressor classes learned for one victim class.
+const MAX_AGGRESSORS: usize = 128;
 /// Largest error that one observation may correct: latency has outliers.
 const MAX_ERROR: f64 = 0.5;
 /// Base assumed for a load that was never observed.
 const FIRST_BASE: f64 = 0.4;
 /// Weight assumed for a pair that was never observed.
 const FIRST_WEIGHT: f64 = 0.5;
-/// Observations after which the assumed weight counts for nothing.
-const TRUSTED_AFTER: f64 = 8.0;
-/// Part of a pair's evidence that remains after an observation without it.
-const FADING: f64 = 0.9998;
-/// Smallest share of processors that counts as evidence on a pair.
+/// Variance of a weight of which nothing is known.
+const FIRST_VARIANCE: f64 = 1.0;
+/// Variance of a base of which nothing is known.
+const FIRST_BASE_VARIANCE: f64 = 0.25;
+/// Variance of the noise in measured tail latency.
+const NOISE: f64 = 0.02;
+/// Variance that a figure gains with each observation, since it may change.
+const DRIFT: f64 = 1e-4;
+/// Variance above which a pair counts as unknown.
+const UNKNOWN_VARIANCE: f64 = 0.3;
+/// Smallest share of processors that counts as a neighbour.
 const MIN_SHARE: f64 = 0.02;
 
 /// A class beside a service, with the share of the worker's processors it uses.
@@ -38,17 +45,15 @@
     pub share: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Pair {
-    weight: f64,
-    evidence: f64,
-}
-
+/// What is known of one victim class: a mean for each base and weight, and
+/// their covariances.
 #[derive(Clone, Debug)]
 struct Victim {
-    base: [f64; LOAD_LEVELS],
-    observed: [f64; LOAD_LEVELS],
-    aggressors: BTreeMap<JobClass, Pair>,
+    /// Position of each aggressor among the figures, behind the bases.
+    aggressors: BTreeMap<JobClass, usize>,
+    means: Vec<f64>,
+    covariance: Vec<Vec<f64>>,
+    observed: [bool; LOAD_LEVELS],
 }
 
 /// The learned pairs.
@@ -59,14 +64,14 @@
 
 impl InterferenceModel {
     /// Takes in that a service of class `victim` at `load` (1 is what it is
-    /// sized for) had a tail latency of `latency` times its target while
-    /// `neighbours` ran beside it.
+    /// sized for) had a tail latency of `latency` times its target while the
+    /// classes `around` ran beside it.
     pub fn observe(&mut self, victim: &JobClass, load: f64, latency: f64, around: &[Neighbour]) {
         if !self.victims.contains_key(victim) {
             if self.victims.len() >= MAX_CLASSES {
                 return;
             }
-            self.victims.insert(victim.clone(), Victim::default());
+            self.victims.insert(victim.clone(), Victim::new());
         }
         if let Some(model) = self.victims.get_mut(victim) {
             model.observe(load, latency, around);
@@ -85,79 +90,114 @@
     /// What one neighbour adds to the tail latency.
     #[must_use]
     pub fn effect(&self, victim: &str, load: f64, neighbour: &Neighbour) -> f64 {
-        let pair = self.pair(victim, &neighbour.class);
-        let guessed = FIRST_WEIGHT * (1.0 - pair.evidence / TRUSTED_AFTER).max(0.0);
-        (pair.weight + guessed) * neighbour.share * load_scale(load)
+        let weight = self
+            .victims
+            .get(victim)
+            .and_then(|v| v.aggressors.get(&neighbour.class).map(|&at| v.means[at]))
+            .unwrap_or(FIRST_WEIGHT);
+        weight * neighbour.share * load_scale(load)
     }
 
     /// Whether too little is known of the pair to rely on it.
     #[must_use]
     pub fn is_unknown(&self, victim: &str, aggressor: &str) -> bool {
-        self.pair(victim, aggressor).evidence < TRUSTED_AFTER
-    }
-
-    fn pair(&self, victim: &str, aggressor: &str) -> Pair {
-        self.victims
+        let variance = self
+            .victims
             .get(victim)
-            .and_then(|v| v.aggressors.get(aggressor))
-            .copied()
-            .unwrap_or_default()
+            .and_then(|v| v.aggressors.get(aggressor).map(|&at| v.covariance[at][at]));
+        variance.unwrap_or(FIRST_VARIANCE) > UNKNOWN_VARIANCE
     }
 }
 
-impl Default for Victim {
-    fn default() -> Self {
-        Self {
-            base: [FIRST_BASE; LOAD_LEVELS],
-            observed: [0.0; LOAD_LEVELS],
+impl Victim {
+    fn new() -> Self {
+        let mut victim = Self {
             aggressors: BTreeMap::new(),
+            means: Vec::new(),
+            covariance: Vec::new(),
+            observed: [false; LOAD_LEVELS],
+        };
+        for _ in 0..LOAD_LEVELS {
+            victim.add(FIRST_BASE, FIRST_BASE_VARIANCE);
         }
+        victim
+    }
+
+    /// Adds a figure that depends on no other, and returns its position.
+    fn add(&mut self, mean: f64, variance: f64) -> usize {
+        let at = self.means.len();
+        self.means.push(mean);
+        self.covariance.iter_mut().for_each(|row| row.push(0.0));
+        let mut row = vec![0.0; at + 1];
+        row[at] = variance;
+        self.covariance.push(row);
+        at
+    }
+
+    fn aggressor(&mut self, class: &JobClass) -> Option<usize> {
+        if let Some(at) = self.aggressors.get(class) {
+            return Some(*at);
+        }
+        if self.aggressors.len() >= MAX_AGGRESSORS {
+            return None;
+        }
+        let at = self.add(FIRST_WEIGHT, FIRST_VARIANCE);
+        self.aggressors.insert(class.clone(), at);
+        Some(at)
     }
-}
 
-impl Victim {
     /// The base at a load, from the nearest level that was observed.
     fn base_at(&self, load: f64) -> f64 {
         let level = level(load);
-        let known = |l: &usize| self.observed[*l] > 0.0;
-        let nearest = (0..LOAD_LEVELS).filter(known).min_by_key(|l| l.abs_diff(level));
+        let nearest =
+            (0..LOAD_LEVELS).filter(|l| self.observed[*l]).min_by_key(|l| l.abs_diff(level));
         match nearest {
             // A base that was learned at a lower load is a lower bound.
-            Some(l) if l < level => self.base[l] * (1.0 + (level - l) as f64 * LOAD_STEP),
-            Some(l) => self.base[l],
+            Some(l) if l < level => self.means[l] * (1.0 + (level - l) as f64 * LOAD_STEP),
+            Some(l) => self.means[l],
             None => FIRST_BASE,
         }
     }
 
     fn observe(&mut self, load: f64, latency: f64, around: &[Neighbour]) {
         let (level, scale) = (level(load), load_scale(load));
-        if self.observed[level] == 0.0 {
-            self.base[level] = self.base_at(load).min(latency);
+        if !self.observed[level] {
+            self.means[level] = self.base_at(load).min(latency);
+            self.observed[level] = true;
         }
-        self.observed[level] += 1.0;
-        for pair in self.aggressors.values_mut() {
-            pair.evidence *= FADING;
+        let mut inputs = vec![(level, 1.0)];
+        for n in around.iter().filter(|n| n.share >= MIN_SHARE) {
+            if let Some(at) = self.aggressor(&n.class) {
+                inputs.push((at, n.share * scale));
+            }
         }
-        let mut predicted = self.base[level];
-        let mut norm = 0.1;
-        for n in around {
-            let x = n.share * scale;
-            predicted += self.aggressors.get(&n.class).map_or(0.0, |p| p.weight) * x;
-            norm += x * x;
+        self.correct(latency, &inputs);
+    }
+
+    /// One step of the Kalman filter.
+    fn correct(&mut self, latency: f64, inputs: &[(usize, f64)]) {
+        for at in 0..self.means.len() {
+            let most = if at < LOAD_LEVELS { FIRST_BASE_VARIANCE } else { FIRST_VARIANCE };
+            let variance = &mut self.covariance[at][at];
+            if *variance < most {
+                *variance += DRIFT;
+            }
         }
+        let predicted: f64 = inputs.iter().map(|(at, x)| self.means[*at] * x).sum();
         let error = (latency - predicted).clamp(-MAX_ERROR, MAX_ERROR);
-        // The base is what remains without neighbours: with some, it is
-        // corrected upwards slowly and downwards at once.
-        let alone = around.iter().all(|n| n.share < MIN_SHARE);
-        let base_rate = if alone || error < 0.0 { RATE } else { RATE / 16.0 };
-        self.base[level] = (self.base[level] + base_rate * error).max(0.0);
-        for n in around.iter().filter(|n| n.share >= MIN_SHARE) {
-            if self.aggressors.len() >= MAX_CLASSES && !self.aggressors.contains_key(&n.class) {
-                continue;
+        let along: Vec<f64> = self
+            .covariance
+            .iter()
+            .map(|row| inputs.iter().map(|(at, x)| row[*at] * x).sum())
+            .collect();
+        let variance = NOISE + inputs.iter().map(|(at, x)| along[*at] * x).sum::<f64>();
+        for (at, part) in along.iter().enumerate() {
+            let gain = part / variance;
+            if gain != 0.0 {
+                self.means[at] = (self.means[at] + gain * error).max(0.0);
+                let row = self.covariance[at].iter_mut().zip(&along);
+                row.for_each(|(cell, other)| *cell -= gain * other);
             }
-            let pair = self.aggressors.entry(n.class.clone()).or_default();
-            pair.weight = (pair.weight + RATE * error * n.share * scale / norm).max(0.0);
-            pair.evidence += 1.0;
         }
     }
 }
--- a/crates/placement/src/scheduler/fit.rs
+++ b/crates/placement/src/scheduler/fit.rs
@@ -194,7 +194,8 @@
         let occupants = round.occupants.get(id).map(Vec::as_slice).unwrap_or_default();
         let harm = self.harm(worker, want, occupants, round);
         score += HARM_WEIGHT * harm.over_comfort + SMALL_HARM_WEIGHT * harm.added;
-        let allowed = want.job.spec.priority != Priority::Batch || harm.allowed;
+        let avoided = self.avoided.contains(id, &want.job.spec.class, round.now);
+        let allowed = want.job.spec.priority != Priority::Batch || (harm.allowed && !avoided);
         Scored { worker, score, harm: harm.over_comfort, allowed }
     }
 
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -60,6 +60,7 @@
     /// Workers on which a step of relief may be due.
     relieving: BTreeSet<WorkerId>,
     quarantine: quarantine::Quarantine,
+    avoided: relief::Avoided,
     leases: leases::LeaseBound,
 }
 
@@ -88,6 +89,7 @@
             relief_budget: budget::HourlyBudget::default(),
             relieving: BTreeSet::new(),
             quarantine: quarantine::Quarantine::default(),
+            avoided: relief::Avoided::default(),
             leases: leases::LeaseBound::new(state),
         };
         for worker in state.workers().filter(|w| w.alive) {
--- a/crates/placement/src/scheduler/relief.rs
+++ b/crates/placement/src/scheduler/relief.rs
@@ -10,8 +10,11 @@
     state::{Job, PlacementState, WorkerState},
     time::Timestamp,
 };
-use cyclamenloft_types::{AttemptNumber, Priority, TaskKey, TaskState, WorkerId};
-use std::time::{Duration, Instant};
+use cyclamenloft_types::{AttemptNumber, JobClass, Priority, TaskKey, TaskState, WorkerId};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// Reports over target in a row that call for relief.
 const BAD_REPORTS: u32 = 2;
@@ -21,6 +24,8 @@
 const CALM_REPORTS: u32 = 5;
 /// Added tail latency, relative to the target, below which a task isn't blamed.
 const MIN_EFFECT: f64 = 0.02;
+/// Part of the largest effect of a task that a task must have to be blamed too.
+const BLAMED_PART: f64 = 0.3;
 /// Processor shares in percent that throttles step through.
 const STEPS: [u8; 3] = [100, 50, 25];
 /// First time that a throttle is held after a relapse; it doubles with each.
@@ -28,6 +33,26 @@
 /// Longest time that a throttle is held after a relapse.
 const LONGEST_HOLD: Duration = Duration::from_secs(10 * 60);
 
+/// Time for which a class that was evicted from a worker stays away from it.
+const AVOID: Duration = Duration::from_secs(15 * 60);
+
+/// Classes that were evicted from workers for the relief of a service.
+#[derive(Debug, Default)]
+pub(super) struct Avoided(BTreeMap<(WorkerId, JobClass), Instant>);
+
+impl Avoided {
+    fn insert(&mut self, worker: &WorkerId, class: &JobClass, now: Timestamp) {
+        self.0.retain(|_, until| *until > now.instant);
+        self.0.insert((worker.clone(), class.clone()), now.instant + AVOID);
+    }
+
+    /// Whether a class was evicted from a worker a while ago.
+    pub(super) fn contains(&self, worker: &WorkerId, class: &JobClass, now: Timestamp) -> bool {
+        !self.0.is_empty()
+            && self.0.get(&(worker.clone(), class.clone())).is_some_and(|at| *at > now.instant)
+    }
+}
+
 /// How a service has fared in its last reports.
 #[derive(Debug, Default)]
 pub(super) struct Watch {
@@ -64,11 +89,20 @@
 
 struct Suspect {
     task: TaskKey,
+    class: JobClass,
     attempt: AttemptNumber,
+    /// What it adds to the tail latency, relative to the target, unthrottled.
     effect: f64,
     cpu: u32,
 }
 
+/// Why a task is throttled.
+struct Cause<'a> {
+    service: &'a TaskKey,
+    latency: f64,
+    effect: f64,
+}
+
 impl Scheduler {
     /// Takes in how the services of a worker fare.
     pub(super) fn watch(&mut self, state: &PlacementState, report: &Report, now: Timestamp) {
@@ -158,8 +192,12 @@
             let share = f64::from(cpu) / capacity;
             let neighbour = Neighbour { class: job.spec.class.clone(), share };
             let model = &self.learned.interference;
-            let effect = model.effect(&service.spec.class, load, &neighbour);
-            Some(Suspect { task: key.clone(), attempt: task.attempt, effect, cpu })
+            // A throttled task is judged by what it would do without.
+            let percent = view.throttles.get(key).map_or(STEPS[0], |t| t.percent);
+            let unthrottled = f64::from(STEPS[0]) / f64::from(percent.max(1));
+            let effect = model.effect(&service.spec.class, load, &neighbour) * unthrottled;
+            let class = neighbour.class;
+            Some(Suspect { task: key.clone(), class, attempt: task.attempt, effect, cpu })
         };
         let mut suspects: Vec<Suspect> = worker.tasks.iter().filter_map(suspect).collect();
         suspects.sort_by(|a, b| b.effect.total_cmp(&a.effect).then(a.task.cmp(&b.task)));
@@ -182,12 +220,15 @@
             self.settle(id, now);
             return Some(self.evict_for(id, service, latency, &largest, 0, now));
         }
-        let blamed = |s: &&Suspect| s.effect >= MIN_EFFECT;
+        let most = suspects.iter().map(|s| s.effect).fold(0.0, f64::max);
+        let blamed = |s: &&Suspect| s.effect >= MIN_EFFECT.max(most * BLAMED_PART);
         let to_throttle =
             suspects.iter().filter(blamed).find_map(|s| Some((s, self.next_step(id, s)?)));
         if let Some((suspect, percent)) = to_throttle {
             self.relapse(id, now);
-            self.throttle(id, suspect, percent, Some((service, latency)));
+            let task = (&suspect.task, suspect.attempt);
+            let cause = Cause { service, latency, effect: suspect.effect };
+            self.throttle(id, task, percent, Some(&cause));
             self.settle(id, now);
             return None;
         }
@@ -225,6 +266,9 @@
             effect = suspect.effect, cost_ms, "evict"
         );
         self.evicting.insert(suspect.task.clone(), now);
+        if self.policy.relief == ReliefPolicy::Ladder {
+            self.avoided.insert(worker, &suspect.class, now);
+        }
         (suspect.task.clone(), suspect.attempt)
     }
 
@@ -238,26 +282,25 @@
     fn throttle(
         &mut self,
         worker: &WorkerId,
-        suspect: &Suspect,
+        (task, attempt): (&TaskKey, AttemptNumber),
         percent: u8,
-        service: Option<(&TaskKey, f64)>,
+        cause: Option<&Cause<'_>>,
     ) {
         tracing::info!(
             target: "cyclamenloft::decision",
-            task = %suspect.task, attempt = suspect.attempt, worker = %worker, percent,
-            service = service.map(|(key, _)| tracing::field::display(key)),
-            latency = service.map(|(_, latency)| latency), effect = suspect.effect, "throttle"
+            %task, attempt, %worker, percent,
+            service = cause.map(|c| tracing::field::display(c.service)),
+            latency = cause.map(|c| c.latency), effect = cause.map(|c| c.effect), "throttle"
         );
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
-        let (task, attempt) = (suspect.task.clone(), suspect.attempt);
         if percent < STEPS[0] {
             view.throttles.insert(task.clone(), Throttle { attempt, percent });
         } else {
-            view.throttles.remove(&task);
+            view.throttles.remove(task);
         }
-        view.push(Order::Throttle { task, attempt, cpu_percent: percent });
+        view.push(Order::Throttle { task: task.clone(), attempt, cpu_percent: percent });
     }
 
     /// Lifts one throttle by a step where every service of the worker is calm.
@@ -276,8 +319,7 @@
         let percent = STEPS.into_iter().rev().find(|s| *s > present).unwrap_or(STEPS[0]);
         view.relief.lifted = Some(now.instant);
         view.watches.values_mut().for_each(|w| w.calm = 0);
-        let suspect = Suspect { task, attempt, effect: 0.0, cpu: 0 };
-        self.throttle(worker, &suspect, percent, None);
+        self.throttle(worker, (&task, attempt), percent, None);
         self.settle(worker, now);
     }
 
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
+mod learning;
 mod placing;
 mod scheduler;
 mod state;
