--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,7 +3,9 @@
 //! group agrees on; [`Scheduler`] is what its leader knows besides. No input or
 //! output happens here; each function that decides takes the present time.
 
+mod codec;
 pub mod command;
+pub mod learn;
 pub mod messages;
 pub mod policy;
 pub mod scheduler;
@@ -14,7 +16,7 @@
 pub use messages::{
     Announcement, AttemptEnd, Lease, NumberedOrder, Order, OrdersRequest, Report, RunningTask,
 };
-pub use policy::{FitPolicy, PlacementPolicy};
+pub use policy::{FitPolicy, LatencyTarget, PlacementPolicy, ReliefPolicy, TeamPolicy};
 pub use scheduler::Scheduler;
 pub use state::PlacementState;
 pub use time::Timestamp;
