--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -1,30 +1,71 @@
-//! Carrying one admitted request to its target and the answer back.
+//! Carrying a target's answer back to the caller.
 
-use crate::gate::HeldPermit;
+use crate::{
+    decision_log, decision_log::Trail, exchange::Answered, pause::PauseLimit, permit::InFlight,
+};
 use bytes::Bytes;
-use cyclamenloft_http::{Body, BoxError};
+use cyclamenloft_http::{
+    Body, BoxError, Response,
+    answer::{ERROR_HEADER, OUTCOME_HEADER},
+};
 use cyclamenloft_routing::AttemptResult;
-use cyclamenloft_target::TargetBody;
+use cyclamenloft_target::{TargetBody, headers::remove_hop_by_hop};
 use cyclamenloft_types::Outcome;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body::{Frame, SizeHint};
 use std::{
     pin::Pin,
-    task::{Context, Poll, ready},
+    rc::Rc,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
-/// The body of an answer on its way to the caller. It holds the permit until
-/// the answer has ended whole; an answer that is cut short, by either side,
-/// gives the permit back as abandoned.
-pub(crate) struct AnswerBody {
+/// The response for the caller.
+pub(crate) fn pass_back(answered: Answered, pause: Duration) -> Response {
+    let Answered { response, held, trail } = answered;
+    let (mut parts, body) = response.into_parts();
+    clean(&mut parts.headers);
+    let body = AnswerBody::boxed(body, held, trail, parts.status, pause);
+    Response::from_parts(parts, body)
+}
+
+/// Removes what a target can't say to a caller.
+fn clean(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    // Only an entry host says whether a request ran.
+    headers.remove(OUTCOME_HEADER);
+    headers.remove(ERROR_HEADER);
+    headers.append(header::VIA, HeaderValue::from_static("1.1 cyclamenloft"));
+}
+
+/// What is given back once the answer has ended.
+struct Open {
+    held: InFlight,
+    latency: Duration,
+    trail: Rc<Trail>,
+    status: StatusCode,
+}
+
+/// The body of an answer on its way to the caller. It holds the slot until the
+/// answer has ended whole; an answer that is cut short, by either side, gives
+/// the slot back as abandoned.
+struct AnswerBody {
     body: TargetBody,
-    held: Option<(HeldPermit, Duration)>,
+    pause: PauseLimit,
+    open: Option<Open>,
 }
 
 impl AnswerBody {
-    /// Wraps the target's body; `latency` is the time until the answer's head.
-    pub(crate) fn boxed(body: TargetBody, held: HeldPermit, latency: Duration) -> Body {
-        let mut answer = Self { body, held: Some((held, latency)) };
+    fn boxed(
+        body: TargetBody,
+        held: InFlight,
+        trail: Rc<Trail>,
+        status: StatusCode,
+        pause: Duration,
+    ) -> Body {
+        let latency = held.permit().since.elapsed();
+        let open = Some(Open { held, latency, trail, status });
+        let mut answer = Self { body, pause: PauseLimit::new(pause), open };
         answer.finish_if_ended();
         Box::pin(answer)
     }
@@ -36,12 +77,34 @@
     }
 
     fn finish(&mut self) {
-        if let Some((held, latency)) = self.held.take() {
-            let result =
-                AttemptResult { outcome: Outcome::Done, healthy: true, latency, abandoned: false };
+        if let Some(Open { held, latency, trail, status }) = self.open.take() {
+            decision_log::answered(&trail, status, true);
+            let result = AttemptResult {
+                outcome: Outcome::Done,
+                healthy: !status.is_server_error() || status == StatusCode::NOT_IMPLEMENTED,
+                latency,
+                abandoned: false,
+            };
             held.finish(result, Instant::now());
         }
     }
+
+    /// Ends the answer because the target's side broke off.
+    fn cut(&mut self) {
+        if let Some(Open { held, trail, status, .. }) = self.open.take() {
+            decision_log::answered(&trail, status, false);
+            held.finish_lost(false, Instant::now());
+        }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        // The caller has gone; dropping the slot marks the request as abandoned.
+        if let Some(open) = self.open.take() {
+            decision_log::answered(&open.trail, open.status, false);
+        }
+    }
 }
 
 impl http_body::Body for AnswerBody {
@@ -52,12 +115,21 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+            if self.pause.poll_waiting(cx).is_pending() {
+                return Poll::Pending;
+            }
+            self.cut();
+            let limit = self.pause.limit();
+            return Poll::Ready(Some(
+                Err(format!("answer: expected more within {limit:?}").into()),
+            ));
+        };
+        self.pause.reset();
         match &frame {
             None => self.finish(),
             Some(Ok(_)) => self.finish_if_ended(),
-            // Dropping the permit marks the request as abandoned.
-            Some(Err(_)) => self.held = None,
+            Some(Err(_)) => self.cut(),
         }
         Poll::Ready(frame)
     }
--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -1,26 +1,41 @@
 //! Waiting for decisions: the decisions of one service, shared by the threads
 //! of an entry host.
 
+use crate::permit::Reserved;
 use cyclamenloft_routing::{
     AttemptResult, Decision, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
-    ServiceRouter, TargetRecord, Ticket,
+    ServiceRouter, TargetRecord, Ticket, slots::base_share,
 };
+use cyclamenloft_target::Endpoint;
 use cyclamenloft_types::{ErrorKind, HostId, Outcome, TargetId};
 use futures_channel::oneshot;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
+/// Targets that one request may be sent to, one after the other.
+const MAX_ATTEMPTS: usize = 3;
+/// When a refused request may be sent again, where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What became of a request that waited.
+type Turn = Result<Reserved, Refusal>;
+
 struct State {
     router: ServiceRouter,
-    waiting: HashMap<Ticket, oneshot::Sender<Decision>>,
+    waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
     policy: ServicePolicy,
+    /// Until when the newest announcement at an address holds.
+    live: HashMap<SocketAddr, Instant>,
 }
 
 /// The decisions of one service at this entry host.
 pub struct Gate {
+    host: HostId,
+    roster: Vec<HostId>,
     state: Mutex<State>,
 }
 
@@ -33,8 +48,9 @@
         routing: RoutingPolicy,
         policy: ServicePolicy,
     ) -> Arc<Self> {
-        let router = ServiceRouter::new(host, roster, routing, policy.clone());
-        Arc::new(Self { state: Mutex::new(State { router, waiting: HashMap::new(), policy }) })
+        let router = ServiceRouter::new(host.clone(), roster.clone(), routing, policy.clone());
+        let state = State { router, waiting: HashMap::new(), policy, live: HashMap::new() };
+        Arc::new(Self { host, roster, state: Mutex::new(state) })
     }
 
     /// Takes a changed policy into force.
@@ -51,20 +67,37 @@
     }
 
     /// Takes in a target's announcement.
-    pub fn announce(&self, record: TargetRecord, now: Instant) {
-        let mut state = self.lock();
-        let decided = state.router.announce(record, now);
-        deliver(&mut state, decided, now);
+    pub fn announce(self: &Arc<Self>, record: TargetRecord, now: Instant) {
+        self.decide(|state| {
+            let until = if record.leaving { now } else { record.expires };
+            state.live.insert(record.addr, until);
+            state.router.announce(record, now)
+        });
     }
 
     /// Drops what has expired.
-    pub fn tick(&self, now: Instant) {
-        let mut state = self.lock();
-        let decided = state.router.tick(now);
-        deliver(&mut state, decided, now);
+    pub fn tick(self: &Arc<Self>, now: Instant) {
+        self.decide(|state| {
+            state.live.retain(|_, until| *until > now);
+            state.router.tick(now)
+        });
     }
 
-    /// Waits for the decision on a request.
+    /// Adds the addresses of the targets that take requests.
+    pub fn add_live(&self, now: Instant, all: &mut HashSet<SocketAddr>) {
+        let state = self.lock();
+        all.extend(state.live.iter().filter(|(_, until)| **until > now).map(|(addr, _)| *addr));
+    }
+
+    /// Where the holder of `permit` sends its request.
+    #[must_use]
+    pub fn endpoint(&self, permit: &Permit) -> Endpoint {
+        let all = self.lock().policy.connections;
+        let share = base_share(all, &permit.target, &self.roster, &self.host);
+        Endpoint { addr: permit.addr, connections: share.max(1) }
+    }
+
+    /// Waits for the decision on a request, at most until its deadline.
     ///
     /// # Errors
     ///
@@ -74,11 +107,12 @@
         facts: RequestFacts,
         avoid: &[TargetId],
         now: Instant,
-    ) -> Result<HeldPermit, Refusal> {
+    ) -> Result<Reserved, Refusal> {
+        let deadline = facts.deadline;
         let (ticket, rx) = {
             let mut state = self.lock();
             match state.router.admit(facts, avoid, now) {
-                Decision::Dispatch(permit) => return Ok(self.hold(permit)),
+                Decision::Dispatch(permit) => return Ok(Reserved::new(self.clone(), permit)),
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
                     let (tx, rx) = oneshot::channel();
@@ -87,59 +121,86 @@
                 }
             }
         };
-        // Dropped when the caller goes away before the decision.
+        // Dropped when the caller goes away, or the deadline passes, before the
+        // decision.
         let _waiting = WaitingGuard { gate: self, ticket };
-        match rx.await {
-            Ok(Decision::Dispatch(permit)) => Ok(self.hold(permit)),
-            Ok(Decision::Refuse(refusal)) => Err(refusal),
-            Ok(Decision::Wait(_)) | Err(_) => Err(Refusal {
-                kind: ErrorKind::Draining,
-                detail: "the entry host stopped before the request's turn came".into(),
-                retry_after: Duration::ZERO,
-            }),
+        match compio::time::timeout_at(deadline, rx).await {
+            Ok(Ok(turn)) => turn,
+            Ok(Err(_)) => {
+                let detail = "the entry host stopped before the request's turn came";
+                Err(refusal(ErrorKind::Draining, detail))
+            }
+            Err(_) => Err(refusal(ErrorKind::DeadlinePassed, "the deadline passed in the queue")),
         }
     }
 
-    fn hold(self: &Arc<Self>, permit: Permit) -> HeldPermit {
-        HeldPermit { gate: self.clone(), permit: Some(permit) }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        // Decisions don't panic half-way; a poisoned lock still holds a whole state.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether a request that the targets `failed` have failed may go to
+    /// another one, and after what pause. `outcome` is the least favourable of
+    /// its attempts so far.
+    ///
+    /// # Errors
+    ///
+    /// Why not, for the log.
+    pub fn retry(
+        &self,
+        facts: &RequestFacts,
+        failed: &[TargetId],
+        outcome: Outcome,
+        now: Instant,
+    ) -> Result<Duration, &'static str> {
+        if outcome != Outcome::NotRun && !facts.idempotent {
+            return Err("may-have-run");
+        }
+        if failed.len() >= MAX_ATTEMPTS {
+            return Err("too-many-attempts");
+        }
+        if now >= facts.deadline {
+            return Err("deadline-too-short");
+        }
+        Ok(Duration::ZERO)
     }
 
-    fn release(&self, permit: Permit, result: AttemptResult, now: Instant) {
-        let mut state = self.lock();
-        let decided = state.router.release(permit, result, now);
-        deliver(&mut state, decided, now);
+    pub(crate) fn release(self: &Arc<Self>, permit: Permit, result: AttemptResult, now: Instant) {
+        self.decide(|state| state.router.release(permit, result, now));
     }
-}
 
-/// Hands decisions to the requests that wait for them.
-fn deliver(state: &mut State, decided: Vec<(Ticket, Decision)>, now: Instant) {
-    let mut pending = decided;
-    while let Some((ticket, decision)) = pending.pop() {
-        let Some(tx) = state.waiting.remove(&ticket) else {
-            continue;
+    /// Lets `f` decide, and hands the decisions to the requests that wait for
+    /// them. Nothing is sent under the lock, because a receiver that is gone
+    /// gives its slot back.
+    fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
+        let decided: Vec<_> = {
+            let mut state = self.lock();
+            let decided = f(&mut state);
+            if decided.is_empty() {
+                return;
+            }
+            let waiting = &mut state.waiting;
+            decided.into_iter().map(|(t, decision)| (waiting.remove(&t), decision)).collect()
         };
-        // A request whose caller has gone gives its permit to the next.
-        if let Err(Decision::Dispatch(permit)) = tx.send(decision) {
-            pending.extend(state.router.release(permit, not_sent(), now));
+        for (tx, decision) in decided {
+            let turn = match decision {
+                Decision::Dispatch(permit) => Ok(Reserved::new(self.clone(), permit)),
+                Decision::Refuse(refusal) => Err(refusal),
+                Decision::Wait(_) => continue,
+            };
+            if let Some(tx) = tx {
+                // A receiver that is gone drops the slot, which frees it.
+                let _ = tx.send(turn);
+            }
         }
     }
-}
 
-/// The result of a permit that was given back unused.
-fn not_sent() -> AttemptResult {
-    AttemptResult {
-        outcome: Outcome::NotRun,
-        healthy: true,
-        latency: Duration::ZERO,
-        abandoned: false,
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // Decisions don't panic half-way; a poisoned lock still holds a whole state.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// A refusal that may be sent again soon.
+pub(crate) fn refusal(kind: ErrorKind, detail: impl Into<Box<str>>) -> Refusal {
+    Refusal { kind, detail: detail.into(), retry_after: RETRY_AFTER }
+}
+
 struct WaitingGuard<'a> {
     gate: &'a Gate,
     ticket: Ticket,
@@ -152,49 +213,3 @@
         state.waiting.remove(&self.ticket);
     }
 }
-
-/// A permit that is surely given back: where it is dropped without a result,
-/// the request counts as abandoned and may still occupy the target.
-pub struct HeldPermit {
-    gate: Arc<Gate>,
-    permit: Option<Permit>,
-}
-
-impl HeldPermit {
-    /// The permit.
-    ///
-    /// # Panics
-    ///
-    /// Never: the permit is taken only by `finish` and `drop`.
-    pub fn permit(&self) -> &Permit {
-        self.permit.as_ref().expect("a held permit is present until it is given back")
-    }
-
-    /// Gives the permit back with the result of the attempt.
-    pub fn finish(mut self, result: AttemptResult, now: Instant) {
-        if let Some(permit) = self.permit.take() {
-            self.gate.release(permit, result, now);
-        }
-    }
-
-    /// Gives the permit back after the request was surely not sent.
-    pub fn finish_unsent(self, healthy: bool, now: Instant) {
-        self.finish(AttemptResult { healthy, ..not_sent() }, now);
-    }
-}
-
-impl Drop for HeldPermit {
-    fn drop(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            let now = Instant::now();
-            let latency = now.saturating_duration_since(permit.since);
-            let result = AttemptResult {
-                outcome: Outcome::Unknown,
-                healthy: true,
-                latency,
-                abandoned: true,
-            };
-            self.gate.release(permit, result, now);
-        }
-    }
-}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,11 +1,24 @@
 //! Towards callers: reading what a request asks for, waiting for a decision,
 //! carrying the request to the chosen target and the whole answer back.
 
-pub mod forward;
+mod exchange;
+mod forward;
+mod outgoing;
+mod pause;
+mod shape;
+mod upload;
+
+pub mod decision_log;
 pub mod gate;
+pub mod gates;
 pub mod handler;
+pub mod limits;
 pub mod marks;
+pub mod permit;
 
-pub use gate::{Gate, HeldPermit};
-pub use handler::{CallerHandler, Gates, Readiness};
+pub use gate::Gate;
+pub use gates::{Gates, Readiness};
+pub use handler::CallerHandler;
+pub use limits::CallerLimits;
 pub use marks::Marks;
+pub use permit::{InFlight, Reserved};
--- /dev/null
+++ b/crates/caller/src/outgoing.rs
@@ -0,0 +1,68 @@
+//! The request that targets get, made from the caller's.
+
+use crate::{
+    marks::{DEADLINE_HEADER, Marks, REQUEST_ID_HEADER},
+    upload::Upload,
+};
+use cyclamenloft_http::Body;
+use cyclamenloft_target::headers::remove_hop_by_hop;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header, request::Parts};
+use std::time::{Duration, Instant};
+
+/// Header that lists the addresses that a request came through.
+const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+/// What an entry host adds to the `Via` header.
+const VIA: HeaderValue = HeaderValue::from_static("1.1 cyclamenloft");
+
+/// What is sent to a target, as often as it may be.
+pub(crate) struct Outgoing {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    upload: Upload,
+    /// Whether another attempt may need the headers again.
+    repeatable: bool,
+}
+
+impl Outgoing {
+    /// Makes the request from the caller's head; `remote` is the address that it
+    /// came from.
+    pub(crate) fn new(parts: Parts, marks: &Marks, upload: Upload, remote: &str) -> Self {
+        let mut headers = parts.headers;
+        remove_hop_by_hop(&mut headers);
+        headers.remove(header::EXPECT);
+        headers.append(header::VIA, VIA);
+        if let Ok(value) = HeaderValue::from_str(remote) {
+            headers.append(FORWARDED_FOR, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(&marks.id) {
+            headers.insert(REQUEST_ID_HEADER, value);
+        }
+        let repeatable = marks.idempotent && upload.is_whole();
+        Self { method: parts.method, uri: marks.path.clone().into(), headers, upload, repeatable }
+    }
+
+    /// Whether the request can be built once more.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.repeatable
+    }
+
+    /// The request for the next attempt; `None` where it can't be built again.
+    pub(crate) fn next(&mut self, deadline: Instant, now: Instant) -> Option<Request<Body>> {
+        let body = self.upload.next()?;
+        let headers =
+            if self.repeatable { self.headers.clone() } else { std::mem::take(&mut self.headers) };
+        let mut req = Request::new(body);
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = headers;
+        set_deadline(&mut req, deadline.saturating_duration_since(now));
+        Some(req)
+    }
+}
+
+/// States the time that is left.
+pub(crate) fn set_deadline(req: &mut Request<Body>, left: Duration) {
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    req.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(left));
+}
--- /dev/null
+++ b/crates/caller/src/permit.rs
@@ -0,0 +1,127 @@
+//! The life of a slot: reserved, then occupied by a request under way.
+//!
+//! A slot whose holder vanishes before the request was handed over is free at
+//! once; afterwards it counts as abandoned, because the target may still be
+//! working on the request.
+
+use crate::gate::Gate;
+use cyclamenloft_routing::{AttemptResult, Permit};
+use cyclamenloft_target::Returned;
+use cyclamenloft_types::Outcome;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// A permit together with the gate that takes it back.
+struct Held {
+    gate: Arc<Gate>,
+    permit: Permit,
+}
+
+/// A slot for a request of which no byte has been sent. Dropping it frees the slot.
+pub struct Reserved(Option<Held>);
+
+/// A slot for a request that the target may have received. Dropping it marks
+/// the request as abandoned.
+pub struct InFlight(Option<Held>);
+
+const HELD: &str = "a permit is present until it is given back";
+
+impl Reserved {
+    pub(crate) fn new(gate: Arc<Gate>, permit: Permit) -> Self {
+        Self(Some(Held { gate, permit }))
+    }
+
+    /// The permit.
+    ///
+    /// # Panics
+    ///
+    /// Never: only `dispatch` and `drop` take the permit.
+    pub fn permit(&self) -> &Permit {
+        &self.0.as_ref().expect(HELD).permit
+    }
+
+    /// The slot of a request that is about to be handed to a connection.
+    #[must_use]
+    pub fn dispatch(mut self) -> InFlight {
+        InFlight(self.0.take())
+    }
+
+    /// Gives the slot back. `healthy` is false where what stopped the request
+    /// speaks against the target.
+    pub fn finish(mut self, healthy: bool, now: Instant) {
+        release(&mut self.0, AttemptResult { healthy, ..unsent() }, now);
+    }
+}
+
+impl InFlight {
+    /// The permit.
+    ///
+    /// # Panics
+    ///
+    /// Never: only the `finish` functions and `drop` take the permit.
+    pub fn permit(&self) -> &Permit {
+        &self.0.as_ref().expect(HELD).permit
+    }
+
+    /// Gives the slot back after the request has ended with `result`.
+    pub fn finish(mut self, result: AttemptResult, now: Instant) {
+        release(&mut self.0, result, now);
+    }
+
+    /// The slot of a request that came back unsent.
+    #[must_use]
+    pub fn take_back(mut self, _proof: &Returned) -> Reserved {
+        Reserved(self.0.take())
+    }
+
+    /// Gives the slot back after the answer was lost; the target may still be
+    /// working on the request.
+    pub fn finish_lost(mut self, healthy: bool, now: Instant) {
+        let result = AttemptResult { healthy, ..abandoned(self.permit(), now) };
+        release(&mut self.0, result, now);
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        if self.0.is_some() {
+            release(&mut self.0, unsent(), Instant::now());
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.0.is_some() {
+            let now = Instant::now();
+            let result = abandoned(self.permit(), now);
+            release(&mut self.0, result, now);
+        }
+    }
+}
+
+fn release(held: &mut Option<Held>, result: AttemptResult, now: Instant) {
+    if let Some(Held { gate, permit }) = held.take() {
+        gate.release(permit, result, now);
+    }
+}
+
+fn unsent() -> AttemptResult {
+    AttemptResult {
+        outcome: Outcome::NotRun,
+        healthy: true,
+        latency: Duration::ZERO,
+        abandoned: false,
+    }
+}
+
+fn abandoned(permit: &Permit, now: Instant) -> AttemptResult {
+    AttemptResult {
+        outcome: Outcome::Unknown,
+        healthy: true,
+        latency: now.saturating_duration_since(permit.since),
+        abandoned: true,
+    }
+}
--- /dev/null
+++ b/crates/caller/src/upload.rs
@@ -0,0 +1,146 @@
+//! The body of a caller's request: read whole where it is small, so that it can
+//! be sent again, and streamed once where it isn't.
+
+use crate::{gate::refusal, limits::CallerLimits, pause::PauseLimit};
+use bytes::Bytes;
+use cyclamenloft_http::{Body, BoxError, empty, full};
+use cyclamenloft_routing::Refusal;
+use cyclamenloft_types::ErrorKind;
+use http::{HeaderMap, header};
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{
+    cell::Cell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+/// The body of a request on its way to a target.
+pub(crate) enum Upload {
+    /// A whole body, which can be sent again.
+    Whole(Bytes),
+    /// A body that can be sent once; `None` once it has been.
+    Once(Option<Body>),
+}
+
+/// Tells whether a body that was streamed broke off on the caller's side.
+#[derive(Clone, Default)]
+pub(crate) struct CallerFault(Rc<Cell<bool>>);
+
+impl CallerFault {
+    /// Whether the caller's side broke off.
+    pub(crate) fn happened(&self) -> bool {
+        self.0.get()
+    }
+}
+
+impl Upload {
+    /// Takes in a body. A small one is read whole; no target waits for it.
+    ///
+    /// # Errors
+    ///
+    /// A body that is cut short, or that arrives too slowly.
+    pub(crate) async fn receive(
+        body: Incoming,
+        headers: &HeaderMap,
+        limits: &CallerLimits,
+        deadline: Instant,
+        fault: &CallerFault,
+    ) -> Result<Self, Refusal> {
+        if body.is_end_stream() {
+            return Ok(Self::Whole(Bytes::new()));
+        }
+        let small = body.size_hint().exact().is_some_and(|n| n <= limits.replay_bytes);
+        let watched = WatchedBody {
+            body,
+            pause: PauseLimit::new(limits.body_pause),
+            left: limits.body_bytes,
+            fault: fault.clone(),
+        };
+        // A caller that waits for `100 Continue` is asked for its body only
+        // once the request has been admitted.
+        if !small || headers.contains_key(header::EXPECT) {
+            return Ok(Self::Once(Some(Box::pin(watched))));
+        }
+        match compio::time::timeout_at(deadline, watched.collect()).await {
+            Ok(Ok(whole)) => Ok(Self::Whole(whole.to_bytes())),
+            Ok(Err(e)) => Err(refusal(ErrorKind::BadRequest, format!("body: {e}"))),
+            Err(_) => {
+                let detail = "the deadline passed while the body arrived";
+                Err(refusal(ErrorKind::DeadlinePassed, detail))
+            }
+        }
+    }
+
+    /// Whether the body can be sent again.
+    pub(crate) fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
+    /// The body for the next attempt; `None` where it has been sent and can't be
+    /// sent again.
+    pub(crate) fn next(&mut self) -> Option<Body> {
+        match self {
+            Self::Whole(content) if content.is_empty() => Some(empty()),
+            Self::Whole(content) => Some(full(content.clone())),
+            Self::Once(body) => body.take(),
+        }
+    }
+}
+
+/// A body that ends with an error where it is too long or pauses for too long.
+struct WatchedBody {
+    body: Incoming,
+    pause: PauseLimit,
+    left: u64,
+    fault: CallerFault,
+}
+
+impl WatchedBody {
+    fn fail<T>(&self, error: BoxError) -> Poll<Option<Result<T, BoxError>>> {
+        self.fault.0.set(true);
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl http_body::Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let Poll::Ready(polled) = Pin::new(&mut self.body).poll_frame(cx) else {
+            if self.pause.poll_waiting(cx).is_pending() {
+                return Poll::Pending;
+            }
+            let limit = self.pause.limit();
+            return self.fail(format!("expected more within {limit:?}").into());
+        };
+        self.pause.reset();
+        match polled {
+            Some(Ok(frame)) => {
+                let length = frame.data_ref().map_or(0, |d| d.len() as u64);
+                if length > self.left {
+                    return self.fail("longer than the limit".into());
+                }
+                self.left -= length;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(e)) => self.fail(e.into()),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -1,101 +1,167 @@
 //! One connection to a target, with one request at a time. This module alone
-//! knows whether a request was handed over, so it alone says `not-run`.
+//! hands requests to connections.
 
+use crate::{
+    failure::{Lost, NoConnection, NoConnectionCause, Returned, SendFailure},
+    pool::Pool,
+    usage::ConnectionGuard,
+};
 use bytes::Bytes;
-use compio::{net::TcpStream, runtime::spawn};
+use compio::{
+    net::TcpStream,
+    runtime::{JoinHandle, spawn},
+};
 use cyclamenloft_http::{Body, BoxError};
 use cyper_core::HyperStream;
 use http::{Request, Response};
 use http_body::{Frame, SizeHint};
 use hyper::{
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
 };
 use std::{
     net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
-    time::Duration,
+    time::Instant,
 };
 
-/// A connection that can take a request.
+/// Most headers of an answer.
+const MAX_ANSWER_HEADERS: usize = 128;
+/// Most bytes of an answer's head, and of a read from a target.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
+/// A connection that can take a request. Dropping it closes it, also while a
+/// request is under way.
 pub struct Connection {
     sender: SendRequest<Body>,
+    /// Reads and writes the socket; dropping the handle drops the socket.
+    _io: JoinHandle<()>,
+    _guard: ConnectionGuard,
 }
 
 impl Connection {
     /// Whether the connection can take a request now.
     #[must_use]
-    pub fn is_usable(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
-}
 
-/// Why no answer came.
-pub enum SendFailure {
-    /// No byte of the request was written to a connection.
-    NotRun {
-        /// The request, where it can be sent again.
-        req: Option<Box<Request<Body>>>,
-        /// What failed.
-        detail: Box<str>,
-    },
-    /// The target may have received the request.
-    Unknown {
-        /// What failed.
-        detail: Box<str>,
-    },
+    /// Whether the connection will never take a request again.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the connection can take a request. Returns false where it
+    /// closed instead.
+    pub(crate) async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
 }
 
-/// Makes a connection; the error is a sentence for the log.
-pub(crate) async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Connection, Box<str>> {
-    let stream = match compio::time::timeout(timeout, TcpStream::connect(addr)).await {
+/// Makes a connection, until the time given.
+///
+/// # Errors
+///
+/// Why there is none; a timeout is [`NoConnectionCause::Deadline`].
+pub(crate) async fn connect(
+    addr: SocketAddr,
+    guard: ConnectionGuard,
+    until: Instant,
+) -> Result<Connection, NoConnection> {
+    let failed = |cause, what: String| NoConnection {
+        cause,
+        detail: format!("connect to {addr}: {what}").into(),
+    };
+    let stream = match compio::time::timeout_at(until, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(format!("connect to {addr}: {e}").into()),
-        Err(_) => return Err(format!("connect to {addr}: timed out").into()),
+        Ok(Err(e)) => return Err(failed(NoConnectionCause::Connect, e.to_string())),
+        Err(_) => return Err(failed(NoConnectionCause::Deadline, "timed out".into())),
     };
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(HyperStream::new_plain(stream))
+    let (sender, connection) = Builder::new()
+        .max_headers(MAX_ANSWER_HEADERS)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(HyperStream::new_plain(stream))
         .await
-        .map_err(|e| format!("handshake with {addr}: {e}"))?;
-    spawn(async move {
+        .map_err(|e| failed(NoConnectionCause::Connect, e.to_string()))?;
+    let io = spawn(async move {
         if let Err(e) = connection.await {
             tracing::debug!(%addr, error = %e, "connection to target ended early");
         }
-    })
-    .detach();
-    Ok(Connection { sender })
+    });
+    Ok(Connection { sender, _io: io, _guard: guard })
 }
 
-/// Sends a request and waits for the answer's head.
-pub(crate) async fn send(
-    mut connection: Connection,
-    req: Request<Body>,
-) -> Result<(Response<Incoming>, Connection), SendFailure> {
-    match connection.sender.try_send_request(req).await {
-        Ok(response) => Ok((response, connection)),
-        Err(mut e) => match e.take_message() {
-            Some(req) => Err(SendFailure::NotRun {
-                req: Some(Box::new(req)),
-                detail: "the connection was closed before the request was written".into(),
-            }),
-            None => Err(SendFailure::Unknown { detail: e.into_error().to_string().into() }),
-        },
+/// A connection of a pool that waits for one request.
+pub struct Acquired {
+    pub(crate) connection: Connection,
+    pub(crate) addr: SocketAddr,
+    pub(crate) pool: Pool,
+    /// Whether no request has used the connection yet.
+    pub(crate) fresh: bool,
+}
+
+impl Acquired {
+    /// Whether no request has used the connection yet. A used one may have been
+    /// closed by the target while it was idle, which says nothing of its health.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// Sends a request and waits until `deadline` for the answer's head. The
+    /// connection comes back to the pool once the answer's body has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFailure::Returned`] where no byte was written,
+    /// [`SendFailure::Lost`] where the target may have received the request.
+    /// The connection is closed in both cases.
+    pub async fn send(
+        mut self,
+        req: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<TargetBody>, SendFailure> {
+        let answer = self.connection.sender.try_send_request(req);
+        match compio::time::timeout_at(deadline, answer).await {
+            Ok(Ok(response)) => Ok(response.map(|body| TargetBody::new(body, self))),
+            Ok(Err(mut e)) => match e.take_message() {
+                Some(req) => Err(SendFailure::Returned(Returned::new(req))),
+                None => Err(lost(false, sentence(&e.into_error()))),
+            },
+            Err(_) => Err(lost(true, "the deadline passed before an answer came".into())),
+        }
     }
 }
 
-type GiveBack = Box<dyn FnOnce(Connection)>;
+fn lost(timed_out: bool, detail: String) -> SendFailure {
+    SendFailure::Lost(Lost { timed_out, detail: detail.into() })
+}
+
+/// The error with its causes.
+fn sentence(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(e) = cause {
+        text.push_str(": ");
+        text.push_str(&e.to_string());
+        cause = e.source();
+    }
+    text
+}
 
 /// The body of a target's answer. When it ends whole, its connection may be
 /// used again; when it is dropped before, the connection is closed.
 pub struct TargetBody {
     body: Incoming,
-    connection: Option<(Connection, GiveBack)>,
+    busy: Option<Acquired>,
 }
 
 impl TargetBody {
-    pub(crate) fn new(body: Incoming, connection: Connection, give_back: GiveBack) -> Self {
-        let mut whole = Self { body, connection: Some((connection, give_back)) };
+    fn new(body: Incoming, busy: Acquired) -> Self {
+        let mut whole = Self { body, busy: Some(busy) };
         whole.finish_if_ended();
         whole
     }
@@ -107,8 +173,8 @@
     }
 
     fn finish(&mut self) {
-        if let Some((connection, give_back)) = self.connection.take() {
-            give_back(connection);
+        if let Some(Acquired { connection, addr, pool, .. }) = self.busy.take() {
+            pool.give_back(addr, connection);
         }
     }
 }
@@ -133,7 +199,7 @@
             }
             Some(Err(e)) => {
                 // The connection's state is unknown, so it is not used again.
-                self.connection = None;
+                self.busy = None;
                 Poll::Ready(Some(Err(e.into())))
             }
         }
--- a/crates/target/src/headers.rs
+++ b/crates/target/src/headers.rs
@@ -1,9 +1,9 @@
 //! Headers that end at each hop.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] = [
+const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
@@ -11,19 +11,51 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
 ];
 
 /// Removes the headers that must not be passed on, including those that the
-/// `Connection` header names.
+/// `Connection` header names. `TE: trailers` is put back, because trailers
+/// are passed on.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
+    let trailers = takes_trailers(headers);
+    remove_named(headers);
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    if trailers {
+        headers.insert(header::TE, HeaderValue::from_static("trailers"));
+    }
+}
+
+/// Removes the headers that the `Connection` header names, but for those that
+/// say how long the body is: a sender can't have them dropped.
+fn remove_named(headers: &mut HeaderMap) {
+    if !headers.contains_key(header::CONNECTION) {
+        return;
+    }
+    let named: Vec<HeaderName> = list_items(headers, &header::CONNECTION)
+        .filter_map(|name| name.parse().ok())
+        .filter(|name| name != header::CONTENT_LENGTH && name != header::HOST)
         .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
+    for name in &named {
         headers.remove(name);
     }
 }
+
+fn takes_trailers(headers: &HeaderMap) -> bool {
+    list_items(headers, &header::TE).any(|item| item.eq_ignore_ascii_case("trailers"))
+}
+
+/// The items of a header that holds a list.
+pub fn list_items<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> impl Iterator<Item = &'a str> + use<'a> {
+    headers
+        .get_all(name)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(str::trim)
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -3,11 +3,15 @@
 
 pub mod announcement;
 pub mod connection;
+pub mod failure;
 pub mod headers;
 pub mod pool;
 pub mod registry;
+pub mod usage;
 
 pub use announcement::{AnnounceAnswer, TargetAnnouncement, TargetPhase};
-pub use connection::{SendFailure, TargetBody};
-pub use pool::{Pool, PoolLimits};
+pub use connection::{Acquired, TargetBody};
+pub use failure::{Lost, NoConnection, NoConnectionCause, Returned, SendFailure};
+pub use pool::{Endpoint, Pool, PoolLimits};
 pub use registry::{Registry, ServiceTarget};
+pub use usage::{ConnectionTotals, HostConnections};
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -1,9 +1,11 @@
-//! Connections to targets: each thread keeps its own idle ones.
+//! Connections to targets. Each thread keeps its own; the bound on those to one
+//! target holds for the whole host.
 
-use crate::connection::{Connection, SendFailure, TargetBody, connect, send};
-use cyclamenloft_http::Body;
-use cyclamenloft_types::TargetId;
-use http::{Request, Response};
+use crate::{
+    connection::{Acquired, Connection, connect},
+    failure::{NoConnection, NoConnectionCause},
+    usage::{ConnectionGuard, HostConnections, TargetUsage},
+};
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -15,8 +17,8 @@
 /// Bounds on the connections of one thread.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
-    /// Most idle connections that this thread keeps to one target.
-    pub idle_per_target: usize,
+    /// Most connections open at once, to all targets.
+    pub connections: usize,
     /// How long an idle connection is kept.
     pub idle_time: Duration,
     /// Longest time for a connection to be made.
@@ -26,111 +28,195 @@
 impl Default for PoolLimits {
     fn default() -> Self {
         Self {
-            idle_per_target: 8,
+            connections: 8192,
             idle_time: Duration::from_secs(30),
             connect_timeout: Duration::from_secs(1),
         }
     }
 }
 
+/// Where a request is sent, and how many connections the host may have there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// This host's share of the target's connections.
+    pub connections: u16,
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
 }
 
-#[derive(Default)]
+struct TargetConnections {
+    usage: TargetUsage,
+    /// The one used last stands last and is used first, so that the others age.
+    idle: Vec<Idle>,
+}
+
 struct Inner {
-    idle: HashMap<(TargetId, SocketAddr), Vec<Idle>>,
+    targets: HashMap<SocketAddr, TargetConnections>,
+}
+
+enum Choice {
+    Connection(Connection),
+    Open(ConnectionGuard),
+    Busy,
 }
 
 /// The connections of one thread; clones share them.
 #[derive(Clone)]
 pub struct Pool {
     limits: PoolLimits,
+    host: HostConnections,
     inner: Rc<RefCell<Inner>>,
 }
 
 impl Pool {
-    /// A pool without connections.
+    /// A pool without connections, which are counted in `host`.
     #[must_use]
-    pub fn new(limits: PoolLimits) -> Self {
-        Self { limits, inner: Rc::default() }
+    pub fn new(limits: PoolLimits, host: HostConnections) -> Self {
+        let inner = Inner { targets: HashMap::new() };
+        Self { limits, host, inner: Rc::new(RefCell::new(inner)) }
     }
 
-    /// Sends `req` to the target at `addr` and waits for the answer's head. The
-    /// connection comes back to the pool once the answer's body has ended.
+    /// A connection to the target at `to` that waits for a request: an idle one
+    /// or a new one.
     ///
     /// # Errors
     ///
-    /// [`SendFailure::NotRun`] where no byte of the request was written,
-    /// [`SendFailure::Unknown`] where the target may have received it.
-    pub async fn send(
+    /// Why there is none; nothing has been sent.
+    pub async fn acquire(
         &self,
-        target: &TargetId,
-        addr: SocketAddr,
-        req: Request<Body>,
+        to: Endpoint,
+        deadline: Instant,
         now: Instant,
-    ) -> Result<Response<TargetBody>, SendFailure> {
-        let mut req = req;
-        // An idle connection may have been closed by the target; a fresh one
-        // decides then.
-        while let Some(connection) = self.take_idle(target, addr, now) {
-            match send(connection, req).await {
-                Err(SendFailure::NotRun { req: Some(back), .. }) => req = *back,
-                Ok((response, connection)) => {
-                    return Ok(self.keep(target, addr, response, connection));
+    ) -> Result<Acquired, NoConnection> {
+        loop {
+            let (connection, fresh) = match self.choose(to, now) {
+                Choice::Open(guard) => (self.open(to.addr, guard, deadline, now).await?, true),
+                Choice::Busy => {
+                    self.host.count_busy();
+                    return Err(NoConnection {
+                        cause: NoConnectionCause::Busy,
+                        detail: format!(
+                            "all {} connections to {} are in use",
+                            to.connections, to.addr
+                        )
+                        .into(),
+                    });
                 }
-                Err(failure) => return Err(failure),
-            }
+                Choice::Connection(mut connection) => {
+                    let until = deadline.min(now + self.limits.connect_timeout);
+                    if !connection.is_ready() && !becomes_ready(&mut connection, until).await {
+                        continue;
+                    }
+                    (connection, false)
+                }
+            };
+            return Ok(Acquired { connection, addr: to.addr, pool: self.clone(), fresh });
         }
-        let connection = match connect(addr, self.limits.connect_timeout).await {
-            Ok(connection) => connection,
-            Err(detail) => {
-                return Err(SendFailure::NotRun { req: Some(Box::new(req)), detail });
-            }
-        };
-        let (response, connection) = send(connection, req).await?;
-        Ok(self.keep(target, addr, response, connection))
     }
 
-    /// Drops connections that have been idle for too long.
-    pub fn trim(&self, now: Instant) {
-        let mut inner = self.inner.borrow_mut();
-        inner.idle.retain(|_, idle| {
-            idle.retain(|i| now < i.since + self.limits.idle_time && i.connection.is_usable());
-            !idle.is_empty()
+    /// Closes idle connections that have been unused for too long, or whose
+    /// target is no longer `live`.
+    pub fn trim(&self, now: Instant, live: impl Fn(SocketAddr) -> bool) {
+        let idle_time = self.limits.idle_time;
+        let mut closed: Vec<Idle> = Vec::new();
+        self.inner.borrow_mut().targets.retain(|addr, target| {
+            let live = live(*addr);
+            let keeps =
+                |i: &mut Idle| live && now < i.since + idle_time && !i.connection.is_closed();
+            closed.extend(target.idle.extract_if(.., |i| !keeps(i)));
+            !target.idle.is_empty() || target.usage.open() > 0
         });
+        self.host.forget_closed();
     }
 
-    fn take_idle(&self, target: &TargetId, addr: SocketAddr, now: Instant) -> Option<Connection> {
+    /// Connections of this thread that are waiting for a request.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.inner.borrow().targets.values().map(|t| t.idle.len()).sum()
+    }
+
+    /// A connection that is ready, the right to open one, or one that will be
+    /// ready soon.
+    fn choose(&self, to: Endpoint, now: Instant) -> Choice {
         let mut inner = self.inner.borrow_mut();
-        let idle = inner.idle.get_mut(&(target.clone(), addr))?;
-        while let Some(candidate) = idle.pop() {
-            let fresh = now < candidate.since + self.limits.idle_time;
-            if fresh && candidate.connection.is_usable() {
-                return Some(candidate.connection);
+        let host = &self.host;
+        let target = inner
+            .targets
+            .entry(to.addr)
+            .or_insert_with(|| TargetConnections { usage: host.target(to.addr), idle: Vec::new() });
+        let idle_time = self.limits.idle_time;
+        target.idle.retain(|i| now < i.since + idle_time && !i.connection.is_closed());
+        if let Some(at) = target.idle.iter().rposition(|i| i.connection.is_ready()) {
+            return Choice::Connection(target.idle.remove(at).connection);
+        }
+        let reserved = target.usage.reserve(to.connections.into());
+        match reserved {
+            Some(guard) => {
+                self.make_room(&mut inner).map_or(Choice::Busy, |()| Choice::Open(guard))
             }
+            None => target.idle.pop().map_or(Choice::Busy, |i| Choice::Connection(i.connection)),
         }
-        None
     }
 
-    fn keep(
+    /// Closes the connection that has been idle the longest where the thread
+    /// has as many as it may.
+    fn make_room(&self, inner: &mut Inner) -> Option<()> {
+        let open: usize = inner.targets.values().map(|t| t.usage.open()).sum();
+        if open <= self.limits.connections {
+            return Some(());
+        }
+        let oldest = inner
+            .targets
+            .values_mut()
+            .filter(|t| !t.idle.is_empty())
+            .min_by_key(|t| t.idle.first().map(|i| i.since))?;
+        oldest.idle.remove(0);
+        Some(())
+    }
+
+    async fn open(
         &self,
-        target: &TargetId,
         addr: SocketAddr,
-        response: Response<hyper::body::Incoming>,
-        connection: Connection,
-    ) -> Response<TargetBody> {
-        let (pool, target) = (self.clone(), target.clone());
-        let give_back = move |connection| pool.put_idle(target, addr, connection);
-        response.map(|body| TargetBody::new(body, connection, Box::new(give_back)))
+        guard: ConnectionGuard,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<Connection, NoConnection> {
+        let limit = now + self.limits.connect_timeout;
+        match connect(addr, guard, deadline.min(limit)).await {
+            Ok(connection) => {
+                self.host.count_made();
+                Ok(connection)
+            }
+            Err(mut e) => {
+                self.host.count_failed();
+                // A short deadline does not speak against the target; the
+                // pool's own limit does.
+                if limit <= deadline {
+                    e.cause = NoConnectionCause::Connect;
+                }
+                Err(e)
+            }
+        }
     }
 
-    fn put_idle(&self, target: TargetId, addr: SocketAddr, connection: Connection) {
+    /// Takes back a connection whose answer has ended whole.
+    pub(crate) fn give_back(&self, addr: SocketAddr, connection: Connection) {
+        if connection.is_closed() {
+            return;
+        }
         let mut inner = self.inner.borrow_mut();
-        let idle = inner.idle.entry((target, addr)).or_default();
-        if idle.len() < self.limits.idle_per_target {
-            idle.push(Idle { connection, since: Instant::now() });
+        if let Some(target) = inner.targets.get_mut(&addr) {
+            target.idle.push(Idle { connection, since: Instant::now() });
         }
     }
 }
+
+/// Waits for a connection whose last request is just ending.
+async fn becomes_ready(connection: &mut Connection, until: Instant) -> bool {
+    compio::time::timeout_at(until, connection.ready()).await.unwrap_or(false)
+}
--- /dev/null
+++ b/crates/target/src/usage.rs
@@ -0,0 +1,134 @@
+//! How many connections an entry host has open, counted over its threads.
+
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+};
+
+/// What the connections of a host have come to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionTotals {
+    /// Connections that were made.
+    pub made: u64,
+    /// Connections that could not be made.
+    pub failed: u64,
+    /// Requests that found no free connection.
+    pub busy: u64,
+}
+
+#[derive(Default)]
+struct Shared {
+    targets: Mutex<HashMap<SocketAddr, Arc<AtomicUsize>>>,
+    made: AtomicU64,
+    failed: AtomicU64,
+    busy: AtomicU64,
+}
+
+/// The connections of an entry host to targets, counted over its threads.
+#[derive(Clone)]
+pub struct HostConnections {
+    threads: usize,
+    shared: Arc<Shared>,
+}
+
+impl HostConnections {
+    /// No connection yet, of a host on which `threads` pools share targets.
+    ///
+    /// # Panics
+    ///
+    /// Where `threads` is 0.
+    #[must_use]
+    pub fn new(threads: usize) -> Self {
+        assert!(threads > 0, "a host serves on at least one thread");
+        Self { threads, shared: Arc::default() }
+    }
+
+    /// What the connections have come to so far.
+    #[must_use]
+    pub fn totals(&self) -> ConnectionTotals {
+        let read = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        let shared = &*self.shared;
+        ConnectionTotals {
+            made: read(&shared.made),
+            failed: read(&shared.failed),
+            busy: read(&shared.busy),
+        }
+    }
+
+    /// Connections that are open to the target at `addr`, over all threads.
+    #[must_use]
+    pub fn open(&self, addr: SocketAddr) -> usize {
+        let targets = self.shared.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        targets.get(&addr).map_or(0, |n| n.load(Ordering::Relaxed))
+    }
+
+    /// Forgets the counts of targets to which nothing is open.
+    pub fn forget_closed(&self) {
+        let mut targets = self.shared.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        // A count that a thread still holds may grow again.
+        targets.retain(|_, n| Arc::strong_count(n) > 1 || n.load(Ordering::Relaxed) > 0);
+    }
+
+    pub(crate) fn count_made(&self) {
+        self.shared.made.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_failed(&self) {
+        self.shared.failed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_busy(&self) {
+        self.shared.busy.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// One thread's view of the target at `addr`.
+    pub(crate) fn target(&self, addr: SocketAddr) -> TargetUsage {
+        let mut targets = self.shared.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let host = targets.entry(addr).or_default().clone();
+        TargetUsage { threads: self.threads, host, thread: Rc::default() }
+    }
+}
+
+/// One thread's count of its connections to one target, and the host's.
+#[derive(Clone)]
+pub(crate) struct TargetUsage {
+    threads: usize,
+    host: Arc<AtomicUsize>,
+    thread: Rc<Cell<usize>>,
+}
+
+impl TargetUsage {
+    /// Takes the right to one more connection, where the host may have `share`.
+    /// A thread has its part of the share, or one where that is less than one.
+    pub(crate) fn reserve(&self, share: usize) -> Option<ConnectionGuard> {
+        let part = (share / self.threads).max(1);
+        if self.thread.get() >= part {
+            return None;
+        }
+        let below = |n| (n < share).then_some(n + 1);
+        self.host.fetch_update(Ordering::Relaxed, Ordering::Relaxed, below).ok()?;
+        self.thread.set(self.thread.get() + 1);
+        Some(ConnectionGuard(self.clone()))
+    }
+
+    /// Connections of this thread.
+    pub(crate) fn open(&self) -> usize {
+        self.thread.get()
+    }
+}
+
+/// The right to have one connection open; given back when dropped.
+pub(crate) struct ConnectionGuard(TargetUsage);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.host.fetch_sub(1, Ordering::Relaxed);
+        self.0.thread.set(self.0.thread.get() - 1);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,10 +14,10 @@
     process,
     settings::EntrySettings,
 };
-use cyclamenloft_caller::{CallerHandler, Gates, Readiness};
+use cyclamenloft_caller::{CallerHandler, CallerLimits, Gates, Readiness};
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
-use cyclamenloft_target::{Pool, PoolLimits, Registry};
+use cyclamenloft_target::{HostConnections, Pool, PoolLimits, Registry};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, Result};
 use std::{
     cell::RefCell,
@@ -32,7 +32,7 @@
 /// Time between two looks at deadlines and expired announcements.
 const TICK: Duration = Duration::from_millis(10);
 /// Time between two rounds of closing idle connections.
-const TRIM_PERIOD: Duration = Duration::from_secs(5);
+const TRIM_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the tasks of the entry process's own thread share.
 pub(crate) struct Entry {
@@ -48,6 +48,8 @@
     /// The replicas of the config group.
     pub(crate) config_voters: PeerSet,
     pub(crate) spread: spread::Spread,
+    /// Connections to targets, counted over the threads that serve callers.
+    pub(crate) connections: HostConnections,
 }
 
 /// Runs an entry process until `stop`, then drains it.
@@ -103,6 +105,7 @@
         control: PeerSet::new(client.clone(), addrs(&settings.control)),
         config_voters: PeerSet::new(client, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
+        connections: HostConnections::new(settings.threads),
     })
 }
 
@@ -118,9 +121,10 @@
     for number in 0..settings.threads {
         let listener = listener.try_clone().map_err(internal)?;
         let (gates, readiness, stop) = (entry.gates.clone(), entry.readiness.clone(), stop.clone());
+        let connections = entry.connections.clone();
         let thread = std::thread::Builder::new()
             .name(format!("callers-{number}"))
-            .spawn(move || serve_callers(listener, gates, readiness, stop))
+            .spawn(move || serve_callers(listener, gates, readiness, connections, stop))
             .map_err(internal)?;
         threads.push(thread);
     }
@@ -131,13 +135,16 @@
     listener: TcpListener,
     gates: Gates,
     readiness: Readiness,
+    connections: HostConnections,
     stop: StopSignal,
 ) -> Result<()> {
     process::runtime()?.block_on(async move {
-        let pool = Pool::new(PoolLimits::default());
-        compio::runtime::spawn(trim(pool.clone())).detach();
-        let handler = Rc::new(CallerHandler::new(gates, pool, readiness));
-        serve(listener, Limits::default(), stop, handler).await
+        let pool = Pool::new(PoolLimits::default(), connections);
+        compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
+        let limits = CallerLimits::default();
+        let listening = Limits { headers: limits.headers * 2, ..Limits::default() };
+        let handler = Rc::new(CallerHandler::new(gates, pool, readiness, limits));
+        serve(listener, listening, stop, handler).await
     })
 }
 
@@ -195,10 +202,12 @@
     }
 }
 
-async fn trim(pool: Pool) {
+async fn trim(pool: Pool, gates: Gates) {
     loop {
         compio::time::sleep(TRIM_PERIOD).await;
-        pool.trim(Instant::now());
+        let now = Instant::now();
+        let live = gates.live(now);
+        pool.trim(now, |addr| live.contains(&addr));
     }
 }
 
@@ -206,6 +215,10 @@
     loop {
         let targets = entry.registry.borrow().valid(Instant::now()).count();
         metrics.gauge("targets", targets as u64);
+        let connections = entry.connections.totals();
+        metrics.gauge("connections.made", connections.made);
+        metrics.gauge("connections.failed", connections.failed);
+        metrics.gauge("connections.busy", connections.busy);
         metrics.gauge("ready", u64::from(entry.readiness.is_ready()));
         metrics.gauge("config.number", entry.board.number());
         compio::time::sleep(metrics::PERIOD).await;
