Check whole answers, framing and slow ends with raw sockets

Requests with ambiguous framing, several hosts, tunnels and upgrades are refused and their connections closed; a length beside chunks is ignored and the connection ends with the answer.

--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -14,7 +14,7 @@
 use cyclamenloft_http::{Handler, Request, Response, answer::error_response_after};
 use cyclamenloft_routing::{Refusal, RequestFacts};
 use cyclamenloft_target::Pool;
-use cyclamenloft_types::{Error, RequestId};
+use cyclamenloft_types::{Error, ErrorKind, RequestId};
 use http::{HeaderValue, header};
 use std::{
     net::SocketAddr,
@@ -25,6 +25,7 @@
 
 /// When a request with a fault in its head may be sent again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// Answers callers on one thread.
 pub struct CallerHandler {
@@ -93,23 +94,30 @@
         let id: RequestId = Ulid::new().to_string().into();
         let mut response = match self.answer(req, &id, remote).await {
             Ok(response) => response,
-            Err(refusal) => {
-                let error = Error::new(refusal.kind, refusal.detail);
-                error_response_after(&error, Some(refusal.retry_after))
-            }
+            Err(refusal) => refused(refusal),
         };
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
         if !self.readiness.is_ready() {
             // The host is about to stop: callers should connect elsewhere.
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
+            response.headers_mut().insert(header::CONNECTION, CLOSE);
         }
         response
     }
 }
 
+fn refused(refusal: Refusal) -> Response {
+    let malformed = matches!(refusal.kind, ErrorKind::BadRequest | ErrorKind::TooLarge);
+    let error = Error::new(refusal.kind, refusal.detail);
+    let mut response = error_response_after(&error, Some(refusal.retry_after));
+    if malformed {
+        // What follows a malformed request may be a part of it.
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
+    }
+    response
+}
+
 /// The refusal of a request that is at fault itself.
 fn refused_early(id: &str, error: Error) -> Refusal {
     let refusal = Refusal { kind: error.kind, detail: error.detail, retry_after: RETRY_AFTER };
--- a/crates/caller/src/shape.rs
+++ b/crates/caller/src/shape.rs
@@ -32,14 +32,13 @@
     check_length(headers, limits)
 }
 
+/// A length beside chunks never gets here: the server ignores the length and
+/// closes the connection after the answer (RFC 9112, section 6.3).
 fn check_framing(headers: &HeaderMap) -> Result<()> {
     let mut codings = list_items(headers, &header::TRANSFER_ENCODING);
     let Some(first) = codings.next() else {
         return Ok(());
     };
-    if headers.contains_key(header::CONTENT_LENGTH) {
-        return Err(bad("content-length: expected none beside transfer-encoding".into()));
-    }
     if !first.eq_ignore_ascii_case("chunked") || codings.next().is_some() {
         return Err(bad("transfer-encoding: expected chunked alone".into()));
     }
--- /dev/null
+++ b/crates/caller/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! The caller side over real sockets, against targets that misbehave.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on fails")]
+
+mod support;
+
+mod connections;
+mod outcomes;
+mod shapes;
+mod whole;
--- /dev/null
+++ b/crates/caller/tests/all/support.rs
@@ -0,0 +1,325 @@
+//! An entry host's caller side in a thread of its own, scripted targets that
+//! speak raw bytes, and callers that do too.
+
+use cyclamenloft_caller::{CallerHandler, CallerLimits, Gate, Gates, Readiness};
+use cyclamenloft_http::{Limits, StopHandle, bind, serve, stop_pair};
+use cyclamenloft_routing::{RoutingPolicy, ServicePolicy, TargetRecord};
+use cyclamenloft_target::{HostConnections, Pool, PoolLimits};
+use std::{
+    io::{Read, Write},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for anything; reached only where a test fails.
+pub const LIMIT: Duration = Duration::from_secs(30);
+pub const SERVICE: &str = "matchdesk";
+
+/// Names each case of a group of tests.
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident => $test:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $test;
+        }
+    )*};
+}
+
+/// Waits until `reached` says so.
+pub fn wait_for(what: &str, reached: impl Fn() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !reached() {
+        assert!(Instant::now() < limit, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A running caller side. Dropping it stops it.
+pub struct Entry {
+    pub addr: SocketAddr,
+    pub gate: Arc<Gate>,
+    pub connections: HostConnections,
+    stop: Option<StopHandle>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// What a test sets of an entry host.
+#[derive(Clone)]
+pub struct Setup {
+    pub policy: ServicePolicy,
+    pub limits: CallerLimits,
+    pub listening: Limits,
+    pub pool: PoolLimits,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        let limits = CallerLimits::default();
+        Self {
+            policy: ServicePolicy { deadline: Duration::from_secs(20), ..ServicePolicy::default() },
+            limits,
+            listening: Limits {
+                headers: limits.headers * 2,
+                drain: Duration::ZERO,
+                ..Limits::default()
+            },
+            pool: PoolLimits::default(),
+        }
+    }
+}
+
+impl Entry {
+    /// Starts an entry host that knows `targets`.
+    pub fn start(setup: Setup, targets: &[&Target]) -> Self {
+        let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let policy = setup.policy.clone();
+        let gate = Gate::new("entry-1".into(), vec!["entry-1".into()], routing(), policy);
+        let gates = Gates::default();
+        gates.set([(SERVICE.into(), gate.clone())]);
+        for (number, target) in targets.iter().enumerate() {
+            gate.announce(target.record(number), Instant::now());
+        }
+        let connections = HostConnections::new(1);
+        let (stop, signal) = stop_pair();
+        let (ticked, host) = (gate.clone(), connections.clone());
+        let thread = std::thread::spawn(move || {
+            compio::runtime::Runtime::new().unwrap().block_on(async move {
+                compio::runtime::spawn(tick(ticked)).detach();
+                let pool = Pool::new(setup.pool, host);
+                compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
+                let readiness = Readiness::default();
+                readiness.set(true);
+                let handler = CallerHandler::new(gates, pool, readiness, setup.limits);
+                serve(listener, setup.listening, signal, Rc::new(handler)).await.unwrap();
+            });
+        });
+        Self { addr, gate, connections, stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// Sends raw bytes and reads until the connection ends.
+    pub fn ask(&self, raw: impl AsRef<[u8]>) -> Answer {
+        let mut caller = self.connect();
+        caller.write_all(raw.as_ref()).unwrap();
+        read_answer(&mut caller)
+    }
+
+    /// Opens a connection as a caller.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream
+    }
+}
+
+/// Round robin without admission: tests name the target that comes first.
+fn routing() -> RoutingPolicy {
+    let choice = cyclamenloft_routing::ChoicePolicy::RoundRobin;
+    RoutingPolicy { choice, admission: false, hedging: false, ..RoutingPolicy::default() }
+}
+
+async fn tick(gate: Arc<Gate>) {
+    loop {
+        compio::time::sleep(Duration::from_millis(5)).await;
+        gate.tick(Instant::now());
+    }
+}
+
+async fn trim(pool: Pool, gates: Gates) {
+    loop {
+        compio::time::sleep(Duration::from_millis(20)).await;
+        let live = gates.live(Instant::now());
+        pool.trim(Instant::now(), |addr| live.contains(&addr));
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        let ended = self.thread.take().unwrap().join();
+        assert!(ended.is_ok() || std::thread::panicking());
+    }
+}
+
+/// What a caller read until its connection ended.
+pub struct Answer {
+    pub text: String,
+    /// Whether the connection ended by a plain end of stream.
+    pub clean: bool,
+}
+
+impl Answer {
+    /// The status code; 0 where there was no answer.
+    pub fn status(&self) -> u16 {
+        self.text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let head = self.text.split("\r\n\r\n").next()?;
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("cyclamenloft-outcome").unwrap_or("-")
+    }
+
+    pub fn error(&self) -> &str {
+        self.header("cyclamenloft-error").unwrap_or("-")
+    }
+
+    pub fn body(&self) -> &str {
+        self.text.split_once("\r\n\r\n").map_or("", |(_, body)| body)
+    }
+}
+
+/// Reads until the connection ends.
+pub fn read_answer(caller: &mut TcpStream) -> Answer {
+    let mut content = Vec::new();
+    let clean = caller.read_to_end(&mut content).is_ok();
+    Answer { text: String::from_utf8_lossy(&content).into_owned(), clean }
+}
+
+/// What a target does with a request it has read.
+pub type Script = fn(&mut TcpStream, usize) -> Next;
+
+/// Whether a target reads another request from the connection.
+#[derive(PartialEq, Eq)]
+pub enum Next {
+    Read,
+    Close,
+    /// Waits for the other side to close.
+    Hold,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    /// Heads and bodies, in the order in which they were read.
+    pub requests: Vec<String>,
+    pub connections: usize,
+    /// Connections that ended.
+    pub closed: usize,
+}
+
+/// A target that follows a script.
+pub struct Target {
+    pub addr: SocketAddr,
+    pub seen: Arc<Mutex<Seen>>,
+}
+
+impl Target {
+    /// Starts a target; its threads end with the test's process.
+    pub fn start(script: Script) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let shared = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, seen) = (stream.unwrap(), shared.clone());
+                seen.lock().unwrap().connections += 1;
+                std::thread::spawn(move || {
+                    serve_scripted(stream, script, &seen);
+                    seen.lock().unwrap().closed += 1;
+                });
+            }
+        });
+        Self { addr, seen }
+    }
+
+    /// A target whose address refuses connections: no test listens on it.
+    pub fn unreachable() -> Self {
+        Self { addr: SocketAddr::from((Ipv4Addr::new(127, 0, 0, 2), 9)), seen: Arc::default() }
+    }
+
+    /// The announcement under which `number` orders the targets.
+    pub fn record(&self, number: usize) -> TargetRecord {
+        TargetRecord {
+            id: format!("target-{number}").into(),
+            addr: self.addr,
+            domain: "cascadia-sea".into(),
+            sequence: 1,
+            leaving: false,
+            in_flight: 0,
+            expires: Instant::now() + LIMIT * 10,
+        }
+    }
+
+    /// Requests read so far.
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().requests.len()
+    }
+
+    pub fn request(&self, number: usize) -> String {
+        self.seen.lock().unwrap().requests[number].clone()
+    }
+}
+
+fn serve_scripted(mut stream: TcpStream, script: Script, seen: &Mutex<Seen>) {
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    while let Some(request) = read_request(&mut stream) {
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.requests.push(request);
+            seen.requests.len()
+        };
+        match script(&mut stream, number) {
+            Next::Read => {}
+            Next::Close => break,
+            Next::Hold => {
+                let _ = stream.read_to_end(&mut Vec::new());
+                break;
+            }
+        }
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Reads a head and, by its length or its chunks, a body. `None` where the
+/// connection ended first.
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = read_until(stream, b"\r\n\r\n")?;
+    let head = text.to_lowercase();
+    if head.contains("cut-me") {
+        // The script reads the body.
+        return Some(text);
+    }
+    if head.contains("transfer-encoding: chunked") {
+        text.push_str(&read_until(stream, b"0\r\n")?);
+        text.push_str(&read_until(stream, b"\r\n")?);
+    } else if let Some((_, rest)) = head.split_once("content-length: ") {
+        let length: usize = rest.lines().next()?.trim().parse().ok()?;
+        let mut body = vec![0; length];
+        stream.read_exact(&mut body).ok()?;
+        text.push_str(&String::from_utf8_lossy(&body));
+    }
+    Some(text)
+}
+
+fn read_until(stream: &mut TcpStream, end: &[u8]) -> Option<String> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(end) {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// A script that answers with raw bytes and reads on.
+#[macro_export]
+macro_rules! answers {
+    ($raw:literal) => {
+        |stream, _| {
+            std::io::Write::write_all(stream, $raw.as_bytes()).unwrap();
+            $crate::support::Next::Read
+        }
+    };
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod listen;
 pub mod server;
+mod stall;
 pub mod stop;
 pub mod token;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     body::Body,
+    stall::StallLimit,
     stop::{StopHandle, StopSignal, stop_pair},
 };
 use compio::{net::TcpStream, runtime::spawn};
@@ -48,6 +49,8 @@
     pub head_bytes: usize,
     /// Longest time for a request's head to arrive.
     pub head_timeout: Duration,
+    /// Longest time for which the other side may read nothing of an answer.
+    pub write_stall: Duration,
     /// Longest time that a planned stop waits for requests in flight.
     pub drain: Duration,
 }
@@ -59,6 +62,7 @@
             headers: 64,
             head_bytes: 16 * 1024,
             head_timeout: Duration::from_secs(10),
+            write_stall: Duration::from_secs(20),
             drain: Duration::from_secs(60),
         }
     }
@@ -131,6 +135,7 @@
     handler: Rc<impl Handler>,
 ) {
     let _ = stream.set_nodelay(true);
+    let stream = StallLimit::new(HyperStream::new_plain(stream), limits.write_stall);
     let service = service_fn(move |req| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(req, remote).await) }
@@ -141,7 +146,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(limits.headers)
         .max_header_size(limits.head_bytes);
-    let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+    let connection = builder.serve_connection(stream, service);
     let stopped = drain.stopped();
     pin_mut!(connection, stopped);
     let ended = match select(connection.as_mut(), stopped).await {
--- /dev/null
+++ b/crates/http/src/stall.rs
@@ -0,0 +1,95 @@
+//! A stream that fails where the other side stops reading.
+
+use compio::time::sleep_until;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use std::{
+    io::{Error, ErrorKind, IoSlice, Result},
+    pin::Pin,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+/// Fails a write that makes no progress for too long, so that a caller that
+/// stops reading can't hold a slot.
+pub(crate) struct StallLimit<S> {
+    stream: S,
+    limit: Duration,
+    /// Since when a write has made no progress.
+    stalled: Option<Instant>,
+    /// Armed once and kept over the writes that follow, which costs less than a
+    /// timer for each write.
+    timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
+}
+
+impl<S> StallLimit<S> {
+    /// Bounds the stalls of `stream`.
+    pub(crate) fn new(stream: S, limit: Duration) -> Self {
+        Self { stream, limit, stalled: None, timer: None }
+    }
+
+    /// Notes whether a write made progress, and fails one that has waited for
+    /// too long.
+    fn watch<T>(&mut self, cx: &mut Context<'_>, polled: Poll<Result<T>>) -> Poll<Result<T>> {
+        if polled.is_ready() {
+            self.stalled = None;
+            return polled;
+        }
+        let since = *self.stalled.get_or_insert_with(Instant::now);
+        loop {
+            let end = since + self.limit;
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
+            if timer.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            self.timer = None;
+            if Instant::now() >= end {
+                let detail = format!("the other side has read nothing for {:?}", self.limit);
+                return Poll::Ready(Err(Error::new(ErrorKind::TimedOut, detail)));
+            }
+        }
+    }
+}
+
+impl<S: Read + Unpin> Read for StallLimit<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: Write + Unpin> Write for StallLimit<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, polled)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        self.watch(cx, polled)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.watch(cx, polled)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.watch(cx, polled)
+    }
+}
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -13,7 +13,7 @@
 };
 use cyclamenloft_http::{Body, BoxError};
 use cyper_core::HyperStream;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use hyper::{
     body::Incoming,
@@ -126,6 +126,9 @@
     ) -> Result<Response<TargetBody>, SendFailure> {
         let answer = self.connection.sender.try_send_request(req);
         match compio::time::timeout_at(deadline, answer).await {
+            Ok(Ok(response)) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
+                Err(lost(false, "the target switched protocols, which was not asked for".into()))
+            }
             Ok(Ok(response)) => Ok(response.map(|body| TargetBody::new(body, self))),
             Ok(Err(mut e)) => match e.take_message() {
                 Some(req) => Err(SendFailure::Returned(Returned::new(req))),
