Remember outcomes under idempotency keys

One entry host of the domain owns a key and decides: run, the same answer again, in progress, taken, or lost. The memory is bounded in keys, bytes and time and takes the time as an argument. After a start, a key that is not remembered runs only where the caller says that it is new.

--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -5,8 +5,10 @@
     exchange::{self, Exchange},
     forward::pass_back,
     gates::{Gates, Readiness},
+    idempotency::{BeginKey, KeyId, Keys},
+    keyed,
     limits::CallerLimits,
-    marks::{Marks, REQUEST_ID_HEADER},
+    marks::{KeyMark, Marks, REQUEST_ID_HEADER},
     outgoing::Outgoing,
     shape,
     upload::{CallerFault, Upload},
@@ -32,14 +34,21 @@
     gates: Gates,
     pool: Pool,
     readiness: Readiness,
+    keys: Keys,
     limits: CallerLimits,
 }
 
 impl CallerHandler {
     /// A handler that uses the thread's `pool`.
     #[must_use]
-    pub fn new(gates: Gates, pool: Pool, readiness: Readiness, limits: CallerLimits) -> Self {
-        Self { gates, pool, readiness, limits }
+    pub fn new(
+        gates: Gates,
+        pool: Pool,
+        readiness: Readiness,
+        keys: Keys,
+        limits: CallerLimits,
+    ) -> Self {
+        Self { gates, pool, readiness, keys, limits }
     }
 
     async fn answer(
@@ -77,15 +86,33 @@
                 Upload::receive(body, &parts.headers, &self.limits, deadline, &fault).await?;
             let outgoing = Outgoing::new(parts, &marks, upload, &remote);
             let (pool, trail) = (self.pool.clone(), trail.clone());
-            exchange::run(Exchange { gate, pool, facts, trail, outgoing, fault }).await
-        };
-        match ended.await {
-            Ok(answered) => Ok(pass_back(answered, self.limits.body_pause)),
-            Err(refusal) => {
-                decision_log::refused(id, Some(&trail), &refusal);
-                Err(refusal)
+            let begin = marks.key.as_ref().map(|key| begin(&marks, key, &outgoing, deadline));
+            let exchange = Exchange { gate, pool, facts, trail, outgoing, fault };
+            match begin {
+                Some(begin) => keyed::run(self.keys.clone(), begin, exchange, self.limits).await,
+                None => {
+                    let answered = exchange::run(exchange).await?;
+                    Ok(pass_back(answered, self.limits.body_pause))
+                }
             }
-        }
+        };
+        ended.await.inspect_err(|refusal| decision_log::refused(id, Some(&trail), refusal))
+    }
+}
+
+/// The question whether a request with a key may run.
+fn begin(marks: &Marks, key: &KeyMark, outgoing: &Outgoing, deadline: Instant) -> BeginKey {
+    let left = deadline.saturating_duration_since(Instant::now());
+    BeginKey {
+        id: KeyId {
+            service: marks.service.clone(),
+            caller: marks.named_caller.clone().unwrap_or_default(),
+            key: key.key.clone(),
+        },
+        request: marks.id.clone(),
+        fingerprint: outgoing.fingerprint(),
+        first: key.first,
+        left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
     }
 }
 
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod forward;
+mod keyed;
 mod outgoing;
 mod pause;
 mod shape;
@@ -12,6 +13,7 @@
 pub mod gate;
 pub mod gates;
 pub mod handler;
+pub mod idempotency;
 pub mod limits;
 pub mod marks;
 pub mod permit;
@@ -19,6 +21,7 @@
 pub use gate::Gate;
 pub use gates::{Gates, Readiness};
 pub use handler::CallerHandler;
+pub use idempotency::{KeyCalls, Keys, MemoryLimits, OutcomeMemory};
 pub use limits::CallerLimits;
 pub use marks::Marks;
 pub use permit::{InFlight, Reserved};
--- a/crates/caller/src/marks.rs
+++ b/crates/caller/src/marks.rs
@@ -19,9 +19,27 @@
 /// Header with the request's id, given to targets and back to callers.
 pub const REQUEST_ID_HEADER: &str = "cyclamenloft-request-id";
 
+/// Header with a caller's key for a request that it may send again.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header that says whether the key has been sent before: `true` or `false`.
+pub const RESEND_HEADER: &str = "cyclamenloft-resend";
+/// Header that marks an answer as one that was given to an earlier sending.
+pub const REPLAYED_HEADER: &str = "cyclamenloft-replayed";
+
+/// Longest key in bytes.
+pub const MAX_KEY_BYTES: usize = 128;
 /// Longest deadline that a caller may ask for.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(300);
 
+/// A caller's key for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyMark {
+    /// The key.
+    pub key: Box<str>,
+    /// Whether the caller says that the key has not been sent before.
+    pub first: bool,
+}
+
 /// The checked marks of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Marks {
@@ -29,12 +47,17 @@
     pub id: RequestId,
     /// The service that is asked.
     pub service: ServiceName,
-    /// Who asks.
+    /// Who asks; the address that it asks from where it doesn't say.
     pub caller: CallerName,
+    /// Who asks, as the request says.
+    pub named_caller: Option<CallerName>,
     /// Time until the answer becomes useless; the service's default where absent.
     pub deadline: Option<Duration>,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// The key under which it may be sent again. Requests that may run more than
+    /// once need none, so theirs are not read.
+    pub key: Option<KeyMark>,
     /// How urgent it is.
     pub priority: Priority,
     /// The path that the target is asked for.
@@ -59,16 +82,19 @@
             Some(name) => (check_name(SERVICE_HEADER, name)?, whole_path(uri)),
             None => split_path(uri)?,
         };
-        let caller = match text(headers, CALLER_HEADER)? {
-            Some(name) => check_name(CALLER_HEADER, name)?,
-            None => anonymous.into(),
-        };
+        let named_caller = text(headers, CALLER_HEADER)?
+            .map(|name| check_name(CALLER_HEADER, name))
+            .transpose()?;
+        let caller = named_caller.clone().unwrap_or_else(|| anonymous.into());
+        let idempotent = idempotent(method, headers)?;
         Ok(Self {
             id,
             service,
             caller,
+            named_caller,
             deadline: deadline(headers)?,
-            idempotent: idempotent(method, headers)?,
+            idempotent,
+            key: if idempotent { None } else { key(headers)? },
             priority: priority(headers)?,
             path,
         })
@@ -95,6 +121,21 @@
     }
 }
 
+fn key(headers: &HeaderMap) -> Result<Option<KeyMark>> {
+    let Some(raw) = text(headers, KEY_HEADER)? else {
+        return Ok(None);
+    };
+    if raw.is_empty() || raw.len() > MAX_KEY_BYTES {
+        return Err(unexpected(KEY_HEADER, &format!("1 to {MAX_KEY_BYTES} characters"), raw));
+    }
+    let first = match text(headers, RESEND_HEADER)? {
+        None | Some("true") => false,
+        Some("false") => true,
+        Some(raw) => return Err(unexpected(RESEND_HEADER, "true or false", raw)),
+    };
+    Ok(Some(KeyMark { key: raw.into(), first }))
+}
+
 fn priority(headers: &HeaderMap) -> Result<Priority> {
     match text(headers, PRIORITY_HEADER)? {
         None | Some("service") => Ok(Priority::Service),
--- a/crates/caller/src/outgoing.rs
+++ b/crates/caller/src/outgoing.rs
@@ -8,6 +8,7 @@
 use cyclamenloft_target::headers::remove_hop_by_hop;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header, request::Parts};
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Header that lists the addresses that a request came through.
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
@@ -47,6 +48,19 @@
         self.repeatable
     }
 
+    /// A hash of what is asked for: method, path and the body where it is at hand.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(self.method.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(self.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
+        hasher.update(&[0]);
+        if let Upload::Whole(content) = &self.upload {
+            hasher.update(content);
+        }
+        hasher.digest()
+    }
+
     /// The request for the next attempt; `None` where it can't be built again.
     pub(crate) fn next(&mut self, deadline: Instant, now: Instant) -> Option<Request<Body>> {
         let body = self.upload.next()?;
--- a/crates/caller/tests/all/main.rs
+++ b/crates/caller/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod support;
 
 mod connections;
+mod keys;
+mod memory;
 mod outcomes;
 mod shapes;
 mod whole;
--- /dev/null
+++ b/crates/caller/tests/all/memory.rs
@@ -0,0 +1,217 @@
+//! The memory of requests with keys: at most one run, within its bounds.
+
+use cyclamenloft_caller::{
+    MemoryLimits, OutcomeMemory,
+    idempotency::{BeginKey, Begun, Ending, FinishKey, KeyId, StoredAnswer, keys::owner},
+};
+use cyclamenloft_types::HostId;
+use http::{HeaderMap, StatusCode};
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+const LIMITS: MemoryLimits =
+    MemoryLimits { keys: 4, bytes: 300, answer_bytes: 200, life: Duration::from_millis(1000) };
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin { key: u8, first: bool, left_ms: u64, fingerprint: u64 },
+    Finish { key: u8, sending: usize, ending: u8, size: usize },
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..6u8, prop::bool::weighted(0.7), 1..400u64, prop::bool::weighted(0.1)).prop_map(
+            |(key, first, left_ms, odd)| {
+                Step::Begin { key, first, left_ms, fingerprint: u64::from(odd) }
+            }
+        ),
+        3 => (0..6u8, 0..3usize, 0..3u8, 0..250usize).prop_map(|(key, sending, ending, size)| {
+            Step::Finish { key, sending, ending, size }
+        }),
+        2 => (1..600u64).prop_map(Step::Wait),
+    ]
+}
+
+fn id(key: u8) -> KeyId {
+    KeyId {
+        service: "orders-desk".into(),
+        caller: "county".into(),
+        key: format!("key-{key}").into(),
+    }
+}
+
+fn answer(size: usize) -> StoredAnswer {
+    StoredAnswer::new(StatusCode::OK, &HeaderMap::new(), &vec![b'a'; size])
+}
+
+/// What a key's runs have come to, as the callers know it.
+#[derive(Default)]
+struct Runs {
+    /// The sendings that were told to run, the newest last.
+    sendings: Vec<Box<str>>,
+    /// The newest run may have run, and until when that is remembered.
+    remembered: Option<Instant>,
+    /// The newest run's end has been told.
+    finished: bool,
+}
+
+struct World {
+    memory: OutcomeMemory,
+    runs: HashMap<u8, Runs>,
+    began: Instant,
+    now: Instant,
+    next: usize,
+}
+
+impl World {
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Wait(ms) => self.now += Duration::from_millis(ms),
+            Step::Begin { key, first, left_ms, fingerprint } => {
+                self.begin(key, first, left_ms, fingerprint);
+            }
+            Step::Finish { key, sending, ending, size } => self.finish(key, sending, ending, size),
+        }
+        assert!(self.memory.len() <= LIMITS.keys);
+        assert!(self.memory.bytes() <= LIMITS.bytes);
+    }
+
+    fn begin(&mut self, key: u8, first: bool, left_ms: u64, fingerprint: u64) {
+        self.next += 1;
+        let request: Box<str> = format!("request-{}", self.next).into();
+        let begin = BeginKey { id: id(key), request: request.clone(), fingerprint, first, left_ms };
+        if self.memory.begin(&begin, self.now) != Begun::Run {
+            return;
+        }
+        let runs = self.runs.entry(key).or_default();
+        assert!(
+            runs.remembered.is_none_or(|until| until <= self.now),
+            "key {key} was told to run while an earlier run is remembered"
+        );
+        assert!(first || self.now >= self.began + LIMITS.life, "key {key} ran after a restart");
+        runs.sendings.push(request);
+        runs.finished = false;
+        runs.remembered = Some(self.now + Duration::from_millis(left_ms) + LIMITS.life);
+    }
+
+    fn finish(&mut self, key: u8, sending: usize, ending: u8, size: usize) {
+        let Some(runs) = self.runs.get_mut(&key) else { return };
+        let newest = runs.sendings.len().saturating_sub(1);
+        let at = newest.saturating_sub(sending);
+        let Some(request) = runs.sendings.get(at).cloned() else { return };
+        let ending = match ending {
+            0 => Ending::NotRun,
+            1 => Ending::Unknown,
+            _ => Ending::Done(answer(size)),
+        };
+        let counts = at == newest && !runs.finished;
+        if counts && runs.remembered.is_some_and(|until| until > self.now) {
+            runs.finished = true;
+            let until = self.now + LIMITS.life;
+            runs.remembered = (ending != Ending::NotRun).then_some(until);
+        }
+        self.memory.forget(self.now);
+        self.memory.finish(FinishKey { id: id(key), request, ending }, self.now);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_runs_once_within_its_life(steps in prop::collection::vec(step(), 1..80)) {
+        let began = Instant::now();
+        let memory = OutcomeMemory::new(LIMITS, began);
+        let mut world = World { memory, runs: HashMap::new(), began, now: began, next: 0 };
+        for step in steps {
+            world.take(step);
+        }
+    }
+
+    #[test]
+    fn every_host_names_the_same_owner(key in "[a-z0-9]{1,20}", hosts in 1..9usize) {
+        let mut roster: Vec<HostId> = (0..hosts).map(|n| format!("entry-{n}").into()).collect();
+        let id = KeyId { key: key.into(), ..id(0) };
+        let chosen = owner(&id, &roster).cloned();
+        roster.reverse();
+        prop_assert_eq!(owner(&id, &roster).cloned(), chosen.clone());
+        // Another host leaving moves no key of this one.
+        roster.retain(|host| Some(host) == chosen.as_ref() || !host.ends_with('0'));
+        prop_assert_eq!(owner(&id, &roster).cloned(), chosen);
+    }
+}
+
+fn begin(first: bool) -> BeginKey {
+    BeginKey { id: id(0), request: "request-1".into(), fingerprint: 7, first, left_ms: 100 }
+}
+
+fn ended(ending: Ending) -> Begun {
+    let now = Instant::now();
+    let mut memory = OutcomeMemory::new(LIMITS, now);
+    assert_eq!(memory.begin(&begin(true), now), Begun::Run);
+    let request = "request-1".into();
+    memory.finish(FinishKey { id: id(0), request, ending }, now);
+    memory.begin(&begin(true), now)
+}
+
+/// Names each case of a group of tests.
+macro_rules! ends {
+    ($($name:ident: $ending:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(ended($ending), $expected);
+        }
+    )*};
+}
+
+ends! {
+    an_answer_is_given_again: Ending::Done(answer(50)) => Begun::Done(answer(50));
+    an_answer_too_long_is_lost: Ending::Done(answer(201)) => Begun::Lost;
+    an_unknown_end_stays_unknown: Ending::Unknown => Begun::Lost;
+    a_request_that_did_not_run_may_run: Ending::NotRun => Begun::Run;
+}
+
+#[test]
+fn an_unfinished_run_is_in_progress_and_then_lost() {
+    let now = Instant::now();
+    let mut memory = OutcomeMemory::new(LIMITS, now);
+    assert_eq!(memory.begin(&begin(true), now), Begun::Run);
+    assert_eq!(memory.begin(&begin(false), now), Begun::InProgress);
+    let other = BeginKey { fingerprint: 8, ..begin(false) };
+    assert_eq!(memory.begin(&other, now), Begun::Conflict);
+    let late = now + Duration::from_millis(100);
+    assert_eq!(memory.begin(&begin(false), late), Begun::Lost);
+}
+
+#[test]
+fn after_a_start_an_unknown_key_may_have_run() {
+    let now = Instant::now();
+    let mut memory = OutcomeMemory::new(LIMITS, now);
+    assert_eq!(memory.begin(&begin(false), now), Begun::Lost);
+    assert_eq!(memory.begin(&begin(false), now + LIMITS.life), Begun::Run);
+}
+
+#[test]
+fn messages_are_the_same_after_json() {
+    let question = cyclamenloft_caller::idempotency::KeyQuestion::Finish(FinishKey {
+        id: id(1),
+        request: "r".into(),
+        ending: Ending::Done(StoredAnswer::new(StatusCode::CREATED, &HeaderMap::new(), &[0, 255])),
+    });
+    let text = serde_json::to_string(&question).unwrap();
+    let back: cyclamenloft_caller::idempotency::KeyQuestion = serde_json::from_str(&text).unwrap();
+    assert_eq!(back, question);
+}
--- a/crates/caller/tests/all/support.rs
+++ b/crates/caller/tests/all/support.rs
@@ -1,10 +1,14 @@
 //! An entry host's caller side in a thread of its own, scripted targets that
 //! speak raw bytes, and callers that do too.
 
-use cyclamenloft_caller::{CallerHandler, CallerLimits, Gate, Gates, Readiness};
+use cyclamenloft_caller::{
+    CallerHandler, CallerLimits, Gate, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory,
+    Readiness,
+};
 use cyclamenloft_http::{Limits, StopHandle, bind, serve, stop_pair};
 use cyclamenloft_routing::{RoutingPolicy, ServicePolicy, TargetRecord};
 use cyclamenloft_target::{HostConnections, Pool, PoolLimits};
+use cyclamenloft_types::HostId;
 use std::{
     io::{Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -43,6 +47,8 @@
     pub addr: SocketAddr,
     pub gate: Arc<Gate>,
     pub connections: HostConnections,
+    /// Questions to the owners of keys.
+    pub key_calls: Option<KeyCalls>,
     stop: Option<StopHandle>,
     thread: Option<JoinHandle<()>>,
 }
@@ -54,6 +60,9 @@
     pub limits: CallerLimits,
     pub listening: Limits,
     pub pool: PoolLimits,
+    /// Entry hosts that own keys; this one is `entry-1`.
+    pub roster: Vec<HostId>,
+    pub memory: MemoryLimits,
 }
 
 impl Default for Setup {
@@ -68,6 +77,8 @@
                 ..Limits::default()
             },
             pool: PoolLimits::default(),
+            roster: vec!["entry-1".into()],
+            memory: MemoryLimits::default(),
         }
     }
 }
@@ -86,6 +97,9 @@
         }
         let connections = HostConnections::new(1);
         let (stop, signal) = stop_pair();
+        let memory = OutcomeMemory::new(setup.memory, Instant::now());
+        let (keys, key_calls) = Keys::new("entry-1".into(), setup.roster, memory);
+
         let (ticked, host) = (gate.clone(), connections.clone());
         let thread = std::thread::spawn(move || {
             compio::runtime::Runtime::new().unwrap().block_on(async move {
@@ -94,11 +108,12 @@
                 compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
                 let readiness = Readiness::default();
                 readiness.set(true);
-                let handler = CallerHandler::new(gates, pool, readiness, setup.limits);
+                let handler = CallerHandler::new(gates, pool, readiness, keys, setup.limits);
                 serve(listener, setup.listening, signal, Rc::new(handler)).await.unwrap();
             });
         });
-        Self { addr, gate, connections, stop: Some(stop), thread: Some(thread) }
+        let (stop, thread) = (Some(stop), Some(thread));
+        Self { addr, gate, connections, key_calls: Some(key_calls), stop, thread }
     }
 
     /// Sends raw bytes and reads until the connection ends.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,11 +14,14 @@
     process,
     settings::EntrySettings,
 };
-use cyclamenloft_caller::{CallerHandler, CallerLimits, Gates, Readiness};
+use cyclamenloft_caller::{
+    CallerHandler, CallerLimits, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory, Readiness,
+};
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
 use cyclamenloft_target::{HostConnections, Pool, PoolLimits, Registry};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, Result};
+use futures_util::StreamExt;
 use std::{
     cell::RefCell,
     net::{SocketAddr, TcpListener},
@@ -50,6 +53,8 @@
     pub(crate) spread: spread::Spread,
     /// Connections to targets, counted over the threads that serve callers.
     pub(crate) connections: HostConnections,
+    /// What became of requests with idempotency keys.
+    pub(crate) keys: Keys,
 }
 
 /// Runs an entry process until `stop`, then drains it.
@@ -61,7 +66,9 @@
     let callers = bind(settings.callers)?;
     let (platform, operators, peers) =
         (bind(settings.platform)?, bind(settings.operators)?, bind(settings.peers)?);
-    let entry = Rc::new(create(&settings)?);
+    let (entry, key_calls) = create(&settings)?;
+    let entry = Rc::new(entry);
+    compio::runtime::spawn(pass_on_keys(key_calls)).detach();
 
     let (mut callers_stop, callers_signal) = stop_pair();
     let (mut rest_stop, rest_signal) = stop_pair();
@@ -86,7 +93,7 @@
     drained.unwrap_or_else(|_| Err(Error::new(ErrorKind::Internal, "drain did not end")))
 }
 
-fn create(settings: &EntrySettings) -> Result<Entry> {
+fn create(settings: &EntrySettings) -> Result<(Entry, KeyCalls)> {
     let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
     let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
         list.iter().map(|r| r.addr).collect()
@@ -94,7 +101,9 @@
     let mut roster: Vec<HostId> = settings.roster.iter().map(|h| h.host.clone()).collect();
     roster.push(settings.host.clone());
     roster.sort();
-    Ok(Entry {
+    let memory = OutcomeMemory::new(MemoryLimits::default(), Instant::now());
+    let (keys, key_calls) = Keys::new(settings.host.clone(), roster.clone(), memory);
+    let entry = Entry {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         roster,
@@ -106,7 +115,18 @@
         config_voters: PeerSet::new(client, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
         connections: HostConnections::new(settings.threads),
-    })
+        keys,
+    };
+    Ok((entry, key_calls))
+}
+
+/// Refuses questions about keys that other entry hosts own.
+async fn pass_on_keys(mut calls: KeyCalls) {
+    while let Some(call) = calls.next().await {
+        let detail = format!("owner {:?} of the key can't be asked", call.owner);
+        // The asker may have gone.
+        let _ = call.reply.send(Err(Error::new(ErrorKind::PeerUnreachable, detail)));
+    }
 }
 
 /// Starts the threads that serve callers; each has a runtime of its own.
@@ -121,10 +141,10 @@
     for number in 0..settings.threads {
         let listener = listener.try_clone().map_err(internal)?;
         let (gates, readiness, stop) = (entry.gates.clone(), entry.readiness.clone(), stop.clone());
-        let connections = entry.connections.clone();
+        let (connections, keys) = (entry.connections.clone(), entry.keys.clone());
         let thread = std::thread::Builder::new()
             .name(format!("callers-{number}"))
-            .spawn(move || serve_callers(listener, gates, readiness, connections, stop))
+            .spawn(move || serve_callers(listener, gates, readiness, connections, keys, stop))
             .map_err(internal)?;
         threads.push(thread);
     }
@@ -136,6 +156,7 @@
     gates: Gates,
     readiness: Readiness,
     connections: HostConnections,
+    keys: Keys,
     stop: StopSignal,
 ) -> Result<()> {
     process::runtime()?.block_on(async move {
@@ -143,7 +164,7 @@
         compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
         let limits = CallerLimits::default();
         let listening = Limits { headers: limits.headers * 2, ..Limits::default() };
-        let handler = Rc::new(CallerHandler::new(gates, pool, readiness, limits));
+        let handler = Rc::new(CallerHandler::new(gates, pool, readiness, keys, limits));
         serve(listener, listening, stop, handler).await
     })
 }
@@ -199,6 +220,7 @@
             gate.tick(now);
         }
         entry.registry.borrow_mut().forget(now);
+        entry.keys.tick(now);
     }
 }
 
