Hand requests to another entry host and take them from one

A handed-over request keeps its id, caller, deadline and idempotence, presents the peers' token in a header of its own because Authorization belongs to the caller, and goes no further than the other host's targets. Only a connection that took no byte, or the other host's word, makes it not-run.

--- a/crates/caller/src/decision_log.rs
+++ b/crates/caller/src/decision_log.rs
@@ -1,5 +1,6 @@
 //! One log line for each decision on a request, and one for its end.
 
+use crate::hop::Hop;
 use cyclamenloft_routing::{Permit, Refusal};
 use cyclamenloft_types::{CallerName, Outcome, RequestId, ServiceName};
 use http::StatusCode;
@@ -39,6 +40,21 @@
     );
 }
 
+/// Another entry host has answered a request that was handed to it, or hasn't.
+pub(crate) fn hop(trail: &Trail, hop: &Hop, outcome: Outcome, detail: &str) {
+    tracing::info!(
+        target: LOG_TARGET,
+        request = %trail.request,
+        service = %trail.service,
+        caller = %trail.caller,
+        host = %hop.host,
+        outcome = outcome.as_str(),
+        detail,
+        elapsed_us = trail.elapsed_us(),
+        "hop"
+    );
+}
+
 /// A request was refused.
 pub(crate) fn refused(request: &str, trail: Option<&Trail>, refusal: &Refusal) {
     let answer = refusal.kind.answer();
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::{
     decision_log::{self, Trail},
     gate::{Gate, refusal},
+    hop::{HopClient, HopFailure, HopRule},
     outgoing::{Outgoing, set_deadline},
     permit::{InFlight, Reserved},
     upload::CallerFault,
@@ -29,6 +30,14 @@
     pub(crate) trail: Rc<Trail>,
     pub(crate) outgoing: Outgoing,
     pub(crate) fault: CallerFault,
+    /// How the request may go to another entry host.
+    pub(crate) spill: Option<Rc<Spill>>,
+}
+
+/// How requests go to other entry hosts.
+pub(crate) struct Spill {
+    pub(crate) client: HopClient,
+    pub(crate) rule: Rc<dyn HopRule>,
 }
 
 /// What the attempts so far have come to.
@@ -68,10 +77,17 @@
 /// A request of which a target has answered the head.
 pub(crate) struct Answered {
     pub(crate) response: Response<TargetBody>,
-    pub(crate) held: InFlight,
+    /// The slot; `None` where another entry host holds it.
+    pub(crate) held: Option<InFlight>,
     pub(crate) trail: Rc<Trail>,
 }
 
+/// A request that this host refuses; another one may take it.
+struct Refused {
+    queued: Queued,
+    refusal: Refusal,
+}
+
 /// How an attempt ended without an answer.
 enum Unanswered {
     /// It may be tried again.
@@ -88,7 +104,11 @@
 pub(crate) async fn run(exchange: Exchange) -> Result<Answered, Refusal> {
     let mut queued = Queued::new(exchange, History::default());
     loop {
-        match queued.dispatch().await?.answer().await {
+        let dispatched = match queued.dispatch().await {
+            Ok(dispatched) => dispatched,
+            Err(refused) => return refused.hand_over().await,
+        };
+        match dispatched.answer().await {
             Ok(answered) => return Ok(answered),
             Err(Unanswered::Again(again)) => queued = *again,
             Err(Unanswered::Over(refusal)) => return Err(refusal),
@@ -102,12 +122,17 @@
     }
 
     /// Waits for a slot and a connection.
-    async fn dispatch(mut self) -> Result<Dispatched, Refusal> {
+    async fn dispatch(mut self) -> Result<Dispatched, Box<Refused>> {
         loop {
-            let reserved = self.reserve().await?;
-            match self.connect(&reserved).await {
-                Ok(connection) => return self.take_off(reserved, connection),
-                Err(e) => self.next_target(reserved, e).await?,
+            let ended = match self.reserve().await {
+                Ok(reserved) => match self.connect(&reserved).await {
+                    Ok(connection) => return self.take_off(reserved, connection),
+                    Err(e) => self.next_target(reserved, e).await,
+                },
+                Err(refusal) => Err(refusal),
+            };
+            if let Err(refusal) = ended {
+                return Err(Box::new(Refused { queued: self, refusal }));
             }
         }
     }
@@ -127,25 +152,28 @@
         pool.acquire(to, facts.deadline, Instant::now()).await
     }
 
-    fn take_off(mut self, reserved: Reserved, connection: Acquired) -> Result<Dispatched, Refusal> {
-        let (now, deadline) = (Instant::now(), self.exchange.facts.deadline);
-        let req = match self.returned.take() {
-            Some(mut req) => {
-                set_deadline(&mut req, deadline.saturating_duration_since(now));
-                Some(req)
-            }
-            None => self.exchange.outgoing.next(deadline, now),
-        };
-        let Some(req) = req else {
-            // The retry rule asks for a repeatable request, so this is a fault.
-            return Err(
-                self.refuse(refusal(ErrorKind::Internal, "the request can't be sent again"))
-            );
+    fn take_off(
+        mut self,
+        reserved: Reserved,
+        connection: Acquired,
+    ) -> Result<Dispatched, Box<Refused>> {
+        let Some(req) = self.next_request() else {
+            return Err(Box::new(Refused { queued: self, refusal: unrepeatable() }));
         };
         let Self { exchange, history, .. } = self;
         Ok(Dispatched { exchange, history, req, held: reserved.dispatch(), connection })
     }
 
+    /// The request as it is sent next; `None` where it can't be sent again.
+    fn next_request(&mut self) -> Option<Request<Body>> {
+        let (now, deadline) = (Instant::now(), self.exchange.facts.deadline);
+        let Some(mut req) = self.returned.take() else {
+            return self.exchange.outgoing.next(deadline, now);
+        };
+        set_deadline(&mut req, deadline.saturating_duration_since(now));
+        Some(req)
+    }
+
     /// Gives a slot back because its target could not be reached.
     async fn next_target(&mut self, reserved: Reserved, e: NoConnection) -> Result<(), Refusal> {
         let target = reserved.permit().target.clone();
@@ -185,6 +213,40 @@
     }
 }
 
+impl Refused {
+    /// Hands the request to another entry host where there is one to take it;
+    /// otherwise the refusal stands.
+    async fn hand_over(mut self: Box<Self>) -> Result<Answered, Refusal> {
+        let Exchange { facts, trail, spill, .. } = &self.queued.exchange;
+        let (trail, spill, facts) = (trail.clone(), spill.clone(), facts.clone());
+        let chosen = spill.and_then(|spill| {
+            let hop = spill.rule.choose(&trail.service, &facts, &self.refusal, Instant::now());
+            hop.map(|hop| (spill, hop))
+        });
+        let Some((spill, hop)) = chosen else {
+            return Err(self.queued.refuse(self.refusal));
+        };
+        let Some(req) = self.queued.next_request() else {
+            return Err(self.queued.refuse(self.refusal));
+        };
+        match spill.client.send(&hop, req, &trail.service, &facts).await {
+            Ok(response) => {
+                decision_log::hop(&trail, &hop, Outcome::Done, "");
+                Ok(Answered { response, held: None, trail })
+            }
+            Err(HopFailure::NotRun { detail }) => {
+                decision_log::hop(&trail, &hop, Outcome::NotRun, &detail);
+                Err(self.queued.refuse(self.refusal))
+            }
+            Err(HopFailure::Unknown(lost)) => {
+                decision_log::hop(&trail, &hop, Outcome::Unknown, &lost.detail);
+                self.queued.history.lost = Some(lost);
+                Err(self.queued.refuse(self.refusal))
+            }
+        }
+    }
+}
+
 impl Dispatched {
     /// Sends the request and waits for the answer's head.
     async fn answer(self) -> Result<Answered, Unanswered> {
@@ -194,7 +256,7 @@
             Ok(response) => {
                 let trail = exchange.trail;
                 decision_log::attempt(&trail, held.permit(), Outcome::Done, "");
-                Ok(Answered { response, held, trail })
+                Ok(Answered { response, held: Some(held), trail })
             }
             Err(SendFailure::Returned(returned)) => {
                 send_back(exchange, history, held, returned, fresh).await
@@ -253,6 +315,11 @@
     Err(Unanswered::Again(Box::new(queued)))
 }
 
+/// The retry rule lets only repeatable requests pass, so this is a fault.
+fn unrepeatable() -> Refusal {
+    refusal(ErrorKind::Internal, "the request can't be sent again")
+}
+
 fn lost_refusal(lost: &Lost) -> Refusal {
     let kind = if lost.timed_out { ErrorKind::TargetTimeout } else { ErrorKind::TargetFailed };
     refusal(kind, lost.detail.clone())
--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -40,7 +40,7 @@
 
 /// What is given back once the answer has ended.
 struct Open {
-    held: InFlight,
+    held: Option<InFlight>,
     latency: Duration,
     trail: Rc<Trail>,
     status: StatusCode,
@@ -58,12 +58,12 @@
 impl AnswerBody {
     fn boxed(
         body: TargetBody,
-        held: InFlight,
+        held: Option<InFlight>,
         trail: Rc<Trail>,
         status: StatusCode,
         pause: Duration,
     ) -> Body {
-        let latency = held.permit().since.elapsed();
+        let latency = held.as_ref().map(|h| h.permit().since.elapsed()).unwrap_or_default();
         let open = Some(Open { held, latency, trail, status });
         let mut answer = Self { body, pause: PauseLimit::new(pause), open };
         answer.finish_if_ended();
@@ -85,7 +85,9 @@
                 latency,
                 abandoned: false,
             };
-            held.finish(result, Instant::now());
+            if let Some(held) = held {
+                held.finish(result, Instant::now());
+            }
         }
     }
 
@@ -93,7 +95,9 @@
     fn cut(&mut self) {
         if let Some(Open { held, trail, status, .. }) = self.open.take() {
             decision_log::answered(&trail, status, false);
-            held.finish_lost(false, Instant::now());
+            if let Some(held) = held {
+                held.finish_lost(false, Instant::now());
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/caller/src/hop/marks.rs
@@ -0,0 +1,106 @@
+//! The headers of a request on its way between two entry hosts.
+
+use crate::marks::{
+    DEADLINE_HEADER, IDEMPOTENT_HEADER, Marks, PRIORITY_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER,
+};
+use cyclamenloft_http::{Body, Token};
+use cyclamenloft_routing::RequestFacts;
+use cyclamenloft_types::{
+    Error, ErrorKind, HostId, Priority, RequestId, Result, ServiceName, check_name,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, request::Parts, uri::PathAndQuery};
+use std::time::{Duration, Instant};
+
+/// Start of the paths of handed-over requests on the peers' listener.
+pub const HOP_PATH: &str = "/v1/hop";
+/// Header that names the entry host that handed the request over.
+pub const HOP_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-hop");
+/// Header that presents the peers' token: `Authorization` belongs to the caller.
+pub const HOP_TOKEN_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-hop-token");
+/// Header that names the caller, or its address, as the first host knows it.
+pub const HOP_CALLER_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-hop-caller");
+
+/// Longest caller's name or address.
+const MAX_CALLER_BYTES: usize = 64;
+
+/// Removes the headers that only entry hosts may set.
+pub(crate) fn remove(headers: &mut HeaderMap) {
+    for name in [&HOP_HEADER, &HOP_TOKEN_HEADER, &HOP_CALLER_HEADER] {
+        headers.remove(name);
+    }
+}
+
+/// Turns a request for a target into one for another entry host.
+pub(crate) fn write(
+    req: &mut Request<Body>,
+    host: &HostId,
+    token: &Token,
+    service: &ServiceName,
+    facts: &RequestFacts,
+    now: Instant,
+) -> Result<()> {
+    let path = req.uri().path_and_query().map_or("/", PathAndQuery::as_str);
+    let path = format!("{HOP_PATH}{path}");
+    *req.uri_mut() = path.parse().map_err(|e| broken(format!("path {path:?}: {e}")))?;
+    let left = facts.deadline.saturating_duration_since(now).max(Duration::from_millis(1));
+    let headers = req.headers_mut();
+    let idempotent = if facts.idempotent { "true" } else { "false" };
+    headers.insert(IDEMPOTENT_HEADER, HeaderValue::from_static(idempotent));
+    headers.insert(PRIORITY_HEADER, HeaderValue::from_static(priority(facts.priority)));
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
+    set(headers, HeaderName::from_static(SERVICE_HEADER), service)?;
+    set(headers, HeaderName::from_static(REQUEST_ID_HEADER), &facts.id)?;
+    set(headers, HOP_HEADER, host)?;
+    set(headers, HOP_CALLER_HEADER, &facts.caller)?;
+    set(headers, HOP_TOKEN_HEADER, &token.header_value())
+}
+
+/// Reads the marks of a handed-over request, and gives it the path that its
+/// target is asked for.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadRequest`] naming the header.
+pub(crate) fn read(parts: &mut Parts) -> Result<Marks> {
+    let headers = &parts.headers;
+    let id: RequestId = check_name(REQUEST_ID_HEADER, text(headers, REQUEST_ID_HEADER)?)?;
+    check_name(HOP_HEADER.as_str(), text(headers, HOP_HEADER.as_str())?)?;
+    let caller = text(headers, HOP_CALLER_HEADER.as_str())?;
+    if caller.is_empty() || caller.len() > MAX_CALLER_BYTES {
+        return Err(broken(format!("header {HOP_CALLER_HEADER}: expected a caller")));
+    }
+    let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let path = path
+        .strip_prefix(HOP_PATH)
+        .filter(|rest| rest.starts_with('/'))
+        .ok_or_else(|| broken(format!("path {path:?}: expected {HOP_PATH}/...")))?;
+    let uri: Uri = path.parse().map_err(|e| broken(format!("path {path:?}: {e}")))?;
+    let mut marks = Marks::read(id, &parts.method, &uri, headers, caller)?;
+    // The first host has asked the key's owner.
+    marks.key = None;
+    parts.uri = uri;
+    Ok(marks)
+}
+
+fn priority(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Batch => "batch",
+        Priority::Service => "service",
+        Priority::Urgent => "urgent",
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str> {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.ok_or_else(|| broken(format!("header {name}: expected one")))
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) -> Result<()> {
+    let value = HeaderValue::from_str(value).map_err(|e| broken(format!("header {name}: {e}")))?;
+    headers.insert(name, value);
+    Ok(())
+}
+
+fn broken(detail: String) -> Error {
+    Error::new(ErrorKind::BadRequest, detail)
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -10,17 +10,21 @@
 mod upload;
 
 pub mod decision_log;
+pub mod forwarder;
 pub mod gate;
 pub mod gates;
 pub mod handler;
+pub mod hop;
 pub mod idempotency;
 pub mod limits;
 pub mod marks;
 pub mod permit;
 
+pub use forwarder::Forwarder;
 pub use gate::Gate;
 pub use gates::{Gates, Readiness};
 pub use handler::CallerHandler;
+pub use hop::{Hop, HopClient, HopHandler, HopRule};
 pub use idempotency::{KeyCalls, Keys, MemoryLimits, OutcomeMemory};
 pub use limits::CallerLimits;
 pub use marks::Marks;
--- a/crates/caller/tests/all/main.rs
+++ b/crates/caller/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod connections;
+mod hops;
 mod keys;
 mod memory;
 mod outcomes;
--- a/crates/caller/tests/all/support.rs
+++ b/crates/caller/tests/all/support.rs
@@ -2,13 +2,13 @@
 //! speak raw bytes, and callers that do too.
 
 use cyclamenloft_caller::{
-    CallerHandler, CallerLimits, Gate, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory,
-    Readiness,
+    CallerHandler, CallerLimits, Forwarder, Gate, Gates, Hop, HopClient, HopHandler, HopRule,
+    KeyCalls, Keys, MemoryLimits, OutcomeMemory, Readiness,
 };
-use cyclamenloft_http::{Limits, StopHandle, bind, serve, stop_pair};
-use cyclamenloft_routing::{RoutingPolicy, ServicePolicy, TargetRecord};
+use cyclamenloft_http::{Limits, StopHandle, Token, bind, serve, stop_pair};
+use cyclamenloft_routing::{Refusal, RequestFacts, RoutingPolicy, ServicePolicy, TargetRecord};
 use cyclamenloft_target::{HostConnections, Pool, PoolLimits};
-use cyclamenloft_types::HostId;
+use cyclamenloft_types::{HostId, ServiceName};
 use std::{
     io::{Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -45,6 +45,8 @@
 /// A running caller side. Dropping it stops it.
 pub struct Entry {
     pub addr: SocketAddr,
+    /// Where other entry hosts hand requests over.
+    pub peers: SocketAddr,
     pub gate: Arc<Gate>,
     pub connections: HostConnections,
     /// Questions to the owners of keys.
@@ -63,6 +65,21 @@
     /// Entry hosts that own keys; this one is `entry-1`.
     pub roster: Vec<HostId>,
     pub memory: MemoryLimits,
+    /// The peers' listener of the host that takes what this one refuses.
+    pub hop_to: Option<SocketAddr>,
+    /// The token that this host presents to it.
+    pub token: &'static str,
+}
+
+pub const TOKEN: &str = "a-token-for-tests-only";
+
+/// Hands over every request that is refused.
+struct Always(Hop);
+
+impl HopRule for Always {
+    fn choose(&self, _: &ServiceName, _: &RequestFacts, _: &Refusal, _: Instant) -> Option<Hop> {
+        Some(self.0.clone())
+    }
 }
 
 impl Default for Setup {
@@ -79,6 +96,8 @@
             pool: PoolLimits::default(),
             roster: vec!["entry-1".into()],
             memory: MemoryLimits::default(),
+            hop_to: None,
+            token: TOKEN,
         }
     }
 }
@@ -88,6 +107,8 @@
     pub fn start(setup: Setup, targets: &[&Target]) -> Self {
         let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
         let addr = listener.local_addr().unwrap();
+        let peers_listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+        let peers = peers_listener.local_addr().unwrap();
         let policy = setup.policy.clone();
         let gate = Gate::new("entry-1".into(), vec!["entry-1".into()], routing(), policy);
         let gates = Gates::default();
@@ -108,12 +129,27 @@
                 compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
                 let readiness = Readiness::default();
                 readiness.set(true);
-                let handler = CallerHandler::new(gates, pool, readiness, keys, setup.limits);
-                serve(listener, setup.listening, signal, Rc::new(handler)).await.unwrap();
+                let forwarder = Forwarder::new(gates, pool.clone(), keys, setup.limits);
+                let token = Token::try_from(TOKEN).unwrap();
+                let taking = HopHandler::new(forwarder.clone(), readiness.clone(), token);
+                let (listening, stop) = (setup.listening, signal.clone());
+                let hops = serve(peers_listener, listening, stop, Rc::new(taking));
+                compio::runtime::spawn(hops).detach();
+                let forwarder = match setup.hop_to {
+                    None => forwarder,
+                    Some(addr) => {
+                        let token = Token::try_from(setup.token).unwrap();
+                        let client = HopClient::new("entry-1".into(), token, pool, 8);
+                        let hop = Hop { host: "entry-2".into(), addr };
+                        forwarder.with_hops(client, Rc::new(Always(hop)))
+                    }
+                };
+                let handler = CallerHandler::new(forwarder, readiness);
+                serve(listener, listening, signal, Rc::new(handler)).await.unwrap();
             });
         });
         let (stop, thread) = (Some(stop), Some(thread));
-        Self { addr, gate, connections, key_calls: Some(key_calls), stop, thread }
+        Self { addr, peers, gate, connections, key_calls: Some(key_calls), stop, thread }
     }
 
     /// Sends raw bytes and reads until the connection ends.
--- a/crates/http/src/token.rs
+++ b/crates/http/src/token.rs
@@ -1,7 +1,7 @@
 //! The shared secret that peers and operators present.
 
 use cyclamenloft_types::{Error, ErrorKind, Result};
-use http::{HeaderMap, header};
+use http::{HeaderMap, HeaderName, header};
 use std::{fmt, path::Path};
 use subtle::ConstantTimeEq;
 
@@ -38,8 +38,18 @@
     ///
     /// [`ErrorKind::Unauthorized`] where it doesn't.
     pub fn check(&self, headers: &HeaderMap) -> Result<()> {
+        self.check_in(headers, &header::AUTHORIZATION)
+    }
+
+    /// Checks that the header `name` presents this token, in constant time. For
+    /// requests whose `Authorization` belongs to someone else.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unauthorized`] where it doesn't.
+    pub fn check_in(&self, headers: &HeaderMap, name: &HeaderName) -> Result<()> {
         let expected = self.header_value();
-        let presented = headers.get(header::AUTHORIZATION).map_or(&[][..], |v| v.as_bytes());
+        let presented = headers.get(name).map_or(&[][..], |v| v.as_bytes());
         if bool::from(expected.as_bytes().ct_eq(presented)) {
             return Ok(());
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,7 +15,8 @@
     settings::EntrySettings,
 };
 use cyclamenloft_caller::{
-    CallerHandler, CallerLimits, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory, Readiness,
+    CallerHandler, CallerLimits, Forwarder, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory,
+    Readiness,
 };
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
@@ -164,7 +165,8 @@
         compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
         let limits = CallerLimits::default();
         let listening = Limits { headers: limits.headers * 2, ..Limits::default() };
-        let handler = Rc::new(CallerHandler::new(gates, pool, readiness, keys, limits));
+        let forwarder = Forwarder::new(gates, pool, keys, limits);
+        let handler = Rc::new(CallerHandler::new(forwarder, readiness));
         serve(listener, listening, stop, handler).await
     })
 }
