--- /dev/null
+++ b/benches/relay/floor.rs
@@ -0,0 +1,75 @@
+//! The bare relay: each request goes to the next target over an idle connection,
+//! and the answer comes back as it is.
+
+use crate::thread::Serving;
+use compio::{net::TcpStream, runtime::spawn};
+use cyper_core::HyperStream;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+    server::conn::http1,
+    service::service_fn,
+};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+struct Relay {
+    targets: Vec<SocketAddr>,
+    idle: Vec<RefCell<Vec<SendRequest<Incoming>>>>,
+    next: Cell<usize>,
+}
+
+/// Starts the relay.
+pub fn start(targets: &[SocketAddr]) -> Serving {
+    let targets = targets.to_vec();
+    Serving::start(move |listener| async move {
+        let idle = targets.iter().map(|_| RefCell::default()).collect();
+        let relay = Rc::new(Relay { targets, idle, next: Cell::new(0) });
+        let listener = compio::net::TcpListener::from_std(listener).unwrap();
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            stream.set_nodelay(true).unwrap();
+            spawn(serve(stream, relay.clone())).detach();
+        }
+    })
+}
+
+async fn serve(stream: TcpStream, relay: Rc<Relay>) {
+    let service = service_fn(move |req| {
+        let relay = relay.clone();
+        async move { relay.forward(req).await }
+    });
+    // A caller that closes ends the connection with an error.
+    let _ = http1::Builder::new().serve_connection(HyperStream::new_plain(stream), service).await;
+}
+
+impl Relay {
+    async fn forward(&self, req: Request<Incoming>) -> Result<Response<Incoming>, hyper::Error> {
+        let at = self.next.get();
+        self.next.set((at + 1) % self.targets.len());
+        let idle = self.idle[at].borrow_mut().pop();
+        let mut sender = match idle {
+            Some(sender) if sender.is_ready() => sender,
+            _ => connect(self.targets[at]).await?,
+        };
+        let response = sender.send_request(req).await?;
+        // The answer is short, so the connection is ready once it is used again.
+        self.idle[at].borrow_mut().push(sender);
+        Ok(response)
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<SendRequest<Incoming>, hyper::Error> {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let (sender, connection) = handshake(HyperStream::new_plain(stream)).await?;
+    spawn(async move {
+        let _ = connection.await;
+    })
+    .detach();
+    Ok(sender)
+}
--- /dev/null
+++ b/benches/relay/target.rs
@@ -0,0 +1,45 @@
+//! Targets that answer at once with a fixed body.
+
+use crate::thread::Serving;
+use bytes::Bytes;
+use cyclamenloft_http::{Handler, Limits, Request, Response, full, serve, stop_pair};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+
+/// Bytes of each answer.
+pub const ANSWER_BYTES: usize = 512;
+/// Threads that the targets are spread over.
+const THREADS: usize = 2;
+
+struct Fixed(Bytes);
+
+impl Handler for Fixed {
+    async fn handle(&self, _req: Request, _remote: SocketAddr) -> Response {
+        Response::new(full(self.0.clone()))
+    }
+}
+
+/// Starts targets; returns their addresses.
+pub fn start(count: usize) -> Vec<SocketAddr> {
+    let mut addrs = Vec::new();
+    for _ in 0..THREADS {
+        let mut listeners: Vec<_> = (1..count / THREADS)
+            .map(|_| cyclamenloft_http::bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap())
+            .collect();
+        addrs.extend(listeners.iter().map(|l| l.local_addr().unwrap()));
+        let serving = Serving::start(move |first| async move {
+            listeners.push(first);
+            let (_handle, stop) = stop_pair();
+            for listener in listeners {
+                let handler = Rc::new(Fixed(Bytes::from_static(&[b'x'; ANSWER_BYTES])));
+                let serving = serve(listener, Limits::default(), stop.clone(), handler);
+                compio::runtime::spawn(serving).detach();
+            }
+            std::future::pending::<()>().await;
+        });
+        addrs.push(serving.addr);
+    }
+    addrs
+}
--- a/crates/caller/src/hop/handler.rs
+++ b/crates/caller/src/hop/handler.rs
@@ -2,9 +2,20 @@
 
 use super::marks;
 use crate::{forwarder::Forwarder, gates::Readiness, handler::refused};
-use cyclamenloft_http::{Handler, Request, Response, Token, error_response};
+use bytes::Bytes;
+use cyclamenloft_http::{Body, BoxError, Handler, Request, Response, Token, error_response};
 use cyclamenloft_types::{Error, ErrorKind};
-use std::{net::SocketAddr, time::Instant};
+use http_body::{Frame, SizeHint};
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at the requests in flight during a planned stop.
+const DRAIN_PAUSE: Duration = Duration::from_millis(10);
 
 /// Answers handed-over requests on the peers' listener. They go through the same
 /// gates as callers' requests, and no further than to this host's targets.
@@ -12,28 +23,40 @@
     forwarder: Forwarder,
     readiness: Readiness,
     token: Token,
+    /// Each request in flight holds a clone.
+    in_flight: Rc<()>,
 }
 
 impl HopHandler {
     /// A handler for peers that present `token`.
     #[must_use]
     pub fn new(forwarder: Forwarder, readiness: Readiness, token: Token) -> Self {
-        Self { forwarder, readiness, token }
+        Self { forwarder, readiness, token, in_flight: Rc::new(()) }
+    }
+
+    /// Waits until no handed-over request is in flight, at most for `limit`.
+    pub async fn drained(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        while Rc::strong_count(&self.in_flight) > 1 && Instant::now() < until {
+            compio::time::sleep(DRAIN_PAUSE).await;
+        }
     }
 
     async fn respond(&self, req: Request, remote: SocketAddr) -> Result<Response, Error> {
         let arrived = Instant::now();
+        let in_flight = self.in_flight.clone();
         self.token.check_in(req.headers(), &marks::HOP_TOKEN_HEADER)?;
-        let (mut parts, body) = req.into_parts();
         if !self.readiness.is_ready() {
             return Err(Error::new(ErrorKind::Draining, "not ready"));
         }
+        let (mut parts, body) = req.into_parts();
         let marks = marks::read(&mut parts)?;
         // The token must not reach a target.
         marks::remove(&mut parts.headers);
         let from = remote.ip().to_string();
         let answer = self.forwarder.forward(parts, body, marks, &from, true, arrived).await;
-        Ok(answer.unwrap_or_else(refused))
+        let answer = answer.unwrap_or_else(refused);
+        Ok(answer.map(|body| -> Body { Box::pin(Counted { body, _in_flight: in_flight }) }))
     }
 }
 
@@ -42,3 +65,29 @@
         self.respond(req, remote).await.unwrap_or_else(|e| error_response(&e))
     }
 }
+
+/// A body that counts as in flight until it has ended.
+struct Counted {
+    body: Body,
+    _in_flight: Rc<()>,
+}
+
+impl http_body::Body for Counted {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        self.body.as_mut().poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,8 +15,8 @@
     settings::EntrySettings,
 };
 use cyclamenloft_caller::{
-    CallerHandler, CallerLimits, Forwarder, Gates, KeyCalls, Keys, MemoryLimits, OutcomeMemory,
-    Readiness,
+    CallerHandler, CallerLimits, Forwarder, Gates, HopHandler, KeyCalls, Keys, MemoryLimits,
+    OutcomeMemory, Readiness, marks::MAX_DEADLINE,
 };
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
@@ -75,7 +75,7 @@
     let (mut rest_stop, rest_signal) = stop_pair();
     let threads = start_callers(&settings, &entry, &callers, &callers_signal)?;
     drop(callers);
-    start_listeners(&settings, &entry, [platform, operators, peers], &rest_signal)?;
+    let peers = start_listeners(&settings, &entry, [platform, operators, peers], &rest_signal)?;
     start_config(&settings, &entry)?;
     compio::runtime::spawn(services::keep(entry.clone())).detach();
     compio::runtime::spawn(tick(entry.clone())).detach();
@@ -89,6 +89,7 @@
     compio::time::sleep(settings.lame_duck).await;
     callers_stop.stop();
     let drained = compio::runtime::spawn_blocking(move || join_all(threads)).await;
+    peers.hops.drained(MAX_DEADLINE).await;
     rest_stop.stop();
     tracing::info!("entry stopped");
     drained.unwrap_or_else(|_| Err(Error::new(ErrorKind::Internal, "drain did not end")))
@@ -115,7 +116,8 @@
         control: PeerSet::new(client.clone(), addrs(&settings.control)),
         config_voters: PeerSet::new(client, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
-        connections: HostConnections::new(settings.threads),
+        // One thread more takes requests from other entry hosts.
+        connections: HostConnections::new(settings.threads + 1),
         keys,
     };
     Ok((entry, key_calls))
@@ -164,7 +166,9 @@
         let pool = Pool::new(PoolLimits::default(), connections);
         compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
         let limits = CallerLimits::default();
-        let listening = Limits { headers: limits.headers * 2, ..Limits::default() };
+        // A planned stop waits as long as any request may take.
+        let listening =
+            Limits { headers: limits.headers * 2, drain: MAX_DEADLINE, ..Limits::default() };
         let forwarder = Forwarder::new(gates, pool, keys, limits);
         let handler = Rc::new(CallerHandler::new(forwarder, readiness));
         serve(listener, listening, stop, handler).await
@@ -184,17 +188,27 @@
     entry: &Rc<Entry>,
     [platform, operators, peers]: [TcpListener; 3],
     stop: &StopSignal,
-) -> Result<()> {
+) -> Result<Rc<peers::PeersHandler>> {
     let limits = Limits { drain: Duration::from_secs(2), ..Limits::default() };
     let handler = Rc::new(platform::PlatformHandler(entry.clone()));
     compio::runtime::spawn(serve(platform, limits, stop.clone(), handler)).detach();
     let token = settings.operator_token.clone();
     let handler = Rc::new(operators::OperatorHandler { entry: entry.clone(), token });
     compio::runtime::spawn(serve(operators, limits, stop.clone(), handler)).detach();
-    let service =
+    let rpc =
         RpcService::new(settings.peer_token.clone(), Rc::new(peers::EntryHandler(entry.clone())))?;
-    compio::runtime::spawn(serve(peers, limits, stop.clone(), Rc::new(service))).detach();
-    Ok(())
+    let handler = Rc::new(peers::PeersHandler { rpc, hops: take_hops(settings, entry) });
+    compio::runtime::spawn(serve(peers, limits, stop.clone(), handler.clone())).detach();
+    Ok(handler)
+}
+
+/// Takes requests that other entry hosts hand over, on this thread.
+fn take_hops(settings: &EntrySettings, entry: &Entry) -> HopHandler {
+    let pool = Pool::new(PoolLimits::default(), entry.connections.clone());
+    compio::runtime::spawn(trim(pool.clone(), entry.gates.clone())).detach();
+    let (gates, keys) = (entry.gates.clone(), entry.keys.clone());
+    let forwarder = Forwarder::new(gates, pool, keys, CallerLimits::default());
+    HopHandler::new(forwarder, entry.readiness.clone(), settings.peer_token.clone())
 }
 
 /// Starts the tasks that feed the configuration board, and the one that makes
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,14 +1,33 @@
 //! The methods that an entry process answers to other processes.
 
 use super::{Entry, operators::status, services::hear};
+use cyclamenloft_caller::{HopHandler, hop::HOP_PATH};
+use cyclamenloft_http::{Handler, Request, Response};
 use cyclamenloft_peer::{
-    Method, PeerHandler, answer,
+    Method, PeerHandler, RpcService, answer,
     calls::{Nothing, ProcessStatus, SpreadTargets, WaitConfig},
 };
 use cyclamenloft_target::TargetAnnouncement;
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use serde_json::value::RawValue;
-use std::{rc::Rc, time::Instant};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
+
+/// Answers everything on the peers' listener.
+pub(super) struct PeersHandler {
+    /// Calls of methods.
+    pub(super) rpc: RpcService<EntryHandler>,
+    /// Requests that other entry hosts hand over.
+    pub(super) hops: HopHandler,
+}
+
+impl Handler for PeersHandler {
+    async fn handle(&self, req: Request, remote: SocketAddr) -> Response {
+        if req.uri().path().starts_with(HOP_PATH) {
+            return self.hops.handle(req, remote).await;
+        }
+        self.rpc.handle(req, remote).await
+    }
+}
 
 /// Answers the peers of an entry process.
 pub(super) struct EntryHandler(pub(super) Rc<Entry>);
