--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -12,6 +12,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// When to ask again where there is no target: targets announce themselves about
+/// this often.
+const TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// What a predicted wait is multiplied with before it is held against a deadline.
 const WAIT_SAFETY: f64 = 1.1;
 /// Waiting requests passed over because every free target had failed them.
@@ -186,7 +189,10 @@
 
     /// A refusal with the figures of the moment.
     pub(crate) fn refusal(&self, kind: ErrorKind, detail: &str) -> Refusal {
-        let drained = self.wait_behind(self.queue.len() + 1);
+        let drained = match kind {
+            ErrorKind::NoTarget => TARGET_RETRY_AFTER,
+            _ => self.wait_behind(self.queue.len() + 1),
+        };
         Refusal {
             kind,
             detail: detail.into(),
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -30,6 +30,8 @@
     by_deadline: BTreeSet<Place>,
     /// Callers with requests in this class, those served least first.
     turns: BTreeSet<(u64, u32)>,
+    /// Callers by the number of requests that they have in this class.
+    by_count: BTreeSet<(usize, u32)>,
     /// Requests per [`RANK_BUCKET`] of deadlines.
     buckets: BTreeMap<u64, u32>,
 }
@@ -38,7 +40,13 @@
     name: CallerName,
     /// Turns taken, on the queue's virtual clock.
     served: u64,
-    classes: [BTreeSet<Place>; CLASSES],
+    classes: [CallerClass; CLASSES],
+}
+
+/// One caller's requests in one class.
+#[derive(Default)]
+struct CallerClass {
+    by_deadline: BTreeSet<Place>,
     /// Tickets in order of arrival.
     arrivals: BTreeSet<u64>,
 }
@@ -53,8 +61,6 @@
     callers: HashMap<u32, CallerEntries>,
     caller_ids: HashMap<CallerName, u32>,
     next_caller: u32,
-    /// Callers by the number of requests that they have waiting.
-    by_count: BTreeSet<(usize, u32)>,
     virtual_time: u64,
     crowded_until: Option<Instant>,
 }
@@ -69,7 +75,6 @@
             callers: HashMap::new(),
             caller_ids: HashMap::new(),
             next_caller: 0,
-            by_count: BTreeSet::new(),
             virtual_time: 0,
             crowded_until: None,
         }
@@ -109,7 +114,7 @@
         let bucket = self.bucket(facts.deadline);
         let in_class = if self.is_crowded(now) {
             let entries = self.caller_ids.get(&facts.caller).and_then(|id| self.callers.get(id));
-            let mine = entries.map_or(0, |c| c.classes[class].len());
+            let mine = entries.map_or(0, |c| c.classes[class].arrivals.len());
             let callers = own.turns.len() + usize::from(mine == 0);
             ((mine + 1) * callers - 1).min(own.by_deadline.len())
         } else {
@@ -125,10 +130,12 @@
         let id = self.caller(&waiting.facts.caller);
         let bucket = self.bucket(waiting.facts.deadline);
         if let Some(caller) = self.callers.get_mut(&id) {
-            self.by_count.remove(&(caller.arrivals.len(), id));
-            caller.arrivals.insert(place.1);
-            self.by_count.insert((caller.arrivals.len(), id));
-            caller.classes[class].insert(place);
+            let own = &mut caller.classes[class];
+            let by_count = &mut self.classes[class].by_count;
+            by_count.remove(&(own.arrivals.len(), id));
+            own.arrivals.insert(place.1);
+            own.by_deadline.insert(place);
+            by_count.insert((own.arrivals.len(), id));
             self.classes[class].turns.insert((caller.served, id));
         }
         self.classes[class].by_deadline.insert(place);
@@ -144,7 +151,7 @@
             self.classes.iter().enumerate().rev().find(|(_, c)| !c.by_deadline.is_empty())?;
         let seq = if crowded {
             let id = class.turns.first()?.1;
-            let seq = self.callers.get(&id)?.classes[index].first()?.1;
+            let seq = self.callers.get(&id)?.classes[index].by_deadline.first()?.1;
             self.charge(id);
             seq
         } else {
@@ -158,7 +165,7 @@
         let Some(entries) = self.callers.get_mut(&id) else { return };
         self.virtual_time = self.virtual_time.max(entries.served);
         for (class, waiting) in self.classes.iter_mut().zip(&entries.classes) {
-            if !waiting.is_empty() {
+            if !waiting.arrivals.is_empty() {
                 class.turns.remove(&(entries.served, id));
                 class.turns.insert((entries.served + 1, id));
             }
@@ -174,33 +181,30 @@
     }
 
     /// The newest request that should give way to a new one in a full queue: one
-    /// of a lower priority, or else one of the caller that holds the most, if
-    /// the new request's caller holds less than its fair share.
+    /// of a lower priority, or else one of the same priority, if the new
+    /// request's caller holds less than its fair share. It is taken from the
+    /// caller that holds the most.
     pub(crate) fn displace_for(&mut self, facts: &RequestFacts) -> Option<Waiting> {
         let class = class_index(facts.priority);
         let lower = self.classes[..class].iter().position(|c| !c.by_deadline.is_empty());
         if let Some(lower) = lower {
-            let (_, id) = self.largest_in_class(lower)?;
-            let newest = self.callers.get(&id)?.classes[lower].iter().map(|p| p.1).max()?;
-            return self.remove(Ticket(newest));
+            return self.remove_newest_of_largest(lower);
         }
         let mine = self.caller_ids.get(&facts.caller).and_then(|id| self.callers.get(id));
-        let mine_count = mine.map_or(0, |c| c.arrivals.len());
-        let callers = self.callers.len() + usize::from(mine.is_none());
-        let fair = self.bound / callers.max(1);
-        let (count, id) = *self.by_count.last()?;
-        if mine_count >= fair.max(1) || count <= mine_count + 1 {
+        let mine = mine.map_or(0, |c| c.classes[class].arrivals.len());
+        let callers = self.classes[class].turns.len() + usize::from(mine == 0);
+        let fair = (self.bound / callers.max(1)).max(1);
+        let largest = self.classes[class].by_count.last()?.0;
+        if mine >= fair || largest <= mine + 1 {
             return None;
         }
-        let entries = self.callers.get(&id)?;
-        let in_class = &entries.classes[class];
-        let newest = in_class.iter().map(|p| p.1).max()?;
-        self.remove(Ticket(newest))
+        self.remove_newest_of_largest(class)
     }
 
-    fn largest_in_class(&self, class: usize) -> Option<(usize, u32)> {
-        let ids = self.classes[class].turns.iter().map(|t| t.1);
-        ids.filter_map(|id| Some((self.callers.get(&id)?.classes[class].len(), id))).max()
+    fn remove_newest_of_largest(&mut self, class: usize) -> Option<Waiting> {
+        let id = self.classes[class].by_count.last()?.1;
+        let newest = *self.callers.get(&id)?.classes[class].arrivals.last()?;
+        self.remove(Ticket(newest))
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
@@ -217,17 +221,18 @@
             }
         }
         if let Some(caller) = self.callers.get_mut(&id) {
-            self.by_count.remove(&(caller.arrivals.len(), id));
-            caller.arrivals.remove(&ticket.0);
-            caller.classes[index].remove(&place);
-            if caller.classes[index].is_empty() {
+            let own = &mut caller.classes[index];
+            class.by_count.remove(&(own.arrivals.len(), id));
+            own.arrivals.remove(&ticket.0);
+            own.by_deadline.remove(&place);
+            if own.arrivals.is_empty() {
                 class.turns.remove(&(caller.served, id));
+            } else {
+                class.by_count.insert((own.arrivals.len(), id));
             }
-            if caller.arrivals.is_empty() {
+            if caller.classes.iter().all(|c| c.arrivals.is_empty()) {
                 self.caller_ids.remove(&caller.name);
                 self.callers.remove(&id);
-            } else {
-                self.by_count.insert((caller.arrivals.len(), id));
             }
         }
         Some(waiting)
@@ -243,7 +248,6 @@
             name: name.clone(),
             served: self.virtual_time,
             classes: Default::default(),
-            arrivals: BTreeSet::new(),
         };
         self.callers.insert(id, entries);
         self.caller_ids.insert(name.clone(), id);
