Routing: targets that fail at once attract less; faults in virtual time

With a third of 20 targets gone, the cap left one dead target in use.

The event loop of the overload tests moves to a module of its own, with the same arrivals and service times; the tests keep their bounds. New tests: targets ten times slower in waves, flapping targets, the death of a third.

--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -220,20 +220,43 @@
         if self.routing.choice != ChoicePolicy::TwoChoices || target.health.is_ejected() {
             return;
         }
-        if let Some(cause) = target.health.fault(median) {
-            self.eject(i, cause, now);
+        let Some(cause) = target.health.fault(median) else { return };
+        if !self.eject(i, cause, now) && cause == EjectionCause::ConsecutiveFailures {
+            self.pause(i, now);
         }
     }
 
-    fn eject(&mut self, i: TargetIndex, cause: EjectionCause, now: Instant) {
+    /// Puts a target out of use, unless that exceeds the cap.
+    fn eject(&mut self, i: TargetIndex, cause: EjectionCause, now: Instant) -> bool {
         if self.ejected_usable(now).count() >= self.max_ejected() {
-            return;
+            return false;
         }
-        let Some(target) = self.targets.get_mut(i) else { return };
+        let Some(target) = self.targets.get_mut(i) else { return false };
         target.health.eject(cause, now);
         tracing::info!(target = %target.record.id, ?cause, "target ejected");
         self.ejected.push(i);
         self.note_next_probe();
+        true
+    }
+
+    /// Keeps requests away from a target for a moment, as long as half of all
+    /// targets stay in use.
+    fn pause(&mut self, i: TargetIndex, now: Instant) {
+        let out = self.ejected_usable(now).count() + self.paused.len();
+        if out >= self.targets.usable() as usize / 2 {
+            return;
+        }
+        if let Some(target) = self.targets.get_mut(i) {
+            self.paused.push_back((target.health.pause(now), i));
+        }
+    }
+
+    /// Lets requests go to the targets whose pause has ended.
+    pub(crate) fn end_pauses(&mut self, now: Instant) {
+        // All pauses are of the same length, so they end in order.
+        while let Some((_, i)) = self.paused.pop_front_if(|(until, _)| *until <= now) {
+            self.refresh(i, now);
+        }
     }
 
     /// Most targets that may be out of use at once.
--- a/crates/routing/src/ejection.rs
+++ b/crates/routing/src/ejection.rs
@@ -25,6 +25,9 @@
 const BASE_BACKOFF: Duration = Duration::from_secs(1);
 /// Longest time out of use.
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
+/// Time without requests after each further failure of a target that the cap
+/// keeps in use. It bounds how much a target that fails at once can attract.
+const PAUSE: Duration = Duration::from_millis(50);
 /// Successful probes in a row that bring a target back.
 const PROBES_TO_RETURN: u32 = 3;
 /// Time in use that makes one former ejection forgotten.
@@ -72,6 +75,7 @@
     good_probes: u32,
     ejections: u32,
     in_use_since: Instant,
+    paused_until: Option<Instant>,
 }
 
 impl Health {
@@ -87,6 +91,7 @@
             good_probes: 0,
             ejections: 0,
             in_use_since: now,
+            paused_until: None,
         }
     }
 
@@ -98,6 +103,15 @@
         matches!(self.standing, Standing::Ejected { .. })
     }
 
+    /// Keeps requests away for a moment; returns until when.
+    pub(crate) fn pause(&mut self, now: Instant) -> Instant {
+        *self.paused_until.insert(now + PAUSE)
+    }
+
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|t| t > now)
+    }
+
     /// Failures in a row, fading with the time since the last one.
     pub(crate) fn recent_failures(&self, now: Instant) -> f64 {
         let Some(at) = self.failed_at else { return 0.0 };
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -19,7 +19,10 @@
 };
 use cyclamenloft_types::{HostId, TargetId};
 use rand::{SeedableRng, rngs::SmallRng};
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often the median latency of the targets is computed anew.
@@ -38,6 +41,8 @@
     pub(crate) table_changes: u64,
     /// Ejected targets, those ejected first before the others.
     pub(crate) ejected: Vec<TargetIndex>,
+    /// Targets that get no requests for a moment, and until when.
+    pub(crate) paused: VecDeque<(Instant, TargetIndex)>,
     /// No probe is due before this.
     pub(crate) next_probe: Option<Instant>,
     pub(crate) queue: FairQueue,
@@ -78,6 +83,7 @@
             table: None,
             table_changes: 0,
             ejected: Vec::new(),
+            paused: VecDeque::new(),
             next_probe: None,
             queue: FairQueue::new(service.queue as usize),
             neighbours: Neighbours::default(),
@@ -209,6 +215,7 @@
                 forgotten.iter().for_each(|id| table.forget(id));
             }
         }
+        self.end_pauses(now);
         let due = self.median_at.is_none_or(|t| now.saturating_duration_since(t) >= MEDIAN_PERIOD);
         if due {
             self.median_at = Some(now);
--- a/crates/routing/src/targets.rs
+++ b/crates/routing/src/targets.rs
@@ -261,7 +261,7 @@
         let usable = target.usable(now);
         let in_use = usable && !target.health.is_ejected();
         let slots = if in_use { allowance.total } else { 0 };
-        let free = in_use && target.has_slot(false);
+        let free = in_use && !target.health.is_paused(now) && target.has_slot(false);
         let key = free.then_some(match ordering {
             Ordering::ByInFlight => target.in_flight,
             Ordering::ByIndex | Ordering::None => 0,
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod admission;
+mod arrivals;
 mod choice;
+mod faults;
 mod invariants;
 mod lifecycle;
 mod neighbours;
--- a/crates/routing/tests/all/neighbours.rs
+++ b/crates/routing/tests/all/neighbours.rs
@@ -189,3 +189,24 @@
     println!("the busiest of three hosts: {lent} requests with loans, {fixed} with fixed shares");
     assert!(f64::from(lent) >= 1.4 * f64::from(fixed), "{lent} against {fixed}");
 }
+
+#[test]
+fn a_request_that_may_outlast_a_lease_takes_the_floor_only() {
+    let mut domain = Domain::new(true, 0.0, 1);
+    domain.routers.iter_mut().for_each(|r| {
+        let config = LeaseConfig { max_deadline: ms(10_000), ..LeaseConfig::default() };
+        r.enable_leases(2, None, config, domain.now);
+    });
+    domain.pass(ms(6000), [0; HOSTS]);
+    let mut admit = |deadline| {
+        let facts = request("c", domain.now + deadline);
+        domain.routers[0].admit(facts, &[], domain.now)
+    };
+    let mut long = 0;
+    while let Decision::Dispatch(permit) = admit(ms(60_000)) {
+        assert_eq!(permit.deadline, domain.now + ms(10_000));
+        long += 1;
+    }
+    assert_eq!(long, TARGETS, "one slot of each target");
+    assert!(matches!(admit(ms(1000)), Decision::Dispatch(_)), "others take the rest");
+}
