Entry hosts share slots by leases, spill to other domains, ask each other for keys

Cause: fixed shares wasted a dead or idle host's slots; a domain without targets refused everything; a key owned by another entry host was refused. Change: one task for each other entry host of the domain carries the routing package's slot messages, in batches for all services; entry hosts of other domains are asked for their waits every 500 ms, which measures the link and feeds the spill rule; questions about keys go to their owner. A control process ends when a replica's files fail. Shown by: tests/all, three replicas outlive their leader and a restart of all.

--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -4,10 +4,10 @@
 use crate::permit::Reserved;
 use cyclamenloft_routing::{
     AttemptResult, Decision, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
-    ServiceRouter, TargetRecord, Ticket, slots::base_share,
+    ServiceRouter, TargetRecord, Ticket, slots::base_share, spill::SpillChoice,
 };
 use cyclamenloft_target::Endpoint;
-use cyclamenloft_types::{ErrorKind, HostId, Outcome, TargetId};
+use cyclamenloft_types::{ErrorKind, HostId, Outcome, RequestId, TargetId};
 use futures_channel::oneshot;
 use std::{
     collections::{HashMap, HashSet},
@@ -24,10 +24,12 @@
 /// What became of a request that waited.
 type Turn = Result<Reserved, Refusal>;
 
-struct State {
-    router: ServiceRouter,
+pub(crate) struct State {
+    pub(crate) router: ServiceRouter,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
     policy: ServicePolicy,
+    /// Requests that are to go to another domain instead of waiting here.
+    pub(crate) spilled: HashMap<RequestId, SpillChoice>,
     /// Until when the newest announcement at an address holds.
     live: HashMap<SocketAddr, Instant>,
 }
@@ -49,7 +51,13 @@
         policy: ServicePolicy,
     ) -> Arc<Self> {
         let router = ServiceRouter::new(host.clone(), roster.clone(), routing, policy.clone());
-        let state = State { router, waiting: HashMap::new(), policy, live: HashMap::new() };
+        let state = State {
+            router,
+            waiting: HashMap::new(),
+            policy,
+            spilled: HashMap::new(),
+            live: HashMap::new(),
+        };
         Arc::new(Self { host, roster, state: Mutex::new(state) })
     }
 
@@ -111,10 +119,16 @@
         let deadline = facts.deadline;
         let (ticket, rx) = {
             let mut state = self.lock();
-            match state.router.admit(facts, avoid, now) {
+            match state.router.admit(facts.clone(), avoid, now) {
                 Decision::Dispatch(permit) => return Ok(Reserved::new(self.clone(), permit)),
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
+                    if let Some(choice) = state.router.consider_spill(&facts, now) {
+                        state.router.cancel(ticket);
+                        let detail = format!("domain {} answers sooner", choice.domain);
+                        state.spilled.insert(facts.id, choice);
+                        return Err(refusal(ErrorKind::Overloaded, detail));
+                    }
                     let (tx, rx) = oneshot::channel();
                     state.waiting.insert(ticket, tx);
                     (ticket, rx)
@@ -167,7 +181,7 @@
     /// Lets `f` decide, and hands the decisions to the requests that wait for
     /// them. Nothing is sent under the lock, because a receiver that is gone
     /// gives its slot back.
-    fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
+    pub(crate) fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
         let decided: Vec<_> = {
             let mut state = self.lock();
             let decided = f(&mut state);
@@ -190,7 +204,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         // Decisions don't panic half-way; a poisoned lock still holds a whole state.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod forward;
 mod keyed;
+mod neighbours;
 mod outgoing;
 mod pause;
 mod shape;
--- a/crates/peer/src/calls.rs
+++ b/crates/peer/src/calls.rs
@@ -1,13 +1,17 @@
 //! The methods that peers call on each other, with their typed parameters and
 //! answers.
 
+use cyclamenloft_caller::idempotency::{KeyAnswer, KeyQuestion};
 use cyclamenloft_operator::{
     Update,
     messages::{ApplyAnswer, ApplyRequest, HistoryAnswer, HistoryRequest},
 };
 use cyclamenloft_placement::{Announcement, Lease, NumberedOrder, OrdersRequest, Report};
+use cyclamenloft_routing::{slots::SlotMessage, spill::WaitReport};
 use cyclamenloft_target::TargetAnnouncement;
-use cyclamenloft_types::{ConfigNumber, HostId, JobId, JobSpec, JobState, LogIndex, WorkerId};
+use cyclamenloft_types::{
+    ConfigNumber, HostId, JobId, JobSpec, JobState, LogIndex, ServiceName, WorkerId,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A method of the peers' protocol.
@@ -42,6 +46,12 @@
 methods! {
     /// Passes targets' announcements on to another entry host of the domain.
     SpreadTargets = "targets.spread": Vec<TargetAnnouncement> => Nothing;
+    /// Exchanges messages about slots with another entry host of the domain.
+    ExchangeSlots = "slots.exchange": Vec<ServiceSlots> => Vec<ServiceSlots>;
+    /// Reads how long requests would wait at an entry host of another domain.
+    ReadWaits = "waits.read": Nothing => Vec<ServiceWait>;
+    /// Asks the owner of an idempotency key.
+    AskKey = "keys.ask": KeyQuestion => KeyAnswer;
     /// Hands a worker's announcement to the control leader.
     AnnounceWorker = "workers.announce": Announcement => Lease;
     /// Hands a worker's report to the control leader.
@@ -72,6 +82,24 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Nothing {}
 
+/// A message about the slots of one service's targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSlots {
+    /// The service.
+    pub service: ServiceName,
+    /// The message.
+    pub message: SlotMessage,
+}
+
+/// How long requests of one service would wait at the answering host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWait {
+    /// The service.
+    pub service: ServiceName,
+    /// The wait.
+    pub report: WaitReport,
+}
+
 /// A worker in a list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerSummary {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,8 +17,9 @@
 use cyclamenloft_peer::{LogTransport, PeerClient, RpcService};
 use cyclamenloft_placement::{PlacementState, Scheduler};
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica, StateMachine};
-use cyclamenloft_types::{HostId, ReplicaId, Result, TaskState};
-use std::{cell::RefCell, path::Path, rc::Rc, time::Duration};
+use cyclamenloft_types::{Error, HostId, ReplicaId, Result, TaskState};
+use futures_util::future::{Either, select};
+use std::{cell::RefCell, path::Path, pin::pin, rc::Rc, time::Duration};
 
 pub(crate) use config::follow_source as follow_config;
 
@@ -68,7 +69,10 @@
     let (mut serve_stop, serve_signal) = cyclamenloft_http::stop_pair();
     let limits = Limits { drain: Duration::from_secs(2), ..Limits::default() };
     let serving = compio::runtime::spawn(serve(listener, limits, serve_signal, service));
-    stop.stopped().await;
+    let Some(()) = unless_failed(&control, stop.stopped()).await else {
+        // Nothing may be acknowledged once a file could not be written.
+        return Err(failure(&control).await);
+    };
     // Leadership is handed over while the listener still answers the others.
     control.placement.shut_down().await;
     if let Some(config) = &control.config {
@@ -80,6 +84,23 @@
     served.unwrap_or(Ok(()))
 }
 
+/// Waits for `work`, unless a replica's files fail before it ends.
+async fn unless_failed<T>(control: &Control, work: impl Future<Output = T>) -> Option<T> {
+    match select(pin!(work), pin!(failure(control))).await {
+        Either::Left((value, _)) => Some(value),
+        Either::Right(_) => None,
+    }
+}
+
+/// Waits for the failure of a replica's files.
+async fn failure(control: &Control) -> Error {
+    let placement = pin!(control.placement.failed());
+    let Some(config) = &control.config else {
+        return placement.await;
+    };
+    select(placement, pin!(config.failed())).await.factor_first().0
+}
+
 async fn open(settings: &ControlSettings) -> Result<Control> {
     let placement =
         open_group(settings, PLACEMENT_GROUP, settings.replica, &settings.placement).await?;
--- /dev/null
+++ b/src/entry/keys.rs
@@ -0,0 +1,37 @@
+//! Questions about idempotency keys that other entry hosts own.
+
+use crate::settings::{EntrySettings, raw::HostAddr};
+use cyclamenloft_caller::KeyCalls;
+use cyclamenloft_peer::{PeerClient, calls::AskKey};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use futures_util::StreamExt;
+use std::{rc::Rc, time::Duration};
+
+/// Longest wait for the owner of a key.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Starts the task that passes questions on, each as a task of its own.
+pub(super) fn start(settings: &EntrySettings, mut calls: KeyCalls) -> Result<()> {
+    let client = PeerClient::new(settings.peer_token.clone(), TIMEOUT)?;
+    let roster: Rc<[HostAddr]> = settings.roster.clone().into();
+    compio::runtime::spawn(async move {
+        while let Some(call) = calls.next().await {
+            let (client, roster) = (client.clone(), roster.clone());
+            compio::runtime::spawn(async move {
+                let owner = roster.iter().find(|h| h.host == call.owner);
+                let answer = match owner {
+                    Some(owner) => client.call::<AskKey>(owner.addr, &call.question).await,
+                    None => Err(Error::new(
+                        ErrorKind::PeerUnreachable,
+                        format!("owner {:?} of the key has no address", call.owner),
+                    )),
+                };
+                // The asker may have gone.
+                let _ = call.reply.send(answer);
+            })
+            .detach();
+        }
+    })
+    .detach();
+    Ok(())
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,10 +2,13 @@
 //! more hears targets, workers, operators and peers. It keeps no files.
 
 mod homes;
+mod keys;
 mod operators;
 mod peers;
 mod platform;
 mod services;
+mod slots;
+mod spill;
 mod spread;
 
 use crate::{
@@ -21,9 +24,9 @@
 };
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
+use cyclamenloft_routing::slots::Incarnation;
 use cyclamenloft_target::{HostConnections, Pool, PoolLimits, Registry};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, Result};
-use futures_util::StreamExt;
 use std::{
     cell::RefCell,
     net::{SocketAddr, TcpListener},
@@ -59,6 +62,12 @@
     pub(crate) connections: HostConnections,
     /// What became of requests with idempotency keys.
     pub(crate) keys: Keys,
+    /// This life of the process, told apart from every earlier one.
+    pub(crate) incarnation: Incarnation,
+    /// Where entry hosts of other domains take requests.
+    pub(crate) remote_addresses: spill::RemoteAddresses,
+    /// Messages about slots on their way to the other entry hosts of the domain.
+    pub(crate) slots: slots::Outboxes,
 }
 
 /// Runs an entry process until `stop`, then drains it.
@@ -72,7 +81,9 @@
         (bind(settings.platform)?, bind(settings.operators)?, bind(settings.peers)?);
     let (entry, key_calls) = create(&settings)?;
     let entry = Rc::new(entry);
-    compio::runtime::spawn(pass_on_keys(key_calls)).detach();
+    keys::start(&settings, key_calls)?;
+    slots::start(&settings, &entry)?;
+    spill::start(&settings, &entry)?;
 
     let (mut callers_stop, callers_signal) = stop_pair();
     let (mut rest_stop, rest_signal) = stop_pair();
@@ -93,6 +104,7 @@
     callers_stop.stop();
     let drained = compio::runtime::spawn_blocking(move || join_all(threads)).await;
     peers.hops.drained(MAX_DEADLINE).await;
+    slots::stop(&entry).await;
     rest_stop.stop();
     tracing::info!("entry stopped");
     drained.unwrap_or_else(|_| Err(Error::new(ErrorKind::Internal, "drain did not end")))
@@ -123,19 +135,13 @@
         // One thread more takes requests from other entry hosts.
         connections: HostConnections::new(settings.threads + 1),
         keys,
+        incarnation: rand::random(),
+        remote_addresses: spill::RemoteAddresses::default(),
+        slots: slots::Outboxes::default(),
     };
     Ok((entry, key_calls))
 }
 
-/// Refuses questions about keys that other entry hosts own.
-async fn pass_on_keys(mut calls: KeyCalls) {
-    while let Some(call) = calls.next().await {
-        let detail = format!("owner {:?} of the key can't be asked", call.owner);
-        // The asker may have gone.
-        let _ = call.reply.send(Err(Error::new(ErrorKind::PeerUnreachable, detail)));
-    }
-}
-
 /// Starts the threads that serve callers; each has a runtime of its own.
 fn start_callers(
     settings: &EntrySettings,
@@ -149,9 +155,10 @@
         let listener = listener.try_clone().map_err(internal)?;
         let (gates, readiness, stop) = (entry.gates.clone(), entry.readiness.clone(), stop.clone());
         let (connections, keys) = (entry.connections.clone(), entry.keys.clone());
+        let hops = spill::Hops::new(settings, entry);
         let thread = std::thread::Builder::new()
             .name(format!("callers-{number}"))
-            .spawn(move || serve_callers(listener, gates, readiness, connections, keys, stop))
+            .spawn(move || serve_callers(listener, gates, readiness, connections, keys, hops, stop))
             .map_err(internal)?;
         threads.push(thread);
     }
@@ -164,6 +171,7 @@
     readiness: Readiness,
     connections: HostConnections,
     keys: Keys,
+    hops: spill::Hops,
     stop: StopSignal,
 ) -> Result<()> {
     process::runtime()?.block_on(async move {
@@ -173,7 +181,8 @@
         // A planned stop waits as long as any request may take.
         let listening =
             Limits { headers: limits.headers * 2, drain: MAX_DEADLINE, ..Limits::default() };
-        let forwarder = Forwarder::new(gates, pool, keys, limits);
+        let (client, rule) = hops.on_this_thread(pool.clone(), gates.clone());
+        let forwarder = Forwarder::new(gates, pool, keys, limits).with_hops(client, rule);
         let handler = Rc::new(CallerHandler::new(forwarder, readiness));
         serve(listener, listening, stop, handler).await
     })
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,12 +1,13 @@
 //! The methods that an entry process answers to other processes.
 
-use super::{Entry, homes, operators::status, services::hear};
+use super::{Entry, homes, operators::status, services::hear, slots, spill};
 use cyclamenloft_caller::{HopHandler, hop::HOP_PATH};
 use cyclamenloft_http::{Handler, Request, Response};
 use cyclamenloft_peer::{
     Method, PeerHandler, RpcService, answer,
     calls::{
-        CancelJobs, ListJobs, Nothing, ProcessStatus, ReadJob, SpreadTargets, SubmitJob, WaitConfig,
+        AskKey, CancelJobs, ExchangeSlots, ListJobs, Nothing, ProcessStatus, ReadJob, ReadWaits,
+        SpreadTargets, SubmitJob, WaitConfig,
     },
 };
 use cyclamenloft_target::TargetAnnouncement;
@@ -41,6 +42,17 @@
             SpreadTargets::NAME => {
                 answer::<SpreadTargets, _>(params, |p| async move { spread(entry, &p) }).await
             }
+            ExchangeSlots::NAME => {
+                let take = |p| async move { Ok(slots::take(entry, p, Instant::now())) };
+                answer::<ExchangeSlots, _>(params, take).await
+            }
+            ReadWaits::NAME => {
+                answer::<ReadWaits, _>(params, |_| async move { Ok(spill::waits(entry)) }).await
+            }
+            AskKey::NAME => {
+                let ask = |p| async move { entry.keys.answer(p, Instant::now()) };
+                answer::<AskKey, _>(params, ask).await
+            }
             WaitConfig::NAME => {
                 let wait = |p| async move { Ok(entry.board.answer_wait(p).await) };
                 answer::<WaitConfig, _>(params, wait).await
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -1,9 +1,8 @@
 //! Keeping the gates in line with the configuration in force and with the
 //! targets' announcements.
 
-use super::Entry;
+use super::{Entry, slots};
 use crate::board::Next;
-use cyclamenloft_caller::Gate;
 use cyclamenloft_peer::{
     PeerClient,
     calls::{WaitConfig, WaitConfigParams},
@@ -39,8 +38,7 @@
         .map(|(service, policy)| {
             let routing = deployment.routing.clone();
             let gate = entry.gates.get(service).unwrap_or_else(|_| {
-                let roster = entry.roster.clone();
-                Gate::new(entry.host.clone(), roster, routing.clone(), policy.clone())
+                slots::new_gate(entry, routing.clone(), policy.clone(), Instant::now())
             });
             gate.set_policy(routing, policy.clone());
             (service.clone(), gate)
--- /dev/null
+++ b/src/entry/slots.rs
@@ -0,0 +1,137 @@
+//! Dividing the targets' slots with the other entry hosts of the domain: one
+//! task for each of them sends what is due and takes in what comes back.
+
+use super::Entry;
+use crate::settings::EntrySettings;
+use cyclamenloft_caller::Gate;
+use cyclamenloft_peer::{
+    PeerClient,
+    calls::{ExchangeSlots, ServiceSlots},
+};
+use cyclamenloft_routing::{
+    RoutingPolicy, ServicePolicy,
+    slots::{Envelope, LeaseConfig},
+};
+use cyclamenloft_types::{HostId, Result, ServiceName};
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Longest wait for another entry host; every message may be lost.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two looks at what is due.
+const PERIOD: Duration = Duration::from_millis(20);
+/// Most messages in one call.
+const MAX_BATCH: usize = 512;
+/// Requests with a longer deadline use the slots that go by no lease: a dead
+/// host's leased slots are free only after its longest request.
+const LONGEST_LEASED_REQUEST: Duration = Duration::from_secs(3);
+/// Time for the last messages of a planned stop.
+const STOP_WAIT: Duration = Duration::from_millis(100);
+
+/// Messages on their way, one queue for each other entry host.
+#[derive(Default)]
+pub(crate) struct Outboxes(RefCell<BTreeMap<HostId, mpsc::UnboundedSender<ServiceSlots>>>);
+
+impl Outboxes {
+    fn send(&self, service: &ServiceName, messages: impl IntoIterator<Item = Envelope>) {
+        let outboxes = self.0.borrow();
+        for Envelope { to, message } in messages {
+            if let Some(tx) = outboxes.get(&to) {
+                // The task ends only with the process.
+                let _ = tx.unbounded_send(ServiceSlots { service: service.clone(), message });
+            }
+        }
+    }
+}
+
+/// A gate for a new service, which shares slots where there are others to share with.
+pub(super) fn new_gate(
+    entry: &Entry,
+    routing: RoutingPolicy,
+    policy: ServicePolicy,
+    now: Instant,
+) -> Arc<Gate> {
+    let longest_request = policy.deadline.min(LONGEST_LEASED_REQUEST);
+    let gate = Gate::new(entry.host.clone(), entry.roster.clone(), routing, policy);
+    if entry.roster.len() > 1 {
+        let max_deadline = cyclamenloft_caller::marks::MAX_DEADLINE;
+        let config = LeaseConfig { longest_request, max_deadline, ..LeaseConfig::default() };
+        gate.enable_leases(entry.incarnation, config, now);
+    }
+    gate
+}
+
+/// Starts one task for each other entry host, and the one that looks what is due.
+pub(super) fn start(settings: &EntrySettings, entry: &Rc<Entry>) -> Result<()> {
+    let client = PeerClient::new(settings.peer_token.clone(), TIMEOUT)?;
+    for other in &settings.roster {
+        let (tx, rx) = mpsc::unbounded();
+        entry.slots.0.borrow_mut().insert(other.host.clone(), tx);
+        let task = exchange(entry.clone(), client.clone(), other.addr, rx);
+        compio::runtime::spawn(task).detach();
+    }
+    compio::runtime::spawn(poll(entry.clone())).detach();
+    Ok(())
+}
+
+/// Takes in messages of another entry host. What is to be sent to that host
+/// is in the answer; a message only ever leads to messages to its sender.
+pub(super) fn take(entry: &Entry, messages: Vec<ServiceSlots>, now: Instant) -> Vec<ServiceSlots> {
+    let mut answers = Vec::new();
+    for ServiceSlots { service, message } in messages {
+        // A service that is not configured here yet has nothing to share.
+        let Ok(gate) = entry.gates.get(&service) else { continue };
+        let answer = |envelope: Envelope| ServiceSlots {
+            service: service.clone(),
+            message: envelope.message,
+        };
+        answers.extend(gate.take_slot_message(message, now).into_iter().map(answer));
+    }
+    answers
+}
+
+/// Hands this host's leased slots back, so that the others have them at once.
+pub(super) async fn stop(entry: &Entry) {
+    for (service, gate) in entry.gates.all() {
+        entry.slots.send(&service, gate.stop_leases(Instant::now()));
+    }
+    compio::time::sleep(STOP_WAIT).await;
+}
+
+async fn poll(entry: Rc<Entry>) {
+    loop {
+        compio::time::sleep(PERIOD).await;
+        for (service, gate) in entry.gates.all() {
+            entry.slots.send(&service, gate.slot_messages(Instant::now()));
+        }
+    }
+}
+
+async fn exchange(
+    entry: Rc<Entry>,
+    client: PeerClient,
+    addr: SocketAddr,
+    mut rx: mpsc::UnboundedReceiver<ServiceSlots>,
+) {
+    while let Some(first) = rx.next().await {
+        let mut batch = vec![first];
+        while batch.len() < MAX_BATCH
+            && let Ok(next) = rx.try_recv()
+        {
+            batch.push(next);
+        }
+        match client.call::<ExchangeSlots>(addr, &batch).await {
+            // An answer leads to no further message.
+            Ok(answers) => drop(take(&entry, answers, Instant::now())),
+            Err(e) => tracing::debug!(%addr, error = %e, "messages about slots lost"),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/spill.rs
@@ -0,0 +1,159 @@
+//! Using other domains: their entry hosts' waits are read on a period, and a
+//! request that would wait longer here is handed to one of them.
+
+use super::Entry;
+use crate::settings::{EntrySettings, raw::RemoteDomain};
+use cyclamenloft_caller::{Gates, Hop, HopClient, HopRule};
+use cyclamenloft_http::Token;
+use cyclamenloft_peer::{
+    PeerClient,
+    calls::{Nothing, ReadWaits, ServiceWait},
+};
+use cyclamenloft_routing::{Refusal, RequestFacts};
+use cyclamenloft_target::Pool;
+use cyclamenloft_types::{ErrorKind, HostId, Result, ServiceName};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// Time between two readings of one host's waits.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Connections that a thread keeps to one other entry host.
+const HOP_CONNECTIONS: u16 = 64;
+/// Weight of a new measurement of a link's delay.
+const DELAY_WEIGHT: f64 = 0.2;
+
+/// Addresses of the hosts whose waits have been read, shared by all threads.
+#[derive(Clone, Debug, Default)]
+struct Addresses(Arc<Mutex<BTreeMap<HostId, SocketAddr>>>);
+
+impl Addresses {
+    fn set(&self, host: &HostId, addr: SocketAddr) {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        known.insert(host.clone(), addr);
+    }
+
+    fn get(&self, host: &str) -> Option<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(host).copied()
+    }
+}
+
+/// What a thread needs to hand requests to other domains.
+pub(super) struct Hops {
+    host: HostId,
+    token: Token,
+    addresses: Addresses,
+}
+
+impl Hops {
+    pub(super) fn new(settings: &EntrySettings, entry: &Entry) -> Self {
+        Self {
+            host: settings.host.clone(),
+            token: settings.peer_token.clone(),
+            addresses: entry.remote_addresses.0.clone(),
+        }
+    }
+
+    /// The client and the rule for the calling thread.
+    pub(super) fn on_this_thread(self, pool: Pool, gates: Gates) -> (HopClient, Rc<dyn HopRule>) {
+        let client = HopClient::new(self.host, self.token, pool, HOP_CONNECTIONS);
+        (client, Rc::new(SpillRule { gates, addresses: self.addresses }))
+    }
+}
+
+/// The addresses as the entry process keeps them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RemoteAddresses(Addresses);
+
+struct SpillRule {
+    gates: Gates,
+    addresses: Addresses,
+}
+
+impl HopRule for SpillRule {
+    fn choose(
+        &self,
+        service: &ServiceName,
+        facts: &RequestFacts,
+        refusal: &Refusal,
+        now: Instant,
+    ) -> Option<Hop> {
+        if !may_go_elsewhere(refusal.kind) {
+            return None;
+        }
+        let choice = self.gates.get(service).ok()?.spill(facts, now)?;
+        let addr = self.addresses.get(&choice.host)?;
+        tracing::info!(
+            target: "cyclamenloft::decision",
+            request = %facts.id,
+            %service,
+            host = %choice.host,
+            domain = %choice.domain,
+            reason = choice.reason,
+            local_wait = ?choice.local_wait,
+            remote_wait = ?choice.remote_wait,
+            link_delay = ?choice.link_delay,
+            "spill"
+        );
+        Some(Hop { host: choice.host, addr })
+    }
+}
+
+/// Whether another domain may answer what this one refuses.
+fn may_go_elsewhere(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::NoTarget | ErrorKind::Overloaded | ErrorKind::DeadlineTooShort)
+}
+
+/// Starts one task for each entry host of the other domains.
+pub(super) fn start(settings: &EntrySettings, entry: &Rc<Entry>) -> Result<()> {
+    let client = PeerClient::new(settings.peer_token.clone(), TIMEOUT)?;
+    for RemoteDomain { entries, .. } in &settings.remotes {
+        for addr in entries {
+            let task = read_waits(entry.clone(), client.clone(), *addr);
+            compio::runtime::spawn(task).detach();
+        }
+    }
+    Ok(())
+}
+
+/// How long requests would wait at this host, for hosts of other domains.
+pub(super) fn waits(entry: &Entry) -> Vec<ServiceWait> {
+    let wait = |(service, gate): (ServiceName, Arc<cyclamenloft_caller::Gate>)| ServiceWait {
+        service,
+        report: gate.wait_report(&entry.domain),
+    };
+    entry.gates.all().into_iter().map(wait).collect()
+}
+
+async fn read_waits(entry: Rc<Entry>, client: PeerClient, addr: SocketAddr) {
+    let mut link_delay: Option<Duration> = None;
+    loop {
+        let asked = Instant::now();
+        match client.call::<ReadWaits>(addr, &Nothing {}).await {
+            Ok(waits) => {
+                let one_way = asked.elapsed() / 2;
+                let known = link_delay.unwrap_or(one_way);
+                let delay = known.mul_f64(1.0 - DELAY_WEIGHT) + one_way.mul_f64(DELAY_WEIGHT);
+                link_delay = Some(delay);
+                observe(&entry, addr, waits, delay);
+            }
+            Err(e) => tracing::debug!(%addr, error = %e, "waits of another domain not read"),
+        }
+        compio::time::sleep(PERIOD).await;
+    }
+}
+
+fn observe(entry: &Entry, addr: SocketAddr, waits: Vec<ServiceWait>, delay: Duration) {
+    for ServiceWait { service, report } in waits {
+        entry.remote_addresses.0.set(&report.host, addr);
+        if let Ok(gate) = entry.gates.get(&service) {
+            gate.observe_remote(report, delay, Instant::now());
+        }
+    }
+}
--- a/tests/all/paths.rs
+++ b/tests/all/paths.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     cases,
-    harness::{Deployment, DomainLayout, until_ok, wait_for},
+    harness::{Deployment, DomainLayout, Process, until_ok, wait_for},
 };
 use cyclamenloft_operator::messages::ApplyAnswer;
-use cyclamenloft_peer::calls::{CancelAnswer, JobSummary, SubmitAnswer};
+use cyclamenloft_peer::calls::{CancelAnswer, JobSummary, StatusAnswer, SubmitAnswer};
 use cyclamenloft_standin::{LoadSettings, load};
 use cyclamenloft_types::{ErrorKind, JobSpec, JobState, Priority, Resources, Result, TaskState};
 use std::time::Duration;
@@ -15,6 +15,7 @@
 cases! {
     a_request_is_answered_by_a_target => request_path();
     a_job_runs_on_a_worker => job_path();
+    three_replicas_agree_and_outlive_their_leader => three_replicas();
     a_configuration_comes_into_force_everywhere => config_path();
     a_job_lives_in_its_home_whoever_is_asked => job_home();
     races_under_one_number_have_one_winner => config_race();
@@ -157,3 +158,32 @@
     assert_eq!(answer.cancelled, [Box::from("a"), Box::from("f")]);
     assert_eq!(answer.unknown, [Box::from("none")]);
 }
+
+/// What was acknowledged stays when the leader dies and when all restart.
+async fn three_replicas() {
+    let mut deployment = one_domain(2, 3);
+    deployment.ready().await;
+    let [first, second] = [deployment.hosts[0], deployment.hosts[1]];
+    let submit = async |deployment: &Deployment, id: &str| -> SubmitAnswer {
+        let spec = job(id, 1);
+        until_ok("a submission", async || {
+            deployment.operators.post(first.operators, "/v1/jobs", &spec).await
+        })
+        .await
+    };
+    submit(&deployment, "before").await;
+    let all = deployment.status(&second).await.unwrap();
+    let leads = |s: &StatusAnswer| {
+        s.groups.iter().any(|g| &*g.group == "placement" && &*g.role == "leader")
+    };
+    let leader = all.iter().find(|s| leads(s)).unwrap().host.clone();
+    let doomed = deployment.controls.iter_mut().find(|c| *c.name == *leader).unwrap();
+    doomed.kill();
+    submit(&deployment, "after").await;
+    deployment.controls.iter_mut().for_each(Process::kill);
+    deployment.controls.iter_mut().for_each(Process::restart);
+    deployment.ready().await;
+    for id in ["before", "after"] {
+        assert!(submit(&deployment, id).await.already, "job {id} was forgotten");
+    }
+}
