--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -35,6 +35,7 @@
 mod writer;
 
 pub use config::{Config, Member, MemberKind};
+pub use entry::Incarnation;
 pub use machine::StateMachine;
 pub use replica::{MemberStatus, Replica, Role, Status};
 pub use transport::Transport;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,7 +5,7 @@
     config::{Config, MemberKind},
     core::{Core, Proposal, change_unknown},
     election,
-    entry::{Blob, Payload},
+    entry::{Blob, Incarnation, Payload},
     machine::StateMachine,
     peer::MAX_COMMAND_BYTES,
     shared::{Shared, stopping},
@@ -34,6 +34,8 @@
 /// What an operator is shown of a replica.
 #[derive(Clone, Debug, Serialize)]
 pub struct Status {
+    /// Number that the replica drew when it found its folder empty.
+    pub incarnation: Incarnation,
     /// The replica's role.
     pub role: Role,
     /// The current term.
@@ -55,6 +57,9 @@
 pub struct MemberStatus {
     /// The member's id inside the group.
     pub id: ReplicaId,
+    /// The incarnation whose votes and acknowledgements count; 0 before the
+    /// member was heard of.
+    pub incarnation: Incarnation,
     /// What the member does now.
     pub kind: MemberKind,
     /// What the member becomes once it has caught up.
@@ -300,11 +305,13 @@
         let members = self.membership().into_iter().flat_map(|m| m.members());
         let member = |m: &crate::membership::MemberRecord| MemberStatus {
             id: m.id,
+            incarnation: m.incarnation,
             kind: m.kind,
             becomes: m.restore,
             matched: self.matched(m.identity()),
         };
         Status {
+            incarnation: self.me.incarnation,
             role: self.role,
             term: self.hard.term,
             leader: self.leader,
--- a/crates/replication/tests/support/cluster.rs
+++ b/crates/replication/tests/support/cluster.rs
@@ -149,6 +149,19 @@
         claims.next().map(|(id, _)| *id)
     }
 
+    /// Waits until a replica that was wiped has its vote back.
+    pub async fn repaired(&self, id: ReplicaId) {
+        until(|| {
+            self.observe();
+            let Some(status) = self.get(id).map(|r| r.status()) else { return false };
+            let own = status.members.iter().find(|m| m.id == id);
+            own.is_some_and(|m| {
+                m.incarnation == status.incarnation && m.kind != MemberKind::Learner
+            })
+        })
+        .await;
+    }
+
     /// Proposes a new value at `id` and records what came of it.
     pub async fn propose(&self, id: ReplicaId) -> Told {
         self.propose_filled(id, 0).await
