--- a/crates/replication/tests/support/cluster.rs
+++ b/crates/replication/tests/support/cluster.rs
@@ -207,8 +207,8 @@
 
     /// Lets time pass: `count` election timeouts of the quick settings.
     pub async fn election_timeouts(&self, count: u32) {
-        for _ in 0..count {
-            compio::time::sleep(Duration::from_millis(60)).await;
+        for _ in 0..count * 60 {
+            compio::time::sleep(Duration::from_millis(1)).await;
             self.observe();
         }
     }
