--- a/crates/replication/tests/group.rs
+++ b/crates/replication/tests/group.rs
@@ -141,14 +141,14 @@
     cluster.settle().await;
 }
 
-/// The third replica hears the leader, so it must not help the deaf one to
-/// office while the leader holds its lease.
-async fn a_follower_deaf_to_the_leader_gets_no_votes() {
+/// The third replica hears the leader, so it must not help the one that is cut
+/// off from the leader to office while the leader holds its lease.
+async fn a_follower_cut_off_from_the_leader_gets_no_votes() {
     let cluster = Cluster::new(18, voters(3)).started().await;
     for _ in 0..3 {
         let leader = cluster.leader().await;
         let deaf = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
-        cluster.net.cut_one_way(leader, deaf);
+        cluster.net.partition(&[leader], &[deaf]);
         cluster.election_timeouts(6).await;
         cluster.net.heal();
         cluster.accept(2).await;
@@ -274,7 +274,7 @@
     stale_tail => a_long_stale_tail_is_overwritten();
     deaf_leader => a_leader_that_hears_nobody_steps_down();
     deaf_follower => a_follower_that_hears_nobody_disturbs_nobody();
-    deaf_to_leader => a_follower_deaf_to_the_leader_gets_no_votes();
+    cut_off_follower => a_follower_cut_off_from_the_leader_gets_no_votes();
     minority => a_minority_accepts_nothing();
     random_partitions => partitions_at_random_lose_nothing();
     late_follower => a_snapshot_brings_a_late_follower_up_to_date();
