placement: traces and their replay, with the traces of both deployments

Change: a trace is a file of JSON lines (announcements, reports, submissions, cancellations, faults, facts, bounds). The replay drives the decisions with the trace's time against stand-ins at the worker interface, counts broken promises apart from the state's own books, and compares with first fit without relief and best fit that evicts at once.

Faults that the first replays showed, mended here: a worker that lost its lease and returned with its boot took the orders of its new view for handled, since their numbers began again; groups without a harmless place were scored anew in each round (now every 5 s, so the test that adds a worker waits that long); the 90th percentile of processors reserved more than batch needs (now the 70th, interpolated).

--- a/crates/placement/src/learn/histogram.rs
+++ b/crates/placement/src/learn/histogram.rs
@@ -38,17 +38,18 @@
         self.total
     }
 
-    /// The ratio that a share `q` of the observations doesn't exceed, rounded
-    /// up to the next step; `None` without observations.
+    /// The ratio that a share `q` of the observations doesn't exceed,
+    /// interpolated inside its step; `None` without observations.
     pub(crate) fn quantile(&self, q: f32) -> Option<f64> {
         let mut left = self.total * q;
         for (bucket, count) in self.counts.iter().enumerate() {
-            left -= count;
-            if left <= 0.0 && self.total > 0.0 {
-                return Some(upper_edge(bucket));
+            if left <= *count && *count > 0.0 {
+                let part = f64::from(left.max(0.0) / count);
+                return Some(edge(bucket as f64 - 1.0 + part));
             }
+            left -= count;
         }
-        (self.total > 0.0).then(|| upper_edge(BUCKETS - 1))
+        (self.total > 0.0).then(|| edge((BUCKETS - 1) as f64))
     }
 }
 
@@ -57,6 +58,7 @@
     (step.ceil().max(0.0) as usize).min(BUCKETS - 1)
 }
 
-fn upper_edge(bucket: usize) -> f64 {
-    (bucket as f64 / STEPS + LOWEST_LOG2).exp2()
+/// The upper edge of a bucket.
+fn edge(bucket: f64) -> f64 {
+    (bucket / STEPS + LOWEST_LOG2).exp2()
 }
--- a/crates/placement/src/learn/usage.rs
+++ b/crates/placement/src/learn/usage.rs
@@ -12,8 +12,9 @@
 const MIN_WEIGHT: f32 = 20.0;
 /// Finished tasks needed before a learned run time is trusted.
 const MIN_RUNS: f32 = 5.0;
-/// Quantile of the measured processor use that is reserved.
-const CPU_QUANTILE: f32 = 0.9;
+/// Quantile of the measured processor use that is reserved: the tasks of a
+/// worker seldom peak together, and short processors only slow them down.
+const CPU_QUANTILE: f32 = 0.7;
 /// Quantile of the measured memory use that is reserved.
 const MEMORY_QUANTILE: f32 = 0.98;
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod scheduler;
 pub mod state;
 pub mod time;
+pub mod trace;
 
 pub use command::{Command, EndedAttempt, Placement, Receipt, WorkerRecord};
 pub use messages::{
--- a/crates/placement/src/scheduler/leases.rs
+++ b/crates/placement/src/scheduler/leases.rs
@@ -52,13 +52,13 @@
         now: Timestamp,
     ) -> &mut WorkerView {
         let expires = now.instant + self.leases.agreed + self.policy.drift_margin;
-        let first_order = self.first_order;
+        let last_order = self.last_order;
         let view = self
             .workers
             .entry(worker.clone())
-            .or_insert_with(|| WorkerView::new(boot, expires, first_order));
+            .or_insert_with(|| WorkerView::new(boot, expires, last_order));
         if view.boot != boot {
-            *view = WorkerView::new(boot, expires, view.last_order);
+            *view = WorkerView::new(boot, expires, last_order);
         }
         view
     }
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -43,7 +43,9 @@
 pub struct Scheduler {
     policy: PlacementPolicy,
     workers: BTreeMap<WorkerId, WorkerView>,
-    first_order: u64,
+    /// Number of the last order to any worker. A worker that returns may have
+    /// handled orders of an earlier view, so numbers never start again.
+    last_order: u64,
     planned: planned::Planned,
     evicting: evicting::Evicting,
     /// Tasks that failed, with the time before which they aren't tried again.
@@ -76,7 +78,7 @@
             policy,
             workers: BTreeMap::new(),
             // Numbers start above the predecessors': each lead lasts over a millisecond.
-            first_order: now.unix_ms() << 16,
+            last_order: now.unix_ms() << 16,
             planned: planned::Planned::default(),
             evicting: evicting::Evicting::default(),
             retry_at: BTreeMap::new(),
@@ -120,11 +122,11 @@
     /// Takes in an announcement; the command makes the worker known. The
     /// announcement may be answered once the command is committed.
     pub fn announce(&mut self, announcement: &Announcement, now: Timestamp) -> Command {
-        let lease_expires = self.lease_end(now);
+        let (lease_expires, last_order) = (self.lease_end(now), self.last_order);
         let view = self.view(&announcement.worker, announcement.boot, now);
         if view.losing.is_some() {
             // The loss stands before this registration in the log.
-            *view = WorkerView::new(announcement.boot, lease_expires, view.last_order);
+            *view = WorkerView::new(announcement.boot, lease_expires, last_order);
         }
         view.lease_expires = lease_expires;
         Command::Register(WorkerRecord {
--- a/crates/placement/src/scheduler/orders.rs
+++ b/crates/placement/src/scheduler/orders.rs
@@ -46,7 +46,8 @@
 
     pub(super) fn push(&mut self, worker: &str, order: Order) {
         if let Some(view) = self.workers.get_mut(worker) {
-            view.push(order);
+            self.last_order += 1;
+            view.push(self.last_order, order);
         }
     }
 }
--- a/crates/placement/src/scheduler/placing.rs
+++ b/crates/placement/src/scheduler/placing.rs
@@ -56,8 +56,9 @@
             match self.place_next(state, lane, &next, round) {
                 None => lane.again(&next),
                 Some(hold) => {
+                    let again = !self.holds.is_harmful(next.number, round.now);
                     looked_at += 1;
-                    harmful += usize::from(hold == Hold::Harmful);
+                    harmful += usize::from(hold == Hold::Harmful && again);
                     round.hold(next.number, hold);
                 }
             }
@@ -76,6 +77,9 @@
         if self.planned.contains(next.key) || self.retry_at.contains_key(next.key) {
             return None;
         }
+        if self.holds.is_harmful(next.number, round.now) {
+            return Some(Hold::Harmful);
+        }
         let (job, task) = state.job(&next.key.job).zip(state.task(next.key))?;
         let need = self.need(state, group.class.as_ref(), group.resources);
         if !lane.within_quota(&need) {
--- a/crates/placement/src/scheduler/reconcile.rs
+++ b/crates/placement/src/scheduler/reconcile.rs
@@ -77,6 +77,7 @@
             return;
         };
         let mut strays = Vec::new();
+        let mut stops = Vec::new();
         for (key, running) in &view.running {
             let attempt = running.last.attempt;
             let placed = state.task(key).and_then(|t| holder(&t.state));
@@ -96,7 +97,7 @@
             };
             if due {
                 tracing::info!(%task, attempt, worker = %report.worker, "stop a stray attempt");
-                view.push(Order::Stop { task, attempt });
+                stops.push(Order::Stop { task, attempt });
             }
         }
         // Orders of tasks that are gone from both sides need no memory.
@@ -105,6 +106,9 @@
             let placed = || state.task(key).and_then(|t| holder(&t.state));
             running.contains_key(key) || placed().is_some_and(|(w, _)| *w == report.worker)
         });
+        for stop in stops {
+            self.push(&report.worker, stop);
+        }
     }
 
     fn difference(
--- a/crates/placement/src/scheduler/relief.rs
+++ b/crates/placement/src/scheduler/relief.rs
@@ -300,7 +300,7 @@
         } else {
             view.throttles.remove(task);
         }
-        view.push(Order::Throttle { task: task.clone(), attempt, cpu_percent: percent });
+        self.push(worker, Order::Throttle { task: task.clone(), attempt, cpu_percent: percent });
     }
 
     /// Lifts one throttle by a step where every service of the worker is calm.
--- a/crates/placement/src/scheduler/view.rs
+++ b/crates/placement/src/scheduler/view.rs
@@ -56,7 +56,8 @@
     pub(super) relief: Relief,
     /// By how much the measurements of the newest report lag.
     pub(super) lag: Duration,
-    pub(super) last_order: u64,
+    /// Number of the last order, or at first the last one to any worker.
+    last_order: u64,
     handled: u64,
     orders: Vec<NumberedOrder>,
 }
@@ -81,10 +82,9 @@
         }
     }
 
-    /// Queues an order.
-    pub(super) fn push(&mut self, order: Order) {
-        self.last_order += 1;
-        let number = self.last_order;
+    /// Queues an order under a number above all that went before.
+    pub(super) fn push(&mut self, number: u64, order: Order) {
+        self.last_order = number;
         let sent = match &order {
             Order::Start { task, attempt, .. } => Some((task, *attempt, OrderKind::Start)),
             Order::Evict { task, attempt } => Some((task, *attempt, OrderKind::Evict)),
--- /dev/null
+++ b/crates/placement/src/trace/worker.rs
@@ -0,0 +1,362 @@
+//! A stand-in for a worker in a replay: it keeps the guards that a worker must
+//! keep, and runs tasks as the trace's facts say.
+
+use super::{facts::Facts, outcome::Outcome};
+use crate::messages::{
+    Announcement, AttemptEnd, EndedTask, NumberedOrder, Order, Report, RunningTask,
+};
+use cyclamenloft_types::{
+    AttemptNumber, CheckpointId, JobClass, JobSpec, Priority, Resources, TaskKey,
+};
+use std::collections::BTreeMap;
+
+/// Time that a checkpoint takes.
+const CHECKPOINT_MS: u64 = 2000;
+/// Time between checkpoints that a task takes by itself.
+const SAVE_EVERY_MS: u64 = 5 * 60 * 1000;
+/// Time after which a task that fails fails.
+const FAILS_AFTER_MS: u64 = 5000;
+
+/// A task on the worker.
+struct FakeTask {
+    attempt: AttemptNumber,
+    class: JobClass,
+    priority: Priority,
+    reserved: Resources,
+    usage: Resources,
+    /// Work to do and done, in milliseconds at full speed; none for a service.
+    total_ms: Option<u64>,
+    done_ms: f64,
+    saved_ms: f64,
+    checkpoints: bool,
+    cpu_percent: u8,
+    fails_at: Option<u64>,
+    evicted_at: Option<u64>,
+    /// What the next report tells, which lags one period behind.
+    measured: Option<(Resources, Option<u64>, Option<u16>)>,
+}
+
+/// What a start needs to know besides the order.
+pub(super) struct StartFacts<'a> {
+    pub(super) spec: &'a JobSpec,
+    pub(super) facts: &'a Facts,
+    /// Work that was saved in the checkpoint that it resumes from.
+    pub(super) saved_ms: f64,
+    pub(super) fails: bool,
+}
+
+/// What became of an order.
+pub(super) enum Handled {
+    Nothing,
+    Started,
+    OverCapacity,
+}
+
+/// The stand-in.
+pub(super) struct FakeWorker {
+    pub(super) announcement: Announcement,
+    tasks: BTreeMap<TaskKey, FakeTask>,
+    seen: BTreeMap<TaskKey, AttemptNumber>,
+    ended: Vec<EndedTask>,
+    pub(super) sequence: u64,
+    pub(super) handled: u64,
+    pub(super) lease_until: u64,
+    pub(super) down_until: u64,
+    pub(super) cut_until: u64,
+    pub(super) known: bool,
+    pub(super) fails_all: bool,
+    advanced: u64,
+}
+
+/// An attempt that was stopped with its work saved or lost.
+pub(super) struct Stopped {
+    pub(super) task: TaskKey,
+    pub(super) attempt: AttemptNumber,
+    pub(super) end: AttemptEnd,
+    pub(super) saved_ms: f64,
+    pub(super) lost_ms: f64,
+}
+
+impl FakeWorker {
+    pub(super) fn new(announcement: Announcement) -> Self {
+        Self {
+            announcement,
+            tasks: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            ended: Vec::new(),
+            sequence: 0,
+            handled: 0,
+            lease_until: 0,
+            down_until: 0,
+            cut_until: 0,
+            known: false,
+            fails_all: false,
+            advanced: 0,
+        }
+    }
+
+    pub(super) fn is_up(&self, now: u64) -> bool {
+        now >= self.down_until
+    }
+
+    pub(super) fn is_reachable(&self, now: u64) -> bool {
+        self.is_up(now) && now >= self.cut_until
+    }
+
+    pub(super) fn runs(&self) -> impl Iterator<Item = (&TaskKey, AttemptNumber)> {
+        self.tasks.iter().map(|(key, task)| (key, task.attempt))
+    }
+
+    /// The host fails: everything in memory is lost.
+    pub(super) fn crash(&mut self, until: u64) -> f64 {
+        self.announcement.boot += 1;
+        self.down_until = until;
+        self.known = false;
+        (self.sequence, self.handled) = (0, 0);
+        self.ended.clear();
+        self.seen.clear();
+        let lost = self.tasks.values().map(|t| t.done_ms - t.saved_ms).sum();
+        self.tasks.clear();
+        lost
+    }
+
+    /// Stops everything, as a worker must whose lease has expired.
+    pub(super) fn stop_all(&mut self) -> f64 {
+        let mut lost = 0.0;
+        for (task, fake) in std::mem::take(&mut self.tasks) {
+            lost += fake.done_ms - fake.saved_ms;
+            let end = AttemptEnd::Stopped;
+            self.ended.push(EndedTask { task, attempt: fake.attempt, end });
+        }
+        lost
+    }
+
+    pub(super) fn handle(
+        &mut self,
+        numbered: &NumberedOrder,
+        start: Option<StartFacts<'_>>,
+        now: u64,
+        outcome: &mut Outcome,
+    ) -> Handled {
+        self.handled = self.handled.max(numbered.number);
+        match &numbered.order {
+            Order::Start { task, attempt, resources, .. } => {
+                if self.seen.get(task).is_some_and(|seen| seen >= attempt) {
+                    return Handled::Nothing;
+                }
+                self.seen.insert(task.clone(), *attempt);
+                let Some(start) = start else {
+                    return Handled::Nothing;
+                };
+                let held =
+                    self.tasks.values().try_fold(*resources, |sum, t| sum.checked_add(&t.reserved));
+                if !held.is_some_and(|sum| sum.fits_in(&self.announcement.capacity)) {
+                    let end = AttemptEnd::Refused { reason: "over capacity".into() };
+                    self.ended.push(EndedTask { task: task.clone(), attempt: *attempt, end });
+                    return Handled::OverCapacity;
+                }
+                let fake = self.fake_task(task, *attempt, *resources, &start, now);
+                self.tasks.insert(task.clone(), fake);
+                return Handled::Started;
+            }
+            Order::Throttle { task, attempt, cpu_percent } => {
+                if let Some(t) = self.tasks.get_mut(task).filter(|t| t.attempt == *attempt) {
+                    outcome.throttles += u64::from(*cpu_percent < t.cpu_percent);
+                    t.cpu_percent = *cpu_percent;
+                }
+            }
+            Order::Evict { task, attempt } => {
+                if let Some(t) = self.tasks.get_mut(task).filter(|t| t.attempt == *attempt) {
+                    t.evicted_at.get_or_insert(now + CHECKPOINT_MS);
+                }
+            }
+            Order::Stop { task, attempt } => {
+                let seen = self.seen.entry(task.clone()).or_default();
+                *seen = (*seen).max(*attempt);
+                if self.tasks.get(task).is_none_or(|t| t.attempt == *attempt) {
+                    self.tasks.remove(task);
+                    let end = AttemptEnd::Stopped;
+                    self.ended.push(EndedTask { task: task.clone(), attempt: *attempt, end });
+                }
+            }
+        }
+        Handled::Nothing
+    }
+
+    fn fake_task(
+        &self,
+        key: &TaskKey,
+        attempt: AttemptNumber,
+        reserved: Resources,
+        start: &StartFacts<'_>,
+        now: u64,
+    ) -> FakeTask {
+        let spec = start.spec;
+        let class = start.facts.class(&spec.class);
+        let [cpu, memory, run] =
+            class.map_or([1.0; 3], |c| [c.cpu_ratio, c.memory_ratio, c.run_ratio]);
+        let vary = |salt| 0.8 + 0.4 * start.facts.chance(key, salt);
+        let usage = Resources {
+            cpu_millis: (f64::from(spec.resources.cpu_millis) * cpu * vary(1)) as u32,
+            memory_mib: (f64::from(spec.resources.memory_mib) * memory * vary(2)) as u32,
+            accelerators: spec.resources.accelerators,
+        };
+        let total = spec.run_time_ms as f64 * run * vary(3);
+        FakeTask {
+            attempt,
+            class: spec.class.clone(),
+            priority: spec.priority,
+            reserved,
+            usage,
+            total_ms: (spec.run_time_ms > 0).then_some(total as u64),
+            done_ms: start.saved_ms,
+            saved_ms: start.saved_ms,
+            checkpoints: class.is_some_and(|c| c.checkpoints),
+            cpu_percent: 100,
+            fails_at: (start.fails || self.fails_all).then_some(now + FAILS_AFTER_MS),
+            evicted_at: None,
+            measured: None,
+        }
+    }
+
+    /// Lets the tasks run until `now`, and returns those that ended.
+    pub(super) fn advance(&mut self, facts: &Facts, now: u64) -> Vec<Stopped> {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.advanced, now)) as f64;
+        let speed = self.batch_speed(facts, now);
+        let mut stopped = Vec::new();
+        for (key, task) in &mut self.tasks {
+            if task.total_ms.is_some() {
+                task.done_ms += passed * speed * f64::from(task.cpu_percent) / 100.0;
+            }
+            if task.checkpoints && task.done_ms - task.saved_ms >= SAVE_EVERY_MS as f64 {
+                task.saved_ms = task.done_ms;
+            }
+            let end = if task.fails_at.is_some_and(|at| at <= now) {
+                AttemptEnd::Failed { reason: "exit status 1".into() }
+            } else if task.total_ms.is_some_and(|total| task.done_ms >= total as f64) {
+                AttemptEnd::Finished
+            } else if task.evicted_at.is_some_and(|at| at <= now) {
+                let id = || CheckpointId::from(format!("{key}-{}", task.attempt));
+                AttemptEnd::Evicted { checkpoint: task.checkpoints.then(id) }
+            } else {
+                continue;
+            };
+            let saved_ms = match &end {
+                AttemptEnd::Evicted { checkpoint: Some(_) } => task.done_ms,
+                _ => 0.0,
+            };
+            let lost_ms = match &end {
+                AttemptEnd::Finished => 0.0,
+                _ => task.done_ms - saved_ms,
+            };
+            let (task, attempt) = (key.clone(), task.attempt);
+            stopped.push(Stopped { task, attempt, end, saved_ms, lost_ms });
+        }
+        for s in &stopped {
+            self.tasks.remove(&s.task);
+            let (task, attempt, end) = (s.task.clone(), s.attempt, s.end.clone());
+            self.ended.push(EndedTask { task, attempt, end });
+        }
+        stopped
+    }
+
+    /// How fast batch tasks run where tasks want more processors than there are.
+    fn batch_speed(&self, facts: &Facts, now: u64) -> f64 {
+        let (mut services, mut batch) = (0.0, 0.0);
+        for task in self.tasks.values() {
+            match task.total_ms {
+                None => services += task.cpu(facts, now),
+                Some(_) => batch += task.cpu(facts, now),
+            }
+        }
+        let capacity = f64::from(self.announcement.capacity.cpu_millis);
+        if batch > 0.0 { ((capacity - services).max(0.0) / batch).min(1.0) } else { 1.0 }
+    }
+
+    /// The next report, with figures that were measured one period ago.
+    pub(super) fn report(
+        &mut self,
+        facts: &Facts,
+        lag_ms: u64,
+        now: u64,
+        out: &mut Outcome,
+    ) -> Report {
+        self.sequence += 1;
+        let capacity = f64::from(self.announcement.capacity.cpu_millis.max(1));
+        let demand: f64 = self.tasks.values().map(|t| t.cpu(facts, now)).sum();
+        let excess = (demand / capacity - 1.0).max(0.0);
+        let mut shares: BTreeMap<JobClass, f64> = BTreeMap::new();
+        for task in self.tasks.values() {
+            *shares.entry(task.class.clone()).or_default() += task.cpu(facts, now) / capacity;
+        }
+        let mut running = Vec::with_capacity(self.tasks.len());
+        let sequence = self.sequence;
+        for (key, task) in &mut self.tasks {
+            let cpu = task.cpu(facts, now);
+            let mut measured = (Resources { cpu_millis: cpu as u32, ..task.usage }, None, None);
+            let service = facts.class(&task.class).and_then(|c| c.service.as_ref());
+            if let Some(service) = service.filter(|_| task.priority == Priority::Service) {
+                let load = facts.load(service, now);
+                let mut around = shares.clone();
+                around.entry(task.class.clone()).and_modify(|s| *s -= cpu / capacity);
+                let noise = 0.88 + 0.24 * facts.chance(key, 1000 + sequence);
+                let latency = facts.latency(&task.class, service, load, &around);
+                let latency = latency * noise * (1.0 + 2.0 * excess);
+                out.service_reports += 1;
+                out.over_target += u64::from(latency > 1.0);
+                measured.1 = Some((latency * service.p99_us as f64) as u64);
+                measured.2 = Some((load * 100.0) as u16);
+            }
+            let last = task.measured.replace(measured);
+            let (usage, p99_us, load_percent) = last.unwrap_or_default();
+            running.push(RunningTask {
+                task: key.clone(),
+                attempt: task.attempt,
+                usage,
+                p99_us,
+                load_percent,
+                progress_percent: task
+                    .total_ms
+                    .map(|total| (task.done_ms * 100.0 / total.max(1) as f64).min(100.0) as u8),
+                unsaved_ms: (task.done_ms - task.saved_ms) as u64,
+            });
+        }
+        Report {
+            worker: self.announcement.worker.clone(),
+            boot: self.announcement.boot,
+            sequence,
+            running,
+            full: true,
+            ended: self.ended.clone(),
+            lag_ms,
+        }
+    }
+
+    /// The last report was answered: its ends need not be told again.
+    pub(super) fn answered(&mut self) {
+        self.ended.clear();
+    }
+
+    /// Whether there is an end to report, or a task fails or finishes its
+    /// checkpoint by now.
+    pub(super) fn has_due(&self, now: u64) -> bool {
+        let due = |at: Option<u64>| at.is_some_and(|at| at <= now);
+        self.has_ended() || self.tasks.values().any(|t| due(t.evicted_at) || due(t.fails_at))
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        !self.ended.is_empty()
+    }
+}
+
+impl FakeTask {
+    /// Processors that the task wants, in thousandths of a core.
+    fn cpu(&self, facts: &Facts, now: u64) -> f64 {
+        let service = facts.class(&self.class).and_then(|c| c.service.as_ref());
+        let load = match service.filter(|_| self.priority == Priority::Service) {
+            Some(service) => facts.load(service, now),
+            None => f64::from(self.cpu_percent) / 100.0,
+        };
+        f64::from(self.usage.cpu_millis) * load
+    }
+}
--- a/crates/placement/tests/all/learning.rs
+++ b/crates/placement/tests/all/learning.rs
@@ -346,6 +346,8 @@
     let held = host.group.scheduler.held_back(&host.group.state, "noisy");
     assert_eq!(held, Some(Hold::Harmful));
     host.group.announce("w1", 1, cores(8));
+    // Harmful places are looked for again after a pause.
+    host.group.pass(5000);
     host.group.tick();
     assert!(host.group.state.worker("w1").unwrap().tasks.contains(&key("noisy", 0)));
 }
--- a/crates/placement/tests/all/scheduler.rs
+++ b/crates/placement/tests/all/scheduler.rs
@@ -83,6 +83,20 @@
     assert_eq!(group.state.worker("w0").unwrap().reserved, Resources::ZERO);
 }
 
+#[test]
+fn a_worker_that_returns_with_its_boot_gets_orders_above_those_it_handled() {
+    let mut group = with_one_task();
+    let handled = group.orders("w0", 1, 0).last().unwrap().number;
+    group.orders("w0", 1, handled);
+    group.pass(PAST_LEASE_MS);
+    group.tick();
+    group.announce("w0", 1, cores(4));
+    group.tick();
+    let orders = group.orders("w0", 1, handled);
+    assert_eq!(orders.len(), 1);
+    assert!(orders[0].number > handled);
+}
+
 #[test]
 fn no_report_renews_a_lease_whose_loss_is_on_its_way() {
     let mut group = with_one_task();
@@ -177,7 +191,7 @@
     group.report(&full("w0", 1, 2, vec![running("j", 0, 1)])).unwrap();
     assert_eq!(place_of(&group), Some(("w0".into(), 2)));
     let orders = group.take_orders("w0", 1);
-    assert_eq!(stops(&orders), []);
+    assert!(stops(&orders).is_empty());
     let resumed: Vec<_> = orders
         .iter()
         .filter_map(|o| match o {
