--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -1,7 +1,7 @@
 //! A record of what a stand-in did, one JSON line for each event, by which a
 //! test checks promises after the fact.
 
-use cyclamenloft_types::{Error, ErrorKind, Result};
+use cyclamenloft_types::{Error, ErrorKind, Resources, Result};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::RefCell,
@@ -29,15 +29,31 @@
         /// The request's own number.
         number: Box<str>,
     },
+    /// A worker came up.
+    WorkerStarted {
+        /// This start of the worker.
+        boot: u64,
+        /// What it holds.
+        capacity: Resources,
+    },
     /// A worker started an attempt.
     TaskStarted {
         /// The task.
         task: Box<str>,
         /// The attempt.
         attempt: u32,
+        /// What is reserved for it.
+        resources: Resources,
         /// The checkpoint that it resumed from.
         checkpoint: Option<Box<str>>,
     },
+    /// A worker was ordered to start an attempt that it has no room for.
+    StartRefused {
+        /// The task.
+        task: Box<str>,
+        /// The attempt.
+        attempt: u32,
+    },
     /// A worker's attempt came to an end.
     TaskEnded {
         /// The task.
@@ -45,10 +61,30 @@
         /// The attempt.
         attempt: u32,
         /// How it ended.
-        end: Box<str>,
+        end: TaskEnd,
+        /// The checkpoint that it left behind.
+        checkpoint: Option<Box<str>>,
     },
 }
 
+/// How an attempt ended on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskEnd {
+    /// It ran to its end.
+    Finished,
+    /// It failed by itself.
+    Failed,
+    /// It was checkpointed and stopped as ordered.
+    Evicted,
+    /// It was stopped as ordered.
+    Stopped,
+    /// The worker stopped it because its lease ran out.
+    LeaseExpired,
+    /// The worker stopped it because the worker itself was stopped.
+    WorkerStopped,
+}
+
 /// An event with its time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -2,7 +2,7 @@
 //! protocol. An expired lease stops its tasks, an attempt that was seen is not
 //! started again, and nothing is started over its capacity.
 
-use crate::journal::{Event, Journal};
+use crate::journal::{Event, Journal, TaskEnd};
 use cyclamenloft_http::{JsonClient, StopSignal};
 use cyclamenloft_placement::{
     Announcement, AttemptEnd, Lease, NumberedOrder, Order, OrdersRequest, Report, RunningTask,
@@ -108,11 +108,14 @@
 
     /// Runs until `stop`.
     pub async fn run(self: &Rc<Self>, stop: StopSignal) {
+        let (boot, capacity) = (self.settings.boot, self.settings.capacity);
+        self.journal.write(Event::WorkerStarted { boot, capacity });
         let reporting = compio::runtime::spawn(self.clone().report_always());
         let polling = compio::runtime::spawn(self.clone().poll_orders());
         let ticking = compio::runtime::spawn(self.clone().tick_always());
         stop.stopped().await;
         drop((reporting, polling, ticking));
+        self.stop_all(TaskEnd::WorkerStopped);
     }
 
     async fn report_always(self: Rc<Self>) {
@@ -251,6 +254,7 @@
         let used =
             state.running.values().try_fold(resources, |sum, r| sum.checked_add(&r.resources));
         if !used.is_some_and(|used| used.fits_in(&self.settings.capacity)) {
+            self.journal.write(Event::StartRefused { task: task.to_string().into(), attempt });
             let reason = "over capacity".into();
             state.ended.push(EndedTask { task, attempt, end: AttemptEnd::Refused { reason } });
             return;
@@ -261,6 +265,7 @@
         self.journal.write(Event::TaskStarted {
             task: task.to_string().into(),
             attempt,
+            resources,
             checkpoint: checkpoint.clone(),
         });
         let running =
@@ -283,15 +288,14 @@
             return;
         }
         state.running.remove(task);
-        let word = match &end {
-            AttemptEnd::Finished => "finished",
-            AttemptEnd::Failed { .. } => "failed",
-            AttemptEnd::Refused { .. } => "refused",
-            AttemptEnd::Evicted { .. } => "evicted",
-            AttemptEnd::Stopped => "stopped",
+        let (how, checkpoint) = match &end {
+            AttemptEnd::Finished => (TaskEnd::Finished, None),
+            AttemptEnd::Failed { .. } => (TaskEnd::Failed, None),
+            AttemptEnd::Evicted { checkpoint } => (TaskEnd::Evicted, checkpoint.clone()),
+            // An attempt that was refused never ran, so that it doesn't end here.
+            AttemptEnd::Refused { .. } | AttemptEnd::Stopped => (TaskEnd::Stopped, None),
         };
-        let name = task.to_string().into();
-        self.journal.write(Event::TaskEnded { task: name, attempt, end: word.into() });
+        self.write_end(task, attempt, how, checkpoint);
         state.ended.push(EndedTask { task: task.clone(), attempt, end });
     }
 
@@ -305,7 +309,7 @@
     fn tick(&self, now: Instant) {
         let expired = self.state.borrow().lease_until.is_some_and(|until| until <= now);
         if expired {
-            self.stop_all();
+            self.stop_all(TaskEnd::LeaseExpired);
         }
         let due: Vec<(TaskKey, AttemptNumber)> = {
             let state = self.state.borrow();
@@ -328,15 +332,25 @@
         }
     }
 
-    /// Stops every task because the lease ran out. The control side counts
-    /// these attempts as lost, so they are not reported.
-    fn stop_all(&self) {
-        let mut state = self.state.borrow_mut();
-        for (task, r) in std::mem::take(&mut state.running) {
-            let (task, attempt) = (task.to_string().into(), r.attempt);
-            self.journal.write(Event::TaskEnded { task, attempt, end: "lease-expired".into() });
+    /// Stops every task without an order. The control side counts these
+    /// attempts as lost, so they are not reported.
+    fn stop_all(&self, why: TaskEnd) {
+        let running = std::mem::take(&mut self.state.borrow_mut().running);
+        for (task, r) in running {
+            self.write_end(&task, r.attempt, why, None);
         }
     }
+
+    fn write_end(
+        &self,
+        task: &TaskKey,
+        attempt: AttemptNumber,
+        end: TaskEnd,
+        checkpoint: Option<CheckpointId>,
+    ) {
+        let task = task.to_string().into();
+        self.journal.write(Event::TaskEnded { task, attempt, end, checkpoint });
+    }
 }
 
 fn running_task(task: &TaskKey, running: &RunningAttempt) -> RunningTask {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -12,7 +12,12 @@
     LoadSettings, TargetSettings, TargetStandin, WorkerSettings, WorkerStandin, load,
 };
 use cyclamenloft_types::{Error, ErrorKind, Resources, Result};
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 /// Most processor cores of a stand-in worker.
 const MAX_CORES: u64 = 1024;
@@ -66,7 +71,7 @@
         )
         .subcommand(
             common(Command::new("worker"))
-                .arg(flag("boot", "N", "This start of the worker").default_value("1"))
+                .arg(flag("boot", "N", "This start of the worker; from the clock where absent"))
                 .arg(flag("rack", "NAME", "Rack").default_value("rack-1"))
                 .arg(flag("cores", "N", "Processor cores").default_value("16"))
                 .arg(flag("memory-gib", "N", "Memory").default_value("60"))
@@ -104,7 +109,7 @@
     let gib = optional_number(args, "memory-gib", 1..=MAX_GIB)?.unwrap_or(60) as u32;
     let worker = WorkerStandin::new(WorkerSettings {
         name: name(args, "name")?,
-        boot: optional_number(args, "boot", 1..=u64::MAX)?.unwrap_or(1),
+        boot: optional_number(args, "boot", 1..=u64::MAX)?.unwrap_or_else(boot_of_clock),
         domain: name(args, "domain")?,
         rack: name(args, "rack")?,
         capacity: Resources::new(cores * 1000, gib * 1024, 0),
@@ -116,6 +121,12 @@
     Ok(())
 }
 
+/// A boot that differs from those of earlier starts, which began at other times.
+fn boot_of_clock() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |t| u64::try_from(t.as_micros()).unwrap_or(1))
+}
+
 async fn run_load(args: &ArgMatches) -> Result<()> {
     let report = load::run(LoadSettings {
         entries: addrs(args, "entries")?,
