--- /dev/null
+++ b/crates/placement/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions on tasks.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+mod learning;
+mod placing;
+mod scheduler;
+mod state;
