--- /dev/null
+++ b/tests/all/failures/mod.rs
@@ -0,0 +1,72 @@
+//! Failures brought about with real processes. Each case ends with the one
+//! checker.
+
+mod combined;
+mod control;
+mod operators;
+mod requests;
+mod tasks;
+
+use crate::{
+    harness::{Deployment, DomainLayout, Race, until_ok, wait_for},
+    paths::job,
+};
+use cyclamenloft_peer::calls::SubmitAnswer;
+use cyclamenloft_types::{JobSpec, JobState, Result, TaskState};
+
+/// The domain of cases that need one only.
+const YARD: &str = "galway-yard";
+
+/// One service, and leases short enough for a test, with a margin for a busy
+/// machine.
+const WITH_SERVICE: &str = "[services.matchdesk]\nslots = 8\n\
+[placement]\nlease = \"2s\"\nreport_period = \"300ms\"\ndrift_margin = \"1s\"\n";
+
+fn layout(entries: u8, controls: u8) -> [DomainLayout; 1] {
+    [DomainLayout { name: YARD, entries, controls }]
+}
+
+fn three_domains(entries: u8, controls: u8) -> [DomainLayout; 3] {
+    ["galway-yard", "mayo-yard", "clare-yard"].map(|name| DomainLayout { name, entries, controls })
+}
+
+/// Brings up a deployment with one service and `count` targets in the first domain.
+async fn serving(mut deployment: Deployment, count: usize, service_time: &str) -> Deployment {
+    deployment.ready().await;
+    deployment.configure(WITH_SERVICE).await;
+    let domain = deployment.hosts[0].domain;
+    for _ in 0..count {
+        deployment.start_target(domain, "matchdesk", service_time);
+    }
+    let hosts: Vec<_> = deployment.hosts.iter().copied().filter(|h| h.domain == domain).collect();
+    deployment.targets_known(&hosts, "matchdesk", count).await;
+    deployment
+}
+
+/// A job of `tasks` tasks that take `run_time_ms`.
+fn long_job(id: &str, tasks: u32, run_time_ms: u64) -> JobSpec {
+    JobSpec { run_time_ms, home: Some(YARD.into()), ..job(id, tasks) }
+}
+
+/// Submits a job through a host until it is acknowledged.
+async fn submit(deployment: &Deployment, host: usize, spec: &JobSpec) -> SubmitAnswer {
+    let host = deployment.hosts[host];
+    until_ok("a submission", async || {
+        deployment.operators.post(host.operators, "/v1/jobs", spec).await
+    })
+    .await
+}
+
+async fn job_finished(deployment: &Deployment, host: usize, id: &str) {
+    let host = deployment.hosts[host];
+    wait_for("the job to finish", async || {
+        let state: Result<JobState> =
+            deployment.operators.get(host.operators, &format!("/v1/jobs/{id}")).await;
+        state.is_ok_and(|s| s.tasks.iter().all(|t| *t == TaskState::Finished))
+    })
+    .await;
+}
+
+fn race(operators: u64, changes: usize, seed: u64) -> Race {
+    Race { operators, changes, seed, base: "" }
+}
--- /dev/null
+++ b/tests/all/failures/requests.rs
@@ -0,0 +1,152 @@
+//! Failures while callers ask.
+
+use super::{YARD, layout, serving};
+use crate::{
+    cases,
+    harness::{Callers, Deployment, Outcome, Traffic, wait_for},
+};
+use std::time::Duration;
+
+cases! {
+    a_planned_stop_of_an_entry_host_cuts_nothing => entry_stop();
+    a_killed_entry_host_loses_nothing_twice => entry_killed();
+    a_leaving_target_gets_nothing_and_cuts_nothing => target_leaves();
+    a_target_that_dies_has_run_what_it_has_run => target_killed();
+    a_target_that_never_answers_holds_nobody_up => target_frozen();
+    an_entry_host_cut_from_control_keeps_serving => cut_from_control();
+    requests_flow_without_any_control_replica => without_control();
+    a_restarted_entry_host_has_the_newest_configuration => entry_restart();
+}
+
+/// Longer than any wait of a test that should succeed.
+const PATIENT: Duration = Duration::from_secs(30);
+
+fn callers(deployment: &Deployment, deadline: Duration) -> Callers {
+    Callers::start(&deployment.hosts, "matchdesk", "n", deadline)
+}
+
+fn answered(traffic: &Traffic) -> usize {
+    traffic.values().filter(|sent| sent.outcome == Outcome::Answered).count()
+}
+
+async fn entry_stop() {
+    let mut deployment = serving(Deployment::start(&layout(2, 1)), 2, "20ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.entries[0].terminate();
+    deployment.entries[0].stopped().await;
+    callers.answers(40).await;
+    let traffic = callers.stop().await;
+    let evidence = deployment.evidence().with(traffic);
+    evidence.check();
+    evidence.all_answered();
+}
+
+async fn entry_killed() {
+    let mut deployment = serving(Deployment::start(&layout(3, 1)), 3, "20ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.entries[1].kill();
+    callers.answers(60).await;
+    deployment.entries[1].restart();
+    deployment.settled(&deployment.hosts).await;
+    callers.answers(60).await;
+    deployment.evidence_with(callers).await.check();
+}
+
+async fn target_leaves() {
+    let mut deployment = serving(Deployment::start(&layout(2, 1)), 3, "20ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.stop_target(0);
+    deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
+    callers.answers(60).await;
+    let evidence = deployment.evidence_with(callers).await;
+    evidence.check();
+    evidence.all_answered();
+}
+
+async fn target_killed() {
+    let mut deployment = serving(Deployment::start(&layout(2, 1)), 3, "60ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.kill_stand_in(0);
+    callers.answers(60).await;
+    let traffic = callers.stop().await;
+    // The host is alive and says what it knows; it cuts no connection.
+    let cut = traffic.values().filter(|s| matches!(s.outcome, Outcome::Cut(_))).count();
+    assert_eq!(cut, 0, "{traffic:?}");
+    deployment.evidence().with(traffic).check();
+}
+
+async fn target_frozen() {
+    let mut deployment = serving(Deployment::start(&layout(2, 1)), 3, "20ms").await;
+    let callers = callers(&deployment, Duration::from_secs(2));
+    callers.answers(40).await;
+    deployment.freeze_stand_in(0);
+    // Its announcements end, so that the others get everything.
+    deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
+    callers.answers(60).await;
+    let traffic = callers.stop().await;
+    // What waits in its sockets runs now, if at all: "not run" must stay true.
+    deployment.stand_ins[0].thaw();
+    deployment.targets_known(&deployment.hosts, "matchdesk", 3).await;
+    assert!(answered(&traffic) >= 100);
+    deployment.evidence().with(traffic).check();
+}
+
+async fn cut_from_control() {
+    let deployment = Deployment::behind_proxies(&layout(2, 1), 11);
+    let deployment = serving(deployment, 2, "5ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.links.cut(&["galway-yard-entry-1"], &["galway-yard-control-1"]);
+    callers.answers(80).await;
+    let second = deployment.hosts[1];
+    let text = "[services.matchdesk]\nslots = 8\ndeadline = \"3s\"\n";
+    deployment.apply(&second, 2, text).await.unwrap();
+    // The cut host learns of it from the other.
+    deployment.in_force(2).await;
+    deployment.links.heal();
+    callers.answers(20).await;
+    let evidence = deployment.evidence_with(callers).await;
+    evidence.check();
+    evidence.all_answered();
+}
+
+async fn without_control() {
+    let mut deployment = serving(Deployment::start(&layout(2, 1)), 2, "10ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    deployment.controls.iter_mut().for_each(crate::harness::Process::kill);
+    // Targets come and go all the same.
+    deployment.start_target(YARD, "matchdesk", "10ms");
+    deployment.targets_known(&deployment.hosts, "matchdesk", 3).await;
+    deployment.stop_target(0);
+    deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
+    callers.answers(60).await;
+    let evidence = deployment.evidence_with(callers).await;
+    evidence.check();
+    evidence.all_answered();
+}
+
+async fn entry_restart() {
+    let mut deployment = Deployment::start(&layout(2, 1));
+    deployment.ready().await;
+    let [first, second] = [deployment.hosts[0], deployment.hosts[1]];
+    for number in 1..=5 {
+        let text = format!("[services.matchdesk]\nslots = {number}\n");
+        deployment.apply(&second, number, &text).await.unwrap();
+        if number == 2 {
+            deployment.entries[0].kill();
+        }
+    }
+    deployment.entries[0].restart();
+    // The first answer of a ready host already has the newest number.
+    let ready = async || {
+        let status = deployment.status(&first).await.ok()?;
+        status.first().filter(|s| s.ready).map(|s| s.config)
+    };
+    wait_for("the host to be ready", async || ready().await.is_some()).await;
+    assert_eq!(ready().await, Some(5));
+}
--- /dev/null
+++ b/tests/all/failures/tasks.rs
@@ -0,0 +1,112 @@
+//! Failures while tasks run.
+
+use super::{WITH_SERVICE, YARD, job_finished, layout, long_job, submit};
+use crate::{
+    cases,
+    harness::{Deployment, wait_for},
+};
+use cyclamenloft_standin::journal::{Event, Line, TaskEnd};
+use cyclamenloft_types::{JobSpec, Priority, Resources};
+
+cases! {
+    tasks_of_a_killed_worker_run_elsewhere => worker_killed();
+    a_frozen_worker_stops_its_tasks_when_it_thaws => worker_frozen();
+    a_worker_cut_off_for_longer_than_its_lease_stops_its_tasks => worker_cut();
+    a_restarted_worker_has_lost_its_tasks => worker_restarted();
+    evicted_tasks_resume_where_they_were => evicted();
+}
+
+/// Starts a worker with four tasks that run for longer than its lease.
+async fn with_running_tasks(mut deployment: Deployment) -> Deployment {
+    deployment.ready().await;
+    deployment.configure(WITH_SERVICE).await;
+    deployment.start_worker(YARD, "worker-1", 4);
+    submit(&deployment, 0, &long_job("long", 4, 4000)).await;
+    started(&deployment, 4).await;
+    deployment
+}
+
+/// Waits until `count` attempts have started.
+async fn started(deployment: &Deployment, count: usize) {
+    let starts = || deployment.evidence().count(is_start);
+    wait_for("the tasks to run", async || starts() >= count).await;
+}
+
+fn is_start(line: &Line) -> bool {
+    matches!(line.event, Event::TaskStarted { .. })
+}
+
+fn is_end(line: &Line, who: &str, how: TaskEnd) -> bool {
+    &*line.who == who && matches!(line.event, Event::TaskEnded { end, .. } if end == how)
+}
+
+/// The job ends, and the checker has nothing to say.
+async fn all_finish(deployment: &Deployment, tasks: usize) {
+    job_finished(deployment, 0, "long").await;
+    let evidence = deployment.evidence();
+    evidence.check();
+    assert_eq!(evidence.finished().len(), tasks);
+}
+
+async fn worker_killed() {
+    let mut deployment = with_running_tasks(Deployment::start(&layout(2, 1))).await;
+    deployment.kill_stand_in(0);
+    deployment.start_worker(YARD, "worker-2", 4);
+    all_finish(&deployment, 4).await;
+}
+
+/// A frozen worker can't stop its tasks in time, but once it runs again it
+/// must not let them go on.
+async fn worker_frozen() {
+    let mut deployment = with_running_tasks(Deployment::start(&layout(2, 1))).await;
+    deployment.freeze_stand_in(0);
+    deployment.start_worker(YARD, "worker-2", 4);
+    started(&deployment, 8).await;
+    deployment.stand_ins[0].thaw();
+    let stopped = || deployment.evidence().count(|l| is_end(l, "worker-1", TaskEnd::LeaseExpired));
+    wait_for("the thawed worker to stop its tasks", async || stopped() == 4).await;
+    all_finish(&deployment, 4).await;
+}
+
+async fn worker_cut() {
+    let deployment = Deployment::behind_proxies(&layout(2, 1), 21);
+    let mut deployment = with_running_tasks(deployment).await;
+    let entries = ["galway-yard-entry-1", "galway-yard-entry-2"];
+    deployment.links.cut(&["worker-1"], &entries);
+    deployment.start_worker(YARD, "worker-2", 4);
+    started(&deployment, 8).await;
+    deployment.links.heal();
+    all_finish(&deployment, 4).await;
+    let expired = deployment.evidence().count(|l| is_end(l, "worker-1", TaskEnd::LeaseExpired));
+    assert_eq!(expired, 4);
+    // Once its link is back, the worker takes work again.
+    deployment.kill_stand_in(1);
+    submit(&deployment, 0, &long_job("after", 4, 50)).await;
+    job_finished(&deployment, 0, "after").await;
+    deployment.evidence().check();
+}
+
+/// The worker comes back under its name as another start: what ran is over and
+/// runs again, there or elsewhere.
+async fn worker_restarted() {
+    let mut deployment = with_running_tasks(Deployment::start(&layout(2, 1))).await;
+    deployment.kill_stand_in(0);
+    deployment.stand_ins[0].restart();
+    all_finish(&deployment, 4).await;
+}
+
+/// Urgent tasks take the room of batch tasks, which go on afterwards.
+async fn evicted() {
+    let deployment = with_running_tasks(Deployment::start(&layout(2, 1))).await;
+    submit(&deployment, 1, &urgent("urgent", 2)).await;
+    job_finished(&deployment, 0, "urgent").await;
+    all_finish(&deployment, 6).await;
+    let evicted = deployment.evidence().count(|l| is_end(l, "worker-1", TaskEnd::Evicted));
+    assert_eq!(evicted, 2);
+}
+
+/// A job of urgent tasks of one core.
+pub(super) fn urgent(id: &str, tasks: u32) -> JobSpec {
+    let resources = Resources::new(1000, 512, 0);
+    JobSpec { priority: Priority::Urgent, resources, ..long_job(id, tasks, 500) }
+}
--- /dev/null
+++ b/tests/all/harness/callers.rs
@@ -0,0 +1,223 @@
+//! Callers behind a balancer: numbered requests at a steady rate to the entry
+//! hosts that say they are ready, each on a connection of its own.
+
+use super::plan::EntryHost;
+use bytes::Bytes;
+use compio::{net::TcpStream, runtime::spawn};
+use cyclamenloft_http::JsonClient;
+use cyclamenloft_standin::target::NUMBER_HEADER;
+use cyper_core::HyperStream;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Time between two requests.
+const PERIOD: Duration = Duration::from_millis(15);
+/// Time between two questions of the balancer whether a host is ready.
+const PROBE_PERIOD: Duration = Duration::from_millis(50);
+/// Longest wait for a probe's answer.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most requests of one run.
+const MOST: u64 = 4000;
+/// Largest body of a request.
+const MAX_BODY_BYTES: u64 = 50_000;
+
+/// What came of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer, and the request's own.
+    Answered,
+    /// Refused as not run.
+    NotRun,
+    /// An error that says that it may have run.
+    Unknown,
+    /// The connection ended before the whole answer had come.
+    Cut(Box<str>),
+    /// An answer that is not the request's own.
+    Wrong(Box<str>),
+}
+
+/// A request that was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub idempotent: bool,
+    pub outcome: Outcome,
+}
+
+/// The requests of a run by their numbers.
+pub type Traffic = BTreeMap<Box<str>, Sent>;
+
+/// Callers that send until they are told to stop.
+pub struct Callers {
+    shared: Rc<Shared>,
+    sending: compio::runtime::JoinHandle<()>,
+}
+
+struct Shared {
+    prefix: Box<str>,
+    service: Box<str>,
+    deadline: Duration,
+    ready: Vec<(SocketAddr, Cell<bool>)>,
+    stopped: Cell<bool>,
+    traffic: RefCell<Traffic>,
+}
+
+impl Callers {
+    /// Starts sending to `hosts`; `prefix` makes the numbers unique.
+    pub fn start(hosts: &[EntryHost], service: &str, prefix: &str, deadline: Duration) -> Self {
+        let shared = Rc::new(Shared {
+            prefix: prefix.into(),
+            service: service.into(),
+            deadline,
+            ready: hosts.iter().map(|h| (h.callers, Cell::new(false))).collect(),
+            stopped: Cell::new(false),
+            traffic: RefCell::default(),
+        });
+        for (at, host) in hosts.iter().enumerate() {
+            spawn(probe(shared.clone(), at, host.platform)).detach();
+        }
+        let sending = spawn(send_all(shared.clone()));
+        Self { shared, sending }
+    }
+
+    /// The number of requests answered so far.
+    pub fn answered(&self) -> usize {
+        let traffic = self.shared.traffic.borrow();
+        traffic.values().filter(|sent| sent.outcome == Outcome::Answered).count()
+    }
+
+    /// Waits until `more` requests have been answered from now on.
+    pub async fn answers(&self, more: usize) {
+        let wanted = self.answered() + more;
+        super::wait_for("answers", async || self.answered() >= wanted).await;
+    }
+
+    /// Stops sending, waits for what is in flight, and tells what came of all.
+    pub async fn stop(self) -> Traffic {
+        self.shared.stopped.set(true);
+        self.sending.await.unwrap();
+        self.shared.traffic.take()
+    }
+}
+
+async fn probe(shared: Rc<Shared>, at: usize, platform: SocketAddr) {
+    let client = JsonClient::new(None, PROBE_TIMEOUT).unwrap();
+    while !shared.stopped.get() {
+        let answer = client.send(Method::GET, platform, "/ready", Vec::new()).await;
+        shared.ready[at].1.set(answer.is_ok());
+        compio::time::sleep(PROBE_PERIOD).await;
+    }
+}
+
+async fn send_all(shared: Rc<Shared>) {
+    let mut in_flight = Vec::new();
+    for number in 0..MOST {
+        if shared.stopped.get() {
+            break;
+        }
+        in_flight.push(spawn(send(shared.clone(), number)));
+        compio::time::sleep(PERIOD).await;
+    }
+    for request in in_flight {
+        request.await.unwrap();
+    }
+}
+
+/// Sends a request to a host that is ready. A host that can't be connected to
+/// is passed over, as a balancer does.
+async fn send(shared: Rc<Shared>, number: u64) {
+    let hosts = shared.ready.len() as u64;
+    for turn in number..number + hosts {
+        let (addr, ready) = &shared.ready[(turn % hosts) as usize];
+        if !ready.get() {
+            continue;
+        }
+        let Ok(stream) = TcpStream::connect(*addr).await else {
+            continue;
+        };
+        let name: Box<str> = format!("{}-{number}", shared.prefix).into();
+        let idempotent = !number.is_multiple_of(3);
+        let outcome = exchange(&shared, stream, &name, number).await;
+        shared.traffic.borrow_mut().insert(name, Sent { idempotent, outcome });
+        return;
+    }
+}
+
+async fn exchange(shared: &Shared, stream: TcpStream, name: &str, number: u64) -> Outcome {
+    let body = body_of(number);
+    match whole_answer(shared, stream, name, number, body.clone()).await {
+        Ok(response) => judge(response, name, &body),
+        Err(e) => Outcome::Cut(e.to_string().into()),
+    }
+}
+
+async fn whole_answer(
+    shared: &Shared,
+    stream: TcpStream,
+    name: &str,
+    number: u64,
+    body: Bytes,
+) -> Result<Response<Bytes>, hyper::Error> {
+    let (mut sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
+    let driving = spawn(connection);
+    let response = sender.send_request(request(shared, name, number, body)).await?;
+    let (parts, body): (_, Incoming) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    drop(driving);
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Of three requests one is a POST that may run once only, one a POST that is
+/// marked as idempotent, and one a GET.
+fn request(shared: &Shared, name: &str, number: u64, body: Bytes) -> Request<Full<Bytes>> {
+    let (method, mark) = match number % 3 {
+        0 => (Method::POST, "false"),
+        1 => (Method::POST, "true"),
+        _ => (Method::GET, "true"),
+    };
+    Request::builder()
+        .method(method)
+        .uri(format!("/{}/items", shared.service))
+        .header("host", "entry")
+        .header("connection", "close")
+        .header(NUMBER_HEADER, name)
+        .header("cyclamenloft-idempotent", mark)
+        .header("cyclamenloft-deadline-ms", shared.deadline.as_millis().to_string())
+        .body(Full::new(body))
+        .unwrap()
+}
+
+/// A body that belongs to this request only; a GET has none.
+fn body_of(number: u64) -> Bytes {
+    if number % 3 == 2 {
+        return Bytes::new();
+    }
+    let length = number * 977 % MAX_BODY_BYTES;
+    (0..length).map(|at| b'a' + ((at * 31 + number) % 26) as u8).collect()
+}
+
+fn judge(response: Response<Bytes>, name: &str, body: &Bytes) -> Outcome {
+    if !response.status().is_success() {
+        let outcome = response.headers().get("cyclamenloft-outcome");
+        return match outcome.map(|v| v.as_bytes()) {
+            Some(b"not-run") => Outcome::NotRun,
+            Some(b"unknown") => Outcome::Unknown,
+            other => Outcome::Wrong(format!("{} with outcome {other:?}", response.status()).into()),
+        };
+    }
+    let answer = response.body();
+    let head = answer.iter().position(|b| *b == b'\n').unwrap_or(answer.len());
+    let own = answer[..head].ends_with(format!(" {name}").as_bytes());
+    if own && answer.get(head + 1..) == Some(&body[..]) {
+        return Outcome::Answered;
+    }
+    let shown = String::from_utf8_lossy(&answer[..head.min(80)]).into_owned();
+    Outcome::Wrong(format!("{shown:?} and {} bytes", answer.len() - head).into())
+}
--- /dev/null
+++ b/tests/all/harness/plan.rs
@@ -0,0 +1,230 @@
+//! Names, addresses and command lines of a deployment's processes.
+
+use super::Links;
+use cyclamenloft_operator::{ConfigFile, messages::ApplyRequest};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU8, Ordering},
+};
+
+const CALLERS: u16 = 7000;
+const PLATFORM: u16 = 7001;
+const OPERATORS: u16 = 7002;
+const PEERS: u16 = 7003;
+const CONTROL: u16 = 7004;
+const TARGET: u16 = 8000;
+/// First port of the proxies in front of a process.
+const PROXY: u16 = 9000;
+
+/// Tells deployments of one test run apart.
+static NEXT: AtomicU8 = AtomicU8::new(0);
+
+/// What a failure domain has.
+#[derive(Clone, Copy)]
+pub struct DomainLayout {
+    pub name: &'static str,
+    pub entries: u8,
+    pub controls: u8,
+}
+
+/// An entry host's addresses.
+#[derive(Clone, Copy)]
+pub struct EntryHost {
+    pub domain: &'static str,
+    pub callers: SocketAddr,
+    pub platform: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+/// A process that others connect to.
+struct Peer {
+    name: String,
+    addr: SocketAddr,
+}
+
+/// How a deployment's processes are named, where they listen, and through
+/// which proxies they reach each other.
+pub struct Plan {
+    domains: Vec<DomainLayout>,
+    net: [u8; 2],
+    folder: PathBuf,
+    links: Option<Links>,
+    next_proxy: u16,
+}
+
+impl Plan {
+    /// A plan for `domains` with files in `folder`; processes connect directly
+    /// where there are no `links`.
+    pub fn new(domains: &[DomainLayout], folder: &Path, links: Option<Links>) -> Self {
+        let net = [1 + (std::process::id() % 250) as u8, NEXT.fetch_add(1, Ordering::Relaxed)];
+        let (domains, folder) = (domains.to_vec(), folder.to_owned());
+        Self { domains, net, folder, links, next_proxy: PROXY }
+    }
+
+    /// The number of control replicas of a domain.
+    pub fn controls_of(&self, domain: &str) -> usize {
+        self.domains.iter().filter(|d| d.name == domain).map(|d| usize::from(d.controls)).sum()
+    }
+
+    /// Name and command line of a control process.
+    pub fn control(&mut self, domain: usize, control: u8) -> (String, Vec<String>) {
+        let own = self.control_peer(domain, control);
+        let group = (0..self.domains[domain].controls).map(|c| self.control_peer(domain, c));
+        let group = group.collect();
+        let voters = self.config_voters();
+        let position = voters.iter().position(|v| v.name == own.name);
+        let mut args = self.common(&own, domain);
+        args.push(("replica", (control + 1).to_string()));
+        args.push(("placement", self.numbered(&own.name, group)));
+        args.push(("data", self.folder.join(&own.name).display().to_string()));
+        args.extend(position.map(|at| ("config-replica", (at + 1).to_string())));
+        (own.name, command(env!("CARGO_BIN_EXE_cyclamenloft-control"), &args))
+    }
+
+    /// Name, command line and addresses of an entry process.
+    pub fn entry(&mut self, domain: usize, entry: u8) -> (String, Vec<String>, EntryHost) {
+        let own = self.entry_peer(domain, entry, PEERS);
+        let group = (0..self.domains[domain].controls).map(|c| self.control_peer(domain, c));
+        let group = group.collect();
+        let at = |port| SocketAddr::new(own.addr.ip(), port);
+        let mut args = self.common(&own, domain);
+        args.push(("callers", at(CALLERS).to_string()));
+        args.push(("platform", at(PLATFORM).to_string()));
+        args.push(("operators", at(OPERATORS).to_string()));
+        args.push(("operator-token-file", self.token()));
+        args.push(("roster", self.roster(&own.name, domain, entry)));
+        args.push(("remotes", self.remotes(&own.name, domain)));
+        args.push(("control", self.numbered(&own.name, group)));
+        args.push(("lame-duck", "1s".into()));
+        let host = EntryHost {
+            domain: self.domains[domain].name,
+            callers: at(CALLERS),
+            platform: at(PLATFORM),
+            operators: at(OPERATORS),
+        };
+        (own.name, command(env!("CARGO_BIN_EXE_cyclamenloft-entry"), &args), host)
+    }
+
+    /// The platform listeners of a domain's entry hosts as `from` reaches them.
+    pub fn platforms(&mut self, from: &str, domain: &str) -> String {
+        let number = self.domains.iter().position(|d| d.name == domain).unwrap();
+        let hosts = 0..self.domains[number].entries;
+        let all = hosts.map(|entry| {
+            let host = self.entry_peer(number, entry, PLATFORM);
+            self.link(from, &host).to_string()
+        });
+        all.collect::<Vec<_>>().join(",")
+    }
+
+    /// Where a stand-in target listens.
+    pub fn target_addr(&self, number: usize) -> SocketAddr {
+        SocketAddr::from((self.ip(200), TARGET + number as u16))
+    }
+
+    fn common(&mut self, own: &Peer, domain: usize) -> Vec<(&'static str, String)> {
+        let voters = self.config_voters();
+        vec![
+            ("host", own.name.clone()),
+            ("domain", self.domains[domain].name.to_owned()),
+            ("peers", own.addr.to_string()),
+            ("peer-token-file", self.token()),
+            ("config-voters", self.numbered(&own.name, voters)),
+        ]
+    }
+
+    fn token(&self) -> String {
+        self.folder.join("token").display().to_string()
+    }
+
+    fn config_voters(&self) -> Vec<Peer> {
+        let one = self.domains.len() == 1;
+        let voters = self.domains.iter().enumerate().flat_map(|(number, domain)| {
+            (0..if one { domain.controls } else { 1 }).map(move |control| (number, control))
+        });
+        voters.map(|(number, control)| self.control_peer(number, control)).collect()
+    }
+
+    fn roster(&mut self, from: &str, domain: usize, own: u8) -> String {
+        let others = (0..self.domains[domain].entries).filter(|other| *other != own);
+        let listed: Vec<String> = others
+            .map(|other| {
+                let other = self.entry_peer(domain, other, PEERS);
+                format!("{}={}", other.name, self.link(from, &other))
+            })
+            .collect();
+        listed.join(",")
+    }
+
+    /// The entry hosts of every domain but `own`.
+    fn remotes(&mut self, from: &str, own: usize) -> String {
+        let mut listed = Vec::new();
+        for number in (0..self.domains.len()).filter(|number| *number != own) {
+            for entry in 0..self.domains[number].entries {
+                let host = self.entry_peer(number, entry, PEERS);
+                let addr = self.link(from, &host);
+                listed.push(format!("{}={addr}", self.domains[number].name));
+            }
+        }
+        listed.join(",")
+    }
+
+    fn numbered(&mut self, from: &str, replicas: Vec<Peer>) -> String {
+        let listed: Vec<String> = replicas
+            .iter()
+            .enumerate()
+            .map(|(at, peer)| format!("{}={}", at + 1, self.link(from, peer)))
+            .collect();
+        listed.join(",")
+    }
+
+    /// The address at which `from` reaches `to`: a proxy of this pair's own, if any.
+    fn link(&mut self, from: &str, to: &Peer) -> SocketAddr {
+        let Some(links) = self.links.as_ref().filter(|_| from != to.name) else {
+            return to.addr;
+        };
+        let listen = SocketAddr::new(to.addr.ip(), self.next_proxy);
+        self.next_proxy += 1;
+        links.open(from, &to.name, listen, to.addr);
+        listen
+    }
+
+    fn control_peer(&self, domain: usize, control: u8) -> Peer {
+        let name = format!("{}-control-{}", self.domains[domain].name, control + 1);
+        let ip = self.ip(11 + domain as u8 * 20 + control);
+        Peer { name, addr: SocketAddr::from((ip, CONTROL)) }
+    }
+
+    fn entry_peer(&self, domain: usize, entry: u8, port: u16) -> Peer {
+        let name = format!("{}-entry-{}", self.domains[domain].name, entry + 1);
+        let ip = self.ip(1 + domain as u8 * 20 + entry);
+        Peer { name, addr: SocketAddr::from((ip, port)) }
+    }
+
+    fn ip(&self, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net[0], self.net[1], host)
+    }
+}
+
+fn command(program: &str, args: &[(&str, String)]) -> Vec<String> {
+    let mut command = vec![program.to_owned()];
+    push_flags(&mut command, args.iter());
+    command
+}
+
+/// Adds flags to a command line; those without a value are left out.
+pub fn push_flags<'a>(
+    command: &mut Vec<String>,
+    flags: impl Iterator<Item = &'a (&'a str, String)>,
+) {
+    for (flag, value) in flags.filter(|(_, value)| !value.is_empty()) {
+        command.push(format!("--{flag}"));
+        command.push(value.clone());
+    }
+}
+
+/// A proposal of one file.
+pub fn apply_request(number: u64, author: &str, text: &str) -> ApplyRequest {
+    let files = vec![ConfigFile { name: "10-test.toml".into(), text: text.into() }];
+    ApplyRequest { number, author: author.into(), files }
+}
