--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,11 +15,15 @@
     process,
     settings::EntrySettings,
 };
-use cyclamenloft_caller::{CallerHandler, Gates, Readiness};
+use cyclamenloft_caller::{
+    CallerHandler, CallerLimits, Forwarder, Gates, HopHandler, KeyCalls, Keys, MemoryLimits,
+    OutcomeMemory, Readiness, marks::MAX_DEADLINE,
+};
 use cyclamenloft_http::{Limits, StopSignal, bind, serve, stop_pair};
 use cyclamenloft_peer::{PeerClient, PeerSet, RpcService};
-use cyclamenloft_target::{Pool, PoolLimits, Registry};
+use cyclamenloft_target::{HostConnections, Pool, PoolLimits, Registry};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, Result};
+use futures_util::StreamExt;
 use std::{
     cell::RefCell,
     net::{SocketAddr, TcpListener},
@@ -33,7 +37,7 @@
 /// Time between two looks at deadlines and expired announcements.
 const TICK: Duration = Duration::from_millis(10);
 /// Time between two rounds of closing idle connections.
-const TRIM_PERIOD: Duration = Duration::from_secs(5);
+const TRIM_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the tasks of the entry process's own thread share.
 pub(crate) struct Entry {
@@ -51,6 +55,10 @@
     pub(crate) spread: spread::Spread,
     /// The other failure domains.
     pub(crate) remotes: Vec<homes::Remote>,
+    /// Connections to targets, counted over the threads that serve callers.
+    pub(crate) connections: HostConnections,
+    /// What became of requests with idempotency keys.
+    pub(crate) keys: Keys,
 }
 
 /// Runs an entry process until `stop`, then drains it.
@@ -62,13 +70,15 @@
     let callers = bind(settings.callers)?;
     let (platform, operators, peers) =
         (bind(settings.platform)?, bind(settings.operators)?, bind(settings.peers)?);
-    let entry = Rc::new(create(&settings)?);
+    let (entry, key_calls) = create(&settings)?;
+    let entry = Rc::new(entry);
+    compio::runtime::spawn(pass_on_keys(key_calls)).detach();
 
     let (mut callers_stop, callers_signal) = stop_pair();
     let (mut rest_stop, rest_signal) = stop_pair();
     let threads = start_callers(&settings, &entry, &callers, &callers_signal)?;
     drop(callers);
-    start_listeners(&settings, &entry, [platform, operators, peers], &rest_signal)?;
+    let peers = start_listeners(&settings, &entry, [platform, operators, peers], &rest_signal)?;
     start_config(&settings, &entry)?;
     compio::runtime::spawn(services::keep(entry.clone())).detach();
     compio::runtime::spawn(tick(entry.clone())).detach();
@@ -82,12 +92,13 @@
     compio::time::sleep(settings.lame_duck).await;
     callers_stop.stop();
     let drained = compio::runtime::spawn_blocking(move || join_all(threads)).await;
+    peers.hops.drained(MAX_DEADLINE).await;
     rest_stop.stop();
     tracing::info!("entry stopped");
     drained.unwrap_or_else(|_| Err(Error::new(ErrorKind::Internal, "drain did not end")))
 }
 
-fn create(settings: &EntrySettings) -> Result<Entry> {
+fn create(settings: &EntrySettings) -> Result<(Entry, KeyCalls)> {
     let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
     let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
         list.iter().map(|r| r.addr).collect()
@@ -95,7 +106,9 @@
     let mut roster: Vec<HostId> = settings.roster.iter().map(|h| h.host.clone()).collect();
     roster.push(settings.host.clone());
     roster.sort();
-    Ok(Entry {
+    let memory = OutcomeMemory::new(MemoryLimits::default(), Instant::now());
+    let (keys, key_calls) = Keys::new(settings.host.clone(), roster.clone(), memory);
+    let entry = Entry {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
         roster,
@@ -107,7 +120,20 @@
         config_voters: PeerSet::new(client.clone(), addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
         remotes: homes::remotes(&client, &settings.remotes),
-    })
+        // One thread more takes requests from other entry hosts.
+        connections: HostConnections::new(settings.threads + 1),
+        keys,
+    };
+    Ok((entry, key_calls))
+}
+
+/// Refuses questions about keys that other entry hosts own.
+async fn pass_on_keys(mut calls: KeyCalls) {
+    while let Some(call) = calls.next().await {
+        let detail = format!("owner {:?} of the key can't be asked", call.owner);
+        // The asker may have gone.
+        let _ = call.reply.send(Err(Error::new(ErrorKind::PeerUnreachable, detail)));
+    }
 }
 
 /// Starts the threads that serve callers; each has a runtime of its own.
@@ -122,9 +148,10 @@
     for number in 0..settings.threads {
         let listener = listener.try_clone().map_err(internal)?;
         let (gates, readiness, stop) = (entry.gates.clone(), entry.readiness.clone(), stop.clone());
+        let (connections, keys) = (entry.connections.clone(), entry.keys.clone());
         let thread = std::thread::Builder::new()
             .name(format!("callers-{number}"))
-            .spawn(move || serve_callers(listener, gates, readiness, stop))
+            .spawn(move || serve_callers(listener, gates, readiness, connections, keys, stop))
             .map_err(internal)?;
         threads.push(thread);
     }
@@ -135,13 +162,20 @@
     listener: TcpListener,
     gates: Gates,
     readiness: Readiness,
+    connections: HostConnections,
+    keys: Keys,
     stop: StopSignal,
 ) -> Result<()> {
     process::runtime()?.block_on(async move {
-        let pool = Pool::new(PoolLimits::default());
-        compio::runtime::spawn(trim(pool.clone())).detach();
-        let handler = Rc::new(CallerHandler::new(gates, pool, readiness));
-        serve(listener, Limits::default(), stop, handler).await
+        let pool = Pool::new(PoolLimits::default(), connections);
+        compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
+        let limits = CallerLimits::default();
+        // A planned stop waits as long as any request may take.
+        let listening =
+            Limits { headers: limits.headers * 2, drain: MAX_DEADLINE, ..Limits::default() };
+        let forwarder = Forwarder::new(gates, pool, keys, limits);
+        let handler = Rc::new(CallerHandler::new(forwarder, readiness));
+        serve(listener, listening, stop, handler).await
     })
 }
 
@@ -158,17 +192,27 @@
     entry: &Rc<Entry>,
     [platform, operators, peers]: [TcpListener; 3],
     stop: &StopSignal,
-) -> Result<()> {
+) -> Result<Rc<peers::PeersHandler>> {
     let limits = Limits { drain: Duration::from_secs(2), ..Limits::default() };
     let handler = Rc::new(platform::PlatformHandler(entry.clone()));
     compio::runtime::spawn(serve(platform, limits, stop.clone(), handler)).detach();
     let token = settings.operator_token.clone();
     let handler = Rc::new(operators::OperatorHandler { entry: entry.clone(), token });
     compio::runtime::spawn(serve(operators, limits, stop.clone(), handler)).detach();
-    let service =
+    let rpc =
         RpcService::new(settings.peer_token.clone(), Rc::new(peers::EntryHandler(entry.clone())))?;
-    compio::runtime::spawn(serve(peers, limits, stop.clone(), Rc::new(service))).detach();
-    Ok(())
+    let handler = Rc::new(peers::PeersHandler { rpc, hops: take_hops(settings, entry) });
+    compio::runtime::spawn(serve(peers, limits, stop.clone(), handler.clone())).detach();
+    Ok(handler)
+}
+
+/// Takes requests that other entry hosts hand over, on this thread.
+fn take_hops(settings: &EntrySettings, entry: &Entry) -> HopHandler {
+    let pool = Pool::new(PoolLimits::default(), entry.connections.clone());
+    compio::runtime::spawn(trim(pool.clone(), entry.gates.clone())).detach();
+    let (gates, keys) = (entry.gates.clone(), entry.keys.clone());
+    let forwarder = Forwarder::new(gates, pool, keys, CallerLimits::default());
+    HopHandler::new(forwarder, entry.readiness.clone(), settings.peer_token.clone())
 }
 
 /// Starts the tasks that feed the configuration board, and the one that makes
@@ -196,13 +240,16 @@
             gate.tick(now);
         }
         entry.registry.borrow_mut().forget(now);
+        entry.keys.tick(now);
     }
 }
 
-async fn trim(pool: Pool) {
+async fn trim(pool: Pool, gates: Gates) {
     loop {
         compio::time::sleep(TRIM_PERIOD).await;
-        pool.trim(Instant::now());
+        let now = Instant::now();
+        let live = gates.live(now);
+        pool.trim(now, |addr| live.contains(&addr));
     }
 }
 
@@ -210,6 +257,10 @@
     loop {
         let targets = entry.registry.borrow().valid(Instant::now()).count();
         metrics.gauge("targets", targets as u64);
+        let connections = entry.connections.totals();
+        metrics.gauge("connections.made", connections.made);
+        metrics.gauge("connections.failed", connections.failed);
+        metrics.gauge("connections.busy", connections.busy);
         metrics.gauge("ready", u64::from(entry.readiness.is_ready()));
         metrics.gauge("config.number", entry.board.number());
         compio::time::sleep(metrics::PERIOD).await;
