Ask another control replica after 2 s without an answer

Cause: an entry host waited up to 35 s, the limit for long polls, for a control replica that was cut off without a sign, and so past the 10 s after which it gives up on an operator's call. Ruled out: the group itself; the other two elected a leader at once. Change: calls that are no long poll wait 2 s for one replica; workers' waits for orders keep the long limit, on a set of their own.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,6 +37,9 @@
 
 /// Longest wait for an answer to a call; above the longest long poll.
 const CALL_TIMEOUT: Duration = Duration::from_secs(35);
+/// Longest wait for one control replica's answer to a call that is no long
+/// poll. A replica may be cut off without a sign, and then the next is asked.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at deadlines and expired announcements.
 const TICK: Duration = Duration::from_millis(10);
 /// Time between two rounds of closing idle connections.
@@ -53,6 +56,8 @@
     pub(crate) board: ConfigBoard,
     /// The control replicas of the domain.
     pub(crate) control: PeerSet,
+    /// The same, for workers that wait for orders.
+    pub(crate) orders: PeerSet,
     /// The replicas of the config group.
     pub(crate) config_voters: PeerSet,
     pub(crate) spread: spread::Spread,
@@ -112,6 +117,7 @@
 
 fn create(settings: &EntrySettings) -> Result<(Entry, KeyCalls)> {
     let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
+    let to_control = PeerClient::new(settings.peer_token.clone(), CONTROL_TIMEOUT)?;
     let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
         list.iter().map(|r| r.addr).collect()
     };
@@ -128,8 +134,9 @@
         readiness: Readiness::default(),
         registry: RefCell::default(),
         board: ConfigBoard::default(),
-        control: PeerSet::new(client.clone(), addrs(&settings.control)),
-        config_voters: PeerSet::new(client.clone(), addrs(&settings.config_voters)),
+        control: PeerSet::new(to_control.clone(), addrs(&settings.control)),
+        orders: PeerSet::new(client.clone(), addrs(&settings.control)),
+        config_voters: PeerSet::new(to_control, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
         remotes: homes::remotes(&client, &settings.remotes),
         // One thread more takes requests from other entry hosts.
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -4,7 +4,10 @@
 use cyclamenloft_http::{
     Handler, Request, Response, error_response, json_response, read_json, text_response,
 };
-use cyclamenloft_peer::calls::{AnnounceWorker, Method, ReportWorker, WaitOrders};
+use cyclamenloft_peer::{
+    Method, PeerSet,
+    calls::{AnnounceWorker, ReportWorker, WaitOrders},
+};
 use cyclamenloft_target::{AnnounceAnswer, TargetAnnouncement};
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use cyclamenloft_worker::paths;
@@ -34,18 +37,19 @@
 impl PlatformHandler {
     async fn respond(&self, req: Request) -> Result<Response> {
         let path = req.uri().path().to_owned();
+        let control = &self.0.control;
         match (req.method(), &*path) {
             (&HttpMethod::GET, READY) => Ok(self.ready()),
             (&HttpMethod::GET, LIVE) => Ok(text_response(StatusCode::OK, "live\n")),
             (&HttpMethod::POST, ANNOUNCE_TARGET) => self.announce_target(req).await,
             (&HttpMethod::POST, paths::ANNOUNCE) => {
-                self.pass_on::<AnnounceWorker>(req, paths::MAX_ANNOUNCEMENT_BYTES).await
+                pass_on::<AnnounceWorker>(control, req, paths::MAX_ANNOUNCEMENT_BYTES).await
             }
             (&HttpMethod::POST, paths::REPORT) => {
-                self.pass_on::<ReportWorker>(req, paths::MAX_REPORT_BYTES).await
+                pass_on::<ReportWorker>(control, req, paths::MAX_REPORT_BYTES).await
             }
             (&HttpMethod::POST, paths::ORDERS) => {
-                self.pass_on::<WaitOrders>(req, paths::MAX_ORDERS_REQUEST_BYTES).await
+                pass_on::<WaitOrders>(&self.0.orders, req, paths::MAX_ORDERS_REQUEST_BYTES).await
             }
             (method, path) => {
                 Err(Error::new(ErrorKind::NotFound, format!("no {method} on path {path:?}")))
@@ -79,16 +83,16 @@
         }
         Ok(json_response(StatusCode::OK, &AnnounceAnswer::default()))
     }
+}
 
-    /// Hands a worker's message to the control leader and its answer back.
-    async fn pass_on<M: Method>(&self, req: Request, limit: usize) -> Result<Response>
-    where
-        M::Params: DeserializeOwned,
-    {
-        let params: M::Params = read_json(req.into_body(), limit).await?;
-        let answer = self.0.control.call::<M>(&params, Instant::now() + PASS_ON).await?;
-        Ok(json_response(StatusCode::OK, &answer))
-    }
+/// Hands a worker's message to the control leader and its answer back.
+async fn pass_on<M: Method>(control: &PeerSet, req: Request, limit: usize) -> Result<Response>
+where
+    M::Params: DeserializeOwned,
+{
+    let params: M::Params = read_json(req.into_body(), limit).await?;
+    let answer = control.call::<M>(&params, Instant::now() + PASS_ON).await?;
+    Ok(json_response(StatusCode::OK, &answer))
 }
 
 impl Handler for PlatformHandler {
