An entry host becomes ready once it has heard its targets

Cause: a restarted host was ready as soon as it had the configuration, knew no target for up to an announcement period, and refused requests (no-target, not run) that its neighbours could answer. Found by every_process_is_stopped_in_turn_and_nothing_is_cut. Change: where services are configured, readiness waits one announcement period and 200 ms for the way through another entry host. A host without services is ready as before.

--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -7,7 +7,7 @@
     PeerClient,
     calls::{WaitConfig, WaitConfigParams},
 };
-use cyclamenloft_target::TargetAnnouncement;
+use cyclamenloft_target::{TargetAnnouncement, announcement::ANNOUNCE_PERIOD};
 use futures_util::future::join_all;
 use std::{
     net::SocketAddr,
@@ -17,6 +17,8 @@
 
 /// Longest wait for one source before the host becomes ready without it.
 const READY_WAIT: Duration = Duration::from_millis(800);
+/// Time for an announcement to come here through another entry host.
+const SPREAD_MARGIN: Duration = Duration::from_millis(200);
 /// Pause before the sources are asked again when none answered.
 const READY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -68,12 +70,13 @@
 }
 
 /// Makes the host ready once it has the highest configuration number that any
-/// source that can be reached has in force.
+/// source that can be reached has in force, and has heard its targets.
 pub(super) async fn become_ready(entry: Rc<Entry>, client: PeerClient, sources: Vec<SocketAddr>) {
     loop {
         let asked = sources.iter().map(|source| ask(&entry, &client, *source));
         let answered = join_all(asked).await.into_iter().filter(|ok| *ok).count();
         if answered > 0 {
+            hear_targets(&entry).await;
             entry.readiness.set(true);
             tracing::info!(answered, number = entry.board.number(), "entry ready");
             return;
@@ -82,6 +85,14 @@
     }
 }
 
+/// Waits until every living target has announced itself, where a service needs
+/// any: a host that knows none refuses what its neighbours could answer.
+async fn hear_targets(entry: &Entry) {
+    if !entry.board.checked().deployment().services.is_empty() {
+        compio::time::sleep(ANNOUNCE_PERIOD + SPREAD_MARGIN).await;
+    }
+}
+
 /// Asks one source for its configuration at once. Returns whether it answered.
 async fn ask(entry: &Entry, client: &PeerClient, source: SocketAddr) -> bool {
     let mut whole = false;
