--- a/tests/all/failures/combined.rs
+++ b/tests/all/failures/combined.rs
@@ -79,6 +79,7 @@
     deployment.controls[0].kill();
     job_finished(&deployment, 0, "urgent").await;
     job_finished(&deployment, 1, "long").await;
+    deployment.controls[0].restart();
     let mut proposals = operators.finish().await;
     proposals.push(deployment.configure(WITH_SERVICE).await);
     let evidence = deployment.evidence_with(callers).await;
--- a/tests/all/harness/process.rs
+++ b/tests/all/harness/process.rs
@@ -84,7 +84,7 @@
         self.kill();
         if std::thread::panicking() {
             let log = self.log();
-            let tail: Vec<&str> = log.lines().rev().take(80).collect();
+            let tail: Vec<&str> = log.lines().rev().take(400).collect();
             eprintln!("--- {}", self.name);
             tail.iter().rev().for_each(|line| eprintln!("{line}"));
         }
