--- a/crates/replication/src/core.rs
+++ b/crates/replication/src/core.rs
@@ -149,6 +149,15 @@
         self.election_at = now + timeout + timeout.mul_f64(jitter) + self.witness_delay();
     }
 
+    /// After a pre-vote that failed: another costs nothing, and the voters that
+    /// refused may have heard the former leader only a little later.
+    pub fn ask_again_soon(&mut self, now: Instant) {
+        if !self.hears_leader(now) {
+            let jitter = self.rng.random_range(1.0..2.0);
+            self.election_at = now + self.cfg.heartbeat.mul_f64(jitter) + self.witness_delay();
+        }
+    }
+
     /// A witness leaves elections to the voters that may lead for long.
     fn witness_delay(&self) -> Duration {
         match self.membership() {
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -141,6 +141,7 @@
     handed_over: bool,
 ) {
     if !handed_over && !is_elected(shared, transport, true, false).await {
+        shared.with(|core| core.ask_again_soon(Instant::now()));
         return;
     }
     let Some(term) = shared.with(|core| (!core.is_over()).then_some(core.hard.term + 1)) else {
--- a/crates/replication/src/peer.rs
+++ b/crates/replication/src/peer.rs
@@ -111,9 +111,10 @@
             return self.next_piece(peer);
         };
         let entries = self.log.slice(progress.next, MAX_CONTENT_BYTES);
-        // A new leader also probes without entries, to learn how far the
-        // follower's log agrees with its own.
-        if entries.is_empty() && progress.matched >= prev_index {
+        // While probing, a message without entries tells how far the follower's
+        // log agrees with this one; otherwise it would only repeat the last.
+        let is_probe = progress.probing && progress.matched < prev_index;
+        if entries.is_empty() && !is_probe {
             return None;
         }
         progress.in_flight += 1;
