--- a/crates/routing/tests/all/slots.rs
+++ b/crates/routing/tests/all/slots.rs
@@ -237,6 +237,7 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 100,
+        max_shrink_iters: 50,
         rng_seed: RngSeed::Fixed(0x51_07),
         failure_persistence: None,
         ..ProptestConfig::default()
