placement: silent workers, order numbers after a clock that was ahead, refusals logged

Cause: urgent work could be placed on a worker that had stopped reporting and then waited for its lease to expire; a new leader whose clock is behind gave orders numbers that the worker took for handled.

Change: a worker that missed two reports is chosen only where no other has room; a higher handled number than any given out has the numbers go on from there; a job that fits no worker is logged with what it needs and the largest.

--- a/crates/placement/src/scheduler/fit.rs
+++ b/crates/placement/src/scheduler/fit.rs
@@ -9,7 +9,7 @@
     policy::FitPolicy,
     state::{Job, PlacementState, SearchFrom, WorkerState},
 };
-use cyclamenloft_types::{Priority, RackName, Resources, TaskKey};
+use cyclamenloft_types::{Priority, RackName, Resources, TaskKey, WorkerId};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Workers scored from each end of the index.
@@ -41,6 +41,9 @@
 const SAME_RACK_WEIGHT: f64 = 1.0;
 const FAILED_HERE_WEIGHT: f64 = 3.0;
 const WASTED_ACCELERATOR_WEIGHT: f64 = 0.5;
+const SILENT_WEIGHT: f64 = 3.0;
+/// Report periods after which a worker that was not heard of counts as silent.
+const SILENT_PERIODS: u32 = 2;
 
 /// A task that wants a worker.
 pub(super) struct Want<'a> {
@@ -182,6 +185,7 @@
         let mut score = LEFTOVER_WEIGHT * cpu.max(memory) + IMBALANCE_WEIGHT * (cpu - memory).abs();
         score += if wasted { WASTED_ACCELERATOR_WEIGHT } else { 0.0 };
         score += if want.job.failed_on.contains(id) { FAILED_HERE_WEIGHT } else { 0.0 };
+        score += if self.is_silent(id, round) { SILENT_WEIGHT } else { 0.0 };
         if want.job.spec.priority == Priority::Service
             && let Some(spread) = round.spreads.get(&want.job.spec.id)
         {
@@ -199,6 +203,14 @@
         Scored { worker, score, harm: harm.over_comfort, allowed }
     }
 
+    /// Whether a worker missed its last reports: it may be gone or cut off, and
+    /// a start there would have to wait for its lease to expire.
+    fn is_silent(&self, worker: &WorkerId, round: &Round) -> bool {
+        let patience = self.policy.report_period * SILENT_PERIODS;
+        let silent = |at| round.now.instant.duration_since(at) > patience;
+        self.workers.get(worker).is_none_or(|v| silent(v.heard))
+    }
+
     /// What the task would do to the services of a worker, and they to it.
     fn harm(
         &self,
--- a/crates/placement/src/scheduler/leases.rs
+++ b/crates/placement/src/scheduler/leases.rs
@@ -56,9 +56,9 @@
         let view = self
             .workers
             .entry(worker.clone())
-            .or_insert_with(|| WorkerView::new(boot, expires, last_order));
+            .or_insert_with(|| WorkerView::new(boot, now.instant, expires, last_order));
         if view.boot != boot {
-            *view = WorkerView::new(boot, expires, last_order);
+            *view = WorkerView::new(boot, now.instant, expires, last_order);
         }
         view
     }
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -38,6 +38,9 @@
 };
 use view::WorkerView;
 
+/// Largest number of an order that is taken for one of a former leader.
+const LARGEST_ORDER: u64 = u64::MAX >> 1;
+
 /// The volatile side of a placement group's leader.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -126,9 +129,10 @@
         let view = self.view(&announcement.worker, announcement.boot, now);
         if view.losing.is_some() {
             // The loss stands before this registration in the log.
-            *view = WorkerView::new(announcement.boot, lease_expires, last_order);
+            *view = WorkerView::new(announcement.boot, now.instant, lease_expires, last_order);
         }
         view.lease_expires = lease_expires;
+        view.heard = now.instant;
         Command::Register(WorkerRecord {
             id: announcement.worker.clone(),
             boot: announcement.boot,
@@ -186,18 +190,33 @@
             Command::LeaseBound { lease_ms } => {
                 self.leases.agreed(Duration::from_millis(*lease_ms));
             }
-            Command::Register(_)
-            | Command::Submit { .. }
-            | Command::Ended(_)
-            | Command::Forget { .. } => {}
+            Command::Submit { spec, .. } => Self::log_refusal(state, &spec.id),
+            Command::Register(_) | Command::Ended(_) | Command::Forget { .. } => {}
         }
     }
 
-    /// The orders that a worker has not handled yet.
+    /// The orders that a worker has not handled yet. A worker that has handled
+    /// a higher number than any given out had it from a former leader whose
+    /// clock was ahead; numbers go on from there.
     pub fn orders(&mut self, worker: &str, boot: BootId, handled: u64) -> Vec<NumberedOrder> {
-        match self.workers.get_mut(worker) {
-            Some(view) if view.boot == boot => view.unhandled(handled),
-            _ => Vec::new(),
+        let Some(view) = self.workers.get_mut(worker).filter(|v| v.boot == boot) else {
+            return Vec::new();
+        };
+        if handled > self.last_order && handled <= LARGEST_ORDER {
+            self.last_order = view.renumber(handled);
+        }
+        view.unhandled(handled)
+    }
+
+    /// Logs a job that fits no worker.
+    fn log_refusal(state: &PlacementState, id: &str) {
+        if let Some(job) = state.job(id).filter(|j| !j.feasible) {
+            tracing::info!(
+                target: "cyclamenloft::decision",
+                job = %id, needs = %job.spec.resources,
+                largest = state.largest_worker().map(tracing::field::display),
+                reason = "fits no worker", "refuse"
+            );
         }
     }
 }
--- a/crates/placement/src/scheduler/reports.rs
+++ b/crates/placement/src/scheduler/reports.rs
@@ -49,6 +49,7 @@
         let lease_expires = self.lease_end(now);
         let view = self.view(&report.worker, report.boot, now);
         view.lease_expires = view.lease_expires.max(lease_expires);
+        view.heard = now.instant;
         let newest = view.sequence.is_none_or(|last| report.sequence > last);
         let mut ended = self.ended(state, report, now);
         if newest {
--- a/crates/placement/src/scheduler/view.rs
+++ b/crates/placement/src/scheduler/view.rs
@@ -43,6 +43,8 @@
 pub(super) struct WorkerView {
     pub(super) boot: BootId,
     pub(super) lease_expires: Instant,
+    /// When it was last heard of.
+    pub(super) heard: Instant,
     /// When the loss was proposed; from then on nothing renews the lease.
     pub(super) losing: Option<Instant>,
     /// Sequence of the newest report.
@@ -63,9 +65,15 @@
 }
 
 impl WorkerView {
-    pub(super) fn new(boot: BootId, lease_expires: Instant, last_order: u64) -> Self {
+    pub(super) fn new(
+        boot: BootId,
+        heard: Instant,
+        lease_expires: Instant,
+        last_order: u64,
+    ) -> Self {
         Self {
             boot,
+            heard,
             lease_expires,
             losing: None,
             sequence: None,
@@ -107,10 +115,24 @@
 
     /// The orders above `handled`; those up to it are dropped.
     pub(super) fn unhandled(&mut self, handled: u64) -> Vec<NumberedOrder> {
-        // A number that was never given out confirms nothing.
+        // A number that was never given out in this view confirms nothing.
         self.handled = self.handled.max(handled.min(self.last_order));
         let handled = self.handled;
         self.orders.retain(|o| o.number > handled);
         self.orders.clone()
     }
+
+    /// Numbers the orders anew from above `last`, and returns the last number.
+    pub(super) fn renumber(&mut self, last: u64) -> u64 {
+        self.handled = last;
+        self.last_order = last;
+        for order in &mut self.orders {
+            self.last_order += 1;
+            let before = std::mem::replace(&mut order.number, self.last_order);
+            if let Some(sent) = self.sent.values_mut().find(|s| s.number == before) {
+                sent.number = self.last_order;
+            }
+        }
+        self.last_order
+    }
 }
--- a/crates/placement/tests/all/placing.rs
+++ b/crates/placement/tests/all/placing.rs
@@ -137,6 +137,25 @@
     assert_eq!(worker_of(&group, "accelerated", 0), Some("w0".into()));
 }
 
+#[test]
+fn a_worker_that_has_gone_silent_is_not_chosen_while_others_have_room() {
+    let mut group = Group::new(PlacementPolicy::default());
+    for worker in ["w0", "w1"] {
+        group.announce(worker, 1, cores(4));
+    }
+    group.submit(job("full", 1, 2)).unwrap();
+    group.tick();
+    // Without silence the fuller worker would be chosen.
+    assert_eq!(worker_of(&group, "full", 0), Some("w0".into()));
+    for sequence in 1..4 {
+        group.pass(2000);
+        group.report(&full("w1", 1, sequence, vec![])).unwrap();
+    }
+    group.submit(with(Priority::Urgent, job("urgent", 1, 1))).unwrap();
+    group.tick();
+    assert_eq!(worker_of(&group, "urgent", 0), Some("w1".into()));
+}
+
 /// Commits nothing: the same round must not propose a task twice, nor room twice.
 #[test]
 fn proposed_placements_count_until_they_are_committed() {
--- a/crates/placement/tests/all/scheduler.rs
+++ b/crates/placement/tests/all/scheduler.rs
@@ -97,6 +97,23 @@
     assert!(orders[0].number > handled);
 }
 
+#[test]
+fn order_numbers_go_on_above_those_of_a_leader_whose_clock_was_ahead() {
+    let mut group = with_one_task();
+    let ahead = group.orders("w0", 1, 0).last().unwrap().number + (1 << 40);
+    let orders = group.orders("w0", 1, ahead);
+    assert_eq!(orders.len(), 1);
+    assert!(orders[0].number > ahead);
+    assert!(group.orders("w0", 1, orders[0].number).is_empty());
+    // The handled start is not repeated while the task runs.
+    group.report(&full("w0", 1, 1, vec![running("j", 0, 1)])).unwrap();
+    assert!(group.orders("w0", 1, orders[0].number).is_empty());
+    group.submit(job("k", 1, 1)).unwrap();
+    group.tick();
+    assert_eq!(group.orders("w0", 1, orders[0].number).len(), 1);
+    assert!(group.orders("w0", 1, u64::MAX).is_empty());
+}
+
 #[test]
 fn no_report_renews_a_lease_whose_loss_is_on_its_way() {
     let mut group = with_one_task();
