Spend less on each request; real processes for keys, hops, logs and a killed target

A bound on headers other than hyper's own made it allocate for each message, on both sides; header names were parsed anew for each look-up; the copy of the headers had no room for the deadline; the request's state was moved through each step.

--- a/benches/relay/entry.rs
+++ b/benches/relay/entry.rs
@@ -21,7 +21,7 @@
 /// Starts the entry host's caller path.
 pub fn start(targets: &[SocketAddr]) -> Serving {
     let targets = targets.to_vec();
-    Serving::start(move |listener| async move {
+    Serving::start("entry", move |listener| async move {
         let gate = gate(&targets);
         let gates = Gates::default();
         gates.set([("matchdesk".into(), gate.clone())]);
--- a/benches/relay/floor.rs
+++ b/benches/relay/floor.rs
@@ -26,7 +26,7 @@
 /// Starts the relay.
 pub fn start(targets: &[SocketAddr]) -> Serving {
     let targets = targets.to_vec();
-    Serving::start(move |listener| async move {
+    Serving::start("floor", move |listener| async move {
         let idle = targets.iter().map(|_| RefCell::default()).collect();
         let relay = Rc::new(Relay { targets, idle, next: Cell::new(0) });
         let listener = compio::net::TcpListener::from_std(listener).unwrap();
--- a/benches/relay/target.rs
+++ b/benches/relay/target.rs
@@ -29,7 +29,7 @@
             .map(|_| cyclamenloft_http::bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap())
             .collect();
         addrs.extend(listeners.iter().map(|l| l.local_addr().unwrap()));
-        let serving = Serving::start(move |first| async move {
+        let serving = Serving::start("target", move |first| async move {
             listeners.push(first);
             let (_handle, stop) = stop_pair();
             for listener in listeners {
--- a/benches/relay/thread.rs
+++ b/benches/relay/thread.rs
@@ -15,18 +15,21 @@
 }
 
 impl Serving {
-    /// Runs `serve` on a runtime of its own, on a thread of its own.
+    /// Runs `serve` on a runtime of its own, on a thread with this name.
     pub fn start<F: Future<Output = ()>>(
+        name: &str,
         serve: impl FnOnce(TcpListener) -> F + Send + 'static,
     ) -> Self {
         let listener = cyclamenloft_http::bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
         let addr = listener.local_addr().unwrap();
         let (tx, rx) = mpsc::channel();
-        std::thread::spawn(move || {
+        let thread = std::thread::Builder::new().name(name.into());
+        let body = move || {
             let link = std::fs::read_link("/proc/thread-self").unwrap();
             tx.send(PathBuf::from("/proc").join(link).join("schedstat")).unwrap();
             cyclamenloft::process::runtime().unwrap().block_on(serve(listener));
-        });
+        };
+        thread.spawn(body).unwrap();
         Self { addr, schedstat: rx.recv().unwrap() }
     }
 
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -57,7 +57,7 @@
 
 /// A request that waits for its turn; no connection has it.
 pub(crate) struct Queued {
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     history: History,
     /// The request where it came back from a connection.
     returned: Option<Request<Body>>,
@@ -67,7 +67,7 @@
 
 /// A request whose turn has come, with the connection that is to carry it.
 pub(crate) struct Dispatched {
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     history: History,
     req: Request<Body>,
     held: InFlight,
@@ -101,7 +101,7 @@
 /// # Errors
 ///
 /// The refusal, whose kind says truly whether the request may have run.
-pub(crate) async fn run(exchange: Exchange) -> Result<Answered, Refusal> {
+pub(crate) async fn run(exchange: Box<Exchange>) -> Result<Answered, Refusal> {
     let mut queued = Queued::new(exchange, History::default());
     loop {
         let dispatched = match queued.dispatch().await {
@@ -117,7 +117,7 @@
 }
 
 impl Queued {
-    fn new(exchange: Exchange, history: History) -> Self {
+    fn new(exchange: Box<Exchange>, history: History) -> Self {
         Self { exchange, history, returned: None, reserved: None }
     }
 
@@ -141,13 +141,13 @@
         if let Some(reserved) = self.reserved.take() {
             return Ok(reserved);
         }
-        let Exchange { gate, facts, .. } = &self.exchange;
+        let Exchange { gate, facts, .. } = &*self.exchange;
         let entered = gate.enter(facts.clone(), &self.history.failed, Instant::now()).await;
         entered.map_err(|refusal| self.refuse(refusal))
     }
 
     async fn connect(&self, reserved: &Reserved) -> Result<Acquired, NoConnection> {
-        let Exchange { gate, pool, facts, .. } = &self.exchange;
+        let Exchange { gate, pool, facts, .. } = &*self.exchange;
         let to = gate.endpoint(reserved.permit());
         pool.acquire(to, facts.deadline, Instant::now()).await
     }
@@ -170,7 +170,7 @@
         let Some(mut req) = self.returned.take() else {
             return self.exchange.outgoing.next(deadline, now);
         };
-        set_deadline(&mut req, deadline.saturating_duration_since(now));
+        set_deadline(req.headers_mut(), deadline.saturating_duration_since(now));
         Some(req)
     }
 
@@ -188,7 +188,7 @@
 
     /// Waits as long as the retry rule says, or ends the request.
     async fn pause_before_retry(&self, detail: Box<str>) -> Result<(), Refusal> {
-        let Exchange { gate, facts, .. } = &self.exchange;
+        let Exchange { gate, facts, .. } = &*self.exchange;
         let History { failed, .. } = &self.history;
         match gate.retry(facts, failed, self.history.outcome(), Instant::now()) {
             Ok(pause) if pause.is_zero() => Ok(()),
@@ -217,7 +217,7 @@
     /// Hands the request to another entry host where there is one to take it;
     /// otherwise the refusal stands.
     async fn hand_over(mut self: Box<Self>) -> Result<Answered, Refusal> {
-        let Exchange { facts, trail, spill, .. } = &self.queued.exchange;
+        let Exchange { facts, trail, spill, .. } = &*self.queued.exchange;
         let (trail, spill, facts) = (trail.clone(), spill.clone(), facts.clone());
         let chosen = spill.and_then(|spill| {
             let hop = spill.rule.choose(&trail.service, &facts, &self.refusal, Instant::now());
@@ -254,7 +254,7 @@
         let fresh = connection.is_fresh();
         match connection.send(req, exchange.facts.deadline).await {
             Ok(response) => {
-                let trail = exchange.trail;
+                let trail = exchange.trail.clone();
                 decision_log::attempt(&trail, held.permit(), Outcome::Done, "");
                 Ok(Answered { response, held: Some(held), trail })
             }
@@ -269,7 +269,7 @@
 /// The request came back unsent: it goes to the same target by another
 /// connection where this one had been idle, else to another target.
 async fn send_back(
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     history: History,
     held: InFlight,
     returned: Returned,
@@ -293,7 +293,7 @@
 /// The answer was lost: the request may have run, so it is sent again only
 /// where it may run more than once.
 async fn give_up(
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     mut history: History,
     held: InFlight,
     lost: Lost,
--- a/crates/caller/src/forwarder.rs
+++ b/crates/caller/src/forwarder.rs
@@ -102,7 +102,7 @@
         let begin = marks.key.as_ref().map(|key| begin(&marks, key, &outgoing, deadline));
         let spill = self.spill.clone().filter(|_| !hopped);
         let pool = self.pool.clone();
-        let exchange = Exchange { gate, pool, facts, trail, outgoing, fault, spill };
+        let exchange = Box::new(Exchange { gate, pool, facts, trail, outgoing, fault, spill });
         match begin {
             Some(begin) => keyed::run(self.keys.clone(), begin, exchange, self.limits).await,
             None => {
--- a/crates/caller/src/hop/marks.rs
+++ b/crates/caller/src/hop/marks.rs
@@ -48,8 +48,8 @@
     headers.insert(IDEMPOTENT_HEADER, HeaderValue::from_static(idempotent));
     headers.insert(PRIORITY_HEADER, HeaderValue::from_static(priority(facts.priority)));
     headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
-    set(headers, HeaderName::from_static(SERVICE_HEADER), service)?;
-    set(headers, HeaderName::from_static(REQUEST_ID_HEADER), &facts.id)?;
+    set(headers, SERVICE_HEADER, service)?;
+    set(headers, REQUEST_ID_HEADER, &facts.id)?;
     set(headers, HOP_HEADER, host)?;
     set(headers, HOP_CALLER_HEADER, &facts.caller)?;
     set(headers, HOP_TOKEN_HEADER, &token.header_value())
@@ -63,9 +63,9 @@
 /// [`ErrorKind::BadRequest`] naming the header.
 pub(crate) fn read(parts: &mut Parts) -> Result<Marks> {
     let headers = &parts.headers;
-    let id: RequestId = check_name(REQUEST_ID_HEADER, text(headers, REQUEST_ID_HEADER)?)?;
-    check_name(HOP_HEADER.as_str(), text(headers, HOP_HEADER.as_str())?)?;
-    let caller = text(headers, HOP_CALLER_HEADER.as_str())?;
+    let id: RequestId = check_name(REQUEST_ID_HEADER.as_str(), text(headers, &REQUEST_ID_HEADER)?)?;
+    check_name(HOP_HEADER.as_str(), text(headers, &HOP_HEADER)?)?;
+    let caller = text(headers, &HOP_CALLER_HEADER)?;
     if caller.is_empty() || caller.len() > MAX_CALLER_BYTES {
         return Err(broken(format!("header {HOP_CALLER_HEADER}: expected a caller")));
     }
@@ -90,7 +90,7 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str> {
     let value = headers.get(name).and_then(|v| v.to_str().ok());
     value.ok_or_else(|| broken(format!("header {name}: expected one")))
 }
--- a/crates/caller/src/keyed.rs
+++ b/crates/caller/src/keyed.rs
@@ -30,7 +30,7 @@
 pub(crate) async fn run(
     keys: Keys,
     begin: BeginKey,
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     limits: CallerLimits,
 ) -> Result<Response, Refusal> {
     let (id, request) = (begin.id.clone(), begin.request.clone());
@@ -82,7 +82,10 @@
 }
 
 /// Carries the request to its end and says what is to be remembered.
-async fn carry(exchange: Exchange, limits: &CallerLimits) -> (Result<Response, Refusal>, Ending) {
+async fn carry(
+    exchange: Box<Exchange>,
+    limits: &CallerLimits,
+) -> (Result<Response, Refusal>, Ending) {
     let answered = match exchange::run(exchange).await {
         Ok(answered) => answered,
         Err(refusal) => {
--- a/crates/caller/src/marks.rs
+++ b/crates/caller/src/marks.rs
@@ -3,28 +3,28 @@
 use cyclamenloft_types::{
     CallerName, Error, ErrorKind, Priority, RequestId, Result, ServiceName, check_name,
 };
-use http::{HeaderMap, Method, Uri, uri::PathAndQuery};
+use http::{HeaderMap, HeaderName, Method, Uri, uri::PathAndQuery};
 use std::time::Duration;
 
 /// Header that names the service; the first segment of the path where absent.
-pub const SERVICE_HEADER: &str = "cyclamenloft-service";
+pub const SERVICE_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-service");
 /// Header that names the caller.
-pub const CALLER_HEADER: &str = "cyclamenloft-caller";
+pub const CALLER_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-caller");
 /// Header with the milliseconds until the answer becomes useless.
-pub const DEADLINE_HEADER: &str = "cyclamenloft-deadline-ms";
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-deadline-ms");
 /// Header that says whether the request may run more than once.
-pub const IDEMPOTENT_HEADER: &str = "cyclamenloft-idempotent";
+pub const IDEMPOTENT_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-idempotent");
 /// Header with the request's priority: `batch`, `service` or `urgent`.
-pub const PRIORITY_HEADER: &str = "cyclamenloft-priority";
+pub const PRIORITY_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-priority");
 /// Header with the request's id, given to targets and back to callers.
-pub const REQUEST_ID_HEADER: &str = "cyclamenloft-request-id";
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-request-id");
 
 /// Header with a caller's key for a request that it may send again.
-pub const KEY_HEADER: &str = "idempotency-key";
+pub const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 /// Header that says whether the key has been sent before: `true` or `false`.
-pub const RESEND_HEADER: &str = "cyclamenloft-resend";
+pub const RESEND_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-resend");
 /// Header that marks an answer as one that was given to an earlier sending.
-pub const REPLAYED_HEADER: &str = "cyclamenloft-replayed";
+pub const REPLAYED_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-replayed");
 
 /// Longest key in bytes.
 pub const MAX_KEY_BYTES: usize = 128;
@@ -78,12 +78,12 @@
         headers: &HeaderMap,
         anonymous: &str,
     ) -> Result<Self> {
-        let (service, path) = match text(headers, SERVICE_HEADER)? {
-            Some(name) => (check_name(SERVICE_HEADER, name)?, whole_path(uri)),
+        let (service, path) = match text(headers, &SERVICE_HEADER)? {
+            Some(name) => (check_name(SERVICE_HEADER.as_str(), name)?, whole_path(uri)),
             None => split_path(uri)?,
         };
-        let named_caller = text(headers, CALLER_HEADER)?
-            .map(|name| check_name(CALLER_HEADER, name))
+        let named_caller = text(headers, &CALLER_HEADER)?
+            .map(|name| check_name(CALLER_HEADER.as_str(), name))
             .transpose()?;
         let caller = named_caller.clone().unwrap_or_else(|| anonymous.into());
         let idempotent = idempotent(method, headers)?;
@@ -102,50 +102,50 @@
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>> {
-    let Some(raw) = text(headers, DEADLINE_HEADER)? else {
+    let Some(raw) = text(headers, &DEADLINE_HEADER)? else {
         return Ok(None);
     };
     let most = MAX_DEADLINE.as_millis() as u64;
     match raw.parse::<u64>() {
         Ok(ms) if (1..=most).contains(&ms) => Ok(Some(Duration::from_millis(ms))),
-        _ => Err(unexpected(DEADLINE_HEADER, &format!("1..={most}"), raw)),
+        _ => Err(unexpected(&DEADLINE_HEADER, &format!("1..={most}"), raw)),
     }
 }
 
 fn idempotent(method: &Method, headers: &HeaderMap) -> Result<bool> {
-    match text(headers, IDEMPOTENT_HEADER)? {
+    match text(headers, &IDEMPOTENT_HEADER)? {
         None => Ok(method.is_idempotent()),
         Some("true") => Ok(true),
         Some("false") => Ok(false),
-        Some(raw) => Err(unexpected(IDEMPOTENT_HEADER, "true or false", raw)),
+        Some(raw) => Err(unexpected(&IDEMPOTENT_HEADER, "true or false", raw)),
     }
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<KeyMark>> {
-    let Some(raw) = text(headers, KEY_HEADER)? else {
+    let Some(raw) = text(headers, &KEY_HEADER)? else {
         return Ok(None);
     };
     if raw.is_empty() || raw.len() > MAX_KEY_BYTES {
-        return Err(unexpected(KEY_HEADER, &format!("1 to {MAX_KEY_BYTES} characters"), raw));
+        return Err(unexpected(&KEY_HEADER, &format!("1 to {MAX_KEY_BYTES} characters"), raw));
     }
-    let first = match text(headers, RESEND_HEADER)? {
+    let first = match text(headers, &RESEND_HEADER)? {
         None | Some("true") => false,
         Some("false") => true,
-        Some(raw) => return Err(unexpected(RESEND_HEADER, "true or false", raw)),
+        Some(raw) => return Err(unexpected(&RESEND_HEADER, "true or false", raw)),
     };
     Ok(Some(KeyMark { key: raw.into(), first }))
 }
 
 fn priority(headers: &HeaderMap) -> Result<Priority> {
-    match text(headers, PRIORITY_HEADER)? {
+    match text(headers, &PRIORITY_HEADER)? {
         None | Some("service") => Ok(Priority::Service),
         Some("batch") => Ok(Priority::Batch),
         Some("urgent") => Ok(Priority::Urgent),
-        Some(raw) => Err(unexpected(PRIORITY_HEADER, "batch, service or urgent", raw)),
+        Some(raw) => Err(unexpected(&PRIORITY_HEADER, "batch, service or urgent", raw)),
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
@@ -159,9 +159,9 @@
     }
 }
 
-fn unexpected(header: &str, expected: &str, found: &str) -> Error {
+fn unexpected(header: &HeaderName, expected: &str, found: &str) -> Error {
     let shown: String = found.chars().take(64).collect();
-    let detail = format!("header {header:?}: expected {expected}, found {shown:?}");
+    let detail = format!("header \"{header}\": expected {expected}, found {shown:?}");
     Error::new(ErrorKind::BadRequest, detail)
 }
 
--- a/crates/caller/src/outgoing.rs
+++ b/crates/caller/src/outgoing.rs
@@ -15,6 +15,9 @@
 /// What an entry host adds to the `Via` header.
 const VIA: HeaderValue = HeaderValue::from_static("1.1 cyclamenloft");
 
+/// Headers that are added to a request.
+const ADDED_HEADERS: usize = 4;
+
 /// What is sent to a target, as often as it may be.
 pub(crate) struct Outgoing {
     method: Method,
@@ -30,6 +33,7 @@
     /// came from.
     pub(crate) fn new(parts: Parts, marks: &Marks, upload: Upload, remote: &str) -> Self {
         let mut headers = parts.headers;
+        headers.reserve(ADDED_HEADERS);
         remove_hop_by_hop(&mut headers);
         headers.remove(header::EXPECT);
         headers.append(header::VIA, VIA);
@@ -64,19 +68,20 @@
     /// The request for the next attempt; `None` where it can't be built again.
     pub(crate) fn next(&mut self, deadline: Instant, now: Instant) -> Option<Request<Body>> {
         let body = self.upload.next()?;
+        // Set before the copy, which has no room for more.
+        set_deadline(&mut self.headers, deadline.saturating_duration_since(now));
         let headers =
             if self.repeatable { self.headers.clone() } else { std::mem::take(&mut self.headers) };
         let mut req = Request::new(body);
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = headers;
-        set_deadline(&mut req, deadline.saturating_duration_since(now));
         Some(req)
     }
 }
 
 /// States the time that is left.
-pub(crate) fn set_deadline(req: &mut Request<Body>, left: Duration) {
+pub(crate) fn set_deadline(headers: &mut HeaderMap, left: Duration) {
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    req.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(left));
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
 }
--- a/crates/caller/tests/all/support.rs
+++ b/crates/caller/tests/all/support.rs
@@ -88,11 +88,7 @@
         Self {
             policy: ServicePolicy { deadline: Duration::from_secs(20), ..ServicePolicy::default() },
             limits,
-            listening: Limits {
-                headers: limits.headers * 2,
-                drain: Duration::ZERO,
-                ..Limits::default()
-            },
+            listening: Limits { drain: Duration::ZERO, ..Limits::default() },
             pool: PoolLimits::default(),
             roster: vec!["entry-1".into()],
             memory: MemoryLimits::default(),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,8 +19,11 @@
 use std::{
     cell::Cell,
     convert::Infallible,
+    future::poll_fn,
     net::{SocketAddr, TcpListener},
+    pin::Pin,
     rc::Rc,
+    task::{Poll, Waker},
     time::Duration,
 };
 
@@ -29,6 +32,8 @@
 /// A response as a handler gives it.
 pub type Response = http::Response<Body>;
 
+/// Headers for which hyper has room without an allocation for each request.
+const DEFAULT_HEADERS: usize = 100;
 /// Pause after a failed accept, so that a full table of files is not hammered.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -59,7 +64,7 @@
     fn default() -> Self {
         Self {
             connections: 4096,
-            headers: 64,
+            headers: DEFAULT_HEADERS,
             head_bytes: 16 * 1024,
             head_timeout: Duration::from_secs(10),
             write_stall: Duration::from_secs(20),
@@ -144,14 +149,16 @@
     builder
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
-        .max_headers(limits.headers)
         .max_header_size(limits.head_bytes);
+    if limits.headers != DEFAULT_HEADERS {
+        // A bound of its own makes hyper allocate for each request.
+        builder.max_headers(limits.headers);
+    }
     let connection = builder.serve_connection(stream, service);
-    let stopped = drain.stopped();
-    pin_mut!(connection, stopped);
-    let ended = match select(connection.as_mut(), stopped).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(((), _)) => {
+    pin_mut!(connection);
+    let ended = match until_stopped(connection.as_mut(), &drain).await {
+        Some(ended) => ended,
+        None => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -160,3 +167,27 @@
         tracing::debug!(%remote, error = %e, "connection ended early");
     }
 }
+
+/// Runs `work` to its end, or until `stop`: then the answer is `None`. A
+/// connection is polled many times for each request, so the signal is looked
+/// at only where it may have come.
+async fn until_stopped<T>(
+    mut work: Pin<&mut impl Future<Output = T>>,
+    stop: &StopSignal,
+) -> Option<T> {
+    let stopped = stop.stopped();
+    pin_mut!(stopped);
+    let mut registered: Option<Waker> = None;
+    poll_fn(|cx| {
+        if let Poll::Ready(done) = work.as_mut().poll(cx) {
+            return Poll::Ready(Some(done));
+        }
+        let known = registered.as_ref().is_some_and(|waker| waker.will_wake(cx.waker()));
+        if known && !stop.has_begun() {
+            return Poll::Pending;
+        }
+        registered = Some(cx.waker().clone());
+        stopped.as_mut().poll(cx).map(|()| None)
+    })
+    .await
+}
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -26,8 +26,6 @@
     time::Instant,
 };
 
-/// Most headers of an answer.
-const MAX_ANSWER_HEADERS: usize = 128;
 /// Most bytes of an answer's head, and of a read from a target.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -80,8 +78,9 @@
         Err(_) => return Err(failed(NoConnectionCause::Deadline, "timed out".into())),
     };
     let _ = stream.set_nodelay(true);
+    // hyper's own bound on headers holds: another one costs an allocation for
+    // each answer.
     let (sender, connection) = Builder::new()
-        .max_headers(MAX_ANSWER_HEADERS)
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(HyperStream::new_plain(stream))
         .await
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -167,8 +167,7 @@
         compio::runtime::spawn(trim(pool.clone(), gates.clone())).detach();
         let limits = CallerLimits::default();
         // A planned stop waits as long as any request may take.
-        let listening =
-            Limits { headers: limits.headers * 2, drain: MAX_DEADLINE, ..Limits::default() };
+        let listening = Limits { drain: MAX_DEADLINE, ..Limits::default() };
         let forwarder = Forwarder::new(gates, pool, keys, limits);
         let handler = Rc::new(CallerHandler::new(forwarder, readiness));
         serve(listener, listening, stop, handler).await
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -6,7 +6,7 @@
 mod deployment;
 mod process;
 
-pub use deployment::{Deployment, DomainLayout, read_journal};
+pub use deployment::{Deployment, DomainLayout, EntryHost, read_journal};
 pub use process::Process;
 
 use cyclamenloft_types::Result;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod checker;
 mod failures;
 mod paths;
+mod requests;
 mod settings;
--- /dev/null
+++ b/tests/all/requests.rs
@@ -0,0 +1,165 @@
+//! Requests through real processes: resent keys, requests handed over, the
+//! decision log, and targets that die.
+
+use crate::{
+    cases,
+    checker::check_requests,
+    harness::{Deployment, DomainLayout, EntryHost, read_journal, until_ok, wait_for},
+    paths::SERVICE,
+};
+use cyclamenloft_standin::journal::{Event, Line};
+use std::{
+    collections::BTreeSet,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+cases! {
+    a_resent_key_runs_once => resent_key();
+    every_request_leaves_its_decisions_in_the_log => decision_log();
+    a_peer_hands_a_request_over => handed_over();
+    requests_at_a_killed_target_run_once => target_killed();
+}
+
+async fn with_targets(service_time: &str, targets: usize) -> Deployment {
+    let mut deployment =
+        Deployment::start(&[DomainLayout { name: "cascadia-pdx", entries: 1, controls: 1 }]);
+    deployment.ready().await;
+    let first = deployment.hosts[0];
+    until_ok("a service", async || deployment.apply(&first, 1, SERVICE).await).await;
+    deployment.in_force(1).await;
+    for _ in 0..targets {
+        deployment.start_target("cascadia-pdx", "matchdesk", service_time);
+    }
+    let all = async || deployment.targets(&first, "matchdesk").await == targets;
+    wait_for("the targets", all).await;
+    deployment
+}
+
+fn journals(deployment: &Deployment) -> Vec<Vec<Line>> {
+    deployment.stand_ins.iter().map(|p| read_journal(&deployment.journal(&p.name))).collect()
+}
+
+fn began(deployment: &Deployment) -> Vec<Box<str>> {
+    let began = |line: Line| match line.event {
+        Event::RequestBegan { number, .. } => Some(number),
+        _ => None,
+    };
+    journals(deployment).into_iter().flatten().filter_map(began).collect()
+}
+
+fn post(path: &str, number: &str, lines: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-request-number: {number}\r\n\
+         {lines}content-length: 4\r\n\r\nbody"
+    )
+}
+
+/// Sends raw bytes and reads until the connection ends.
+async fn ask(addr: SocketAddr, raw: String) -> String {
+    compio::runtime::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        stream.write_all(raw.as_bytes()).unwrap();
+        let mut text = Vec::new();
+        let _ = stream.read_to_end(&mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    })
+    .await
+    .unwrap()
+}
+
+fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = answer.lines().filter_map(|line| line.split_once(": "));
+    lines.find(|(n, _)| *n == name).map(|(_, value)| value)
+}
+
+async fn resent_key() {
+    let deployment = with_targets("5ms", 2).await;
+    let EntryHost { callers, .. } = deployment.hosts[0];
+    let lines = "idempotency-key: order-1\r\ncyclamenloft-resend: false\r\n";
+    let first = ask(callers, post("/matchdesk/orders", "n-1", lines)).await;
+    assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+    let again = ask(callers, post("/matchdesk/orders", "n-1", lines)).await;
+    assert_eq!(header(&again, "cyclamenloft-replayed"), Some("true"), "{again}");
+    assert_eq!(again.split("\r\n\r\n").nth(1), first.split("\r\n\r\n").nth(1));
+    check_requests(&journals(&deployment), &[], 8);
+    assert_eq!(began(&deployment).len(), 1);
+}
+
+async fn decision_log() {
+    let deployment = with_targets("1ms", 1).await;
+    let EntryHost { callers, .. } = deployment.hosts[0];
+    let answer = ask(callers, post("/matchdesk/orders", "n-1", "")).await;
+    let answered = header(&answer, "cyclamenloft-request-id").unwrap().to_owned();
+    let answer = ask(callers, post("/nobody/orders", "n-2", "")).await;
+    assert_eq!(header(&answer, "cyclamenloft-error"), Some("unknown-service"), "{answer}");
+    let refused = header(&answer, "cyclamenloft-request-id").unwrap().to_owned();
+    let log = || deployment.entries[0].log();
+    let lines = |id: &str, what: &str| {
+        log().lines().filter(|line| line.contains(id) && line.contains(what)).count()
+    };
+    wait_for("the log lines", async || {
+        lines(&answered, "route") == 1
+            && lines(&answered, "answered") == 1
+            && lines(&refused, "refused") == 1
+    })
+    .await;
+    assert_eq!(lines(&answered, "target-0"), 1);
+    assert_eq!(lines(&refused, "outcome=\"not-run\""), 1, "{}", log());
+}
+
+/// What another entry host sends; without the token nothing runs.
+async fn handed_over() {
+    let deployment = with_targets("1ms", 1).await;
+    let host = deployment.hosts[0];
+    let peers = SocketAddr::from((host.callers.ip(), host.callers.port() + 3));
+    let hop = |token: &str| {
+        let lines = format!(
+            "cyclamenloft-hop: entry-9\r\ncyclamenloft-hop-caller: county\r\n\
+             cyclamenloft-hop-token: Bearer {token}\r\ncyclamenloft-service: matchdesk\r\n\
+             cyclamenloft-request-id: request-1\r\ncyclamenloft-idempotent: false\r\n\
+             cyclamenloft-deadline-ms: 5000\r\n"
+        );
+        post("/v1/hop/orders", "n-1", &lines)
+    };
+    let refused = ask(peers, hop("not-the-token-of-the-peers")).await;
+    assert_eq!(header(&refused, "cyclamenloft-outcome"), Some("not-run"), "{refused}");
+    assert_eq!(began(&deployment).len(), 0);
+    let answer = ask(peers, hop("a-token-for-tests-only")).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(began(&deployment).len(), 1);
+}
+
+/// Each request that is not idempotent is answered, or unknown, or not run; none
+/// runs twice and none that was said not to have run did.
+async fn target_killed() {
+    let mut deployment = with_targets("40ms", 3).await;
+    let EntryHost { callers, .. } = deployment.hosts[0];
+    let send = |n: usize| {
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(5 * n as u64)).await;
+            let answer = ask(callers, post("/matchdesk/orders", &format!("n-{n}"), "")).await;
+            (format!("n-{n}"), answer)
+        })
+    };
+    let sent: Vec<_> = (0..120).map(send).collect();
+    compio::time::sleep(Duration::from_millis(200)).await;
+    deployment.stand_ins[0].kill();
+    let (mut refused, mut answered) = (Vec::new(), BTreeSet::new());
+    for one in sent {
+        let (number, answer) = one.await.unwrap();
+        match header(&answer, "cyclamenloft-outcome") {
+            Some("not-run") => refused.push(number.into()),
+            Some(outcome) => assert_eq!(outcome, "unknown", "{answer}"),
+            None => {
+                assert!(answer.contains(&format!("{number}\n")), "{number}: {answer}");
+                answered.insert(number);
+            }
+        }
+    }
+    check_requests(&journals(&deployment), &refused, 8);
+    // The other targets went on.
+    assert!(answered.len() >= 60, "{} answered", answered.len());
+}
