--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -12,8 +12,8 @@
 mod process;
 mod proxy;
 
-pub use callers::{Callers, Outcome, Traffic};
-pub use deployment::Deployment;
+pub use callers::{Callers, Outcome, Sent, Traffic};
+pub use deployment::{Deployment, read_journal};
 pub use known_red::run_named;
 pub use operators::{Operators, Race};
 pub use plan::{DomainLayout, EntryHost};
