An answer lost on its way is no longer told as a refusal

Cause: PeerSet::call kept the last member's error. A leader that took a change and lost its answer was followed by a member that said not-leader, and the operator heard not-run for a change that stood. Ruled out: the replicas; the change was in the log once. Change: a call whose answer was lost is told as change-unknown, whatever later members say; a connection that was never made is a kind of its own, not-reached, which is truly not run.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -123,7 +123,13 @@
         path: &str,
         content: Vec<u8>,
     ) -> Result<(StatusCode, Vec<u8>)> {
-        let lost = |e: cyper::Error| unreachable_peer(addr, path, &e.to_string());
+        let lost = |e: cyper::Error| match &e {
+            // Without a connection, the other side has surely not been asked.
+            cyper::Error::HyperClient(client) if client.is_connect() => {
+                Error::new(ErrorKind::NotReached, format!("{addr}{path}: {e}"))
+            }
+            _ => unreachable_peer(addr, path, &e.to_string()),
+        };
         let url = format!("http://{addr}{path}");
         let mut req = self.client.request(method, url).map_err(lost)?;
         if let Some(token) = &self.token {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::{RPC_PATH, calls::Method};
 use cyclamenloft_http::{JsonClient, Token};
-use cyclamenloft_types::{Error, ErrorKind, Result};
+use cyclamenloft_types::{Error, ErrorKind, Outcome, Result};
 use futures_util::future::join_all;
 use jsonrpsee_types::{Id, Request, Response, ResponsePayload};
 use serde_json::value::{RawValue, to_raw_value};
@@ -96,33 +96,60 @@
     ///
     /// # Errors
     ///
-    /// The error of the member that could decide, or the last member's error
-    /// where none could before `give_up`.
+    /// The error of the member that could decide. Where none could before
+    /// `give_up`: [`ErrorKind::ChangeUnknown`] if a member may have taken the
+    /// call, else the last member's error.
     pub async fn call<M: Method>(&self, params: &M::Params, give_up: Instant) -> Result<M::Answer> {
         if self.members.is_empty() {
             return Err(Error::new(ErrorKind::PeerUnreachable, "no control host is set"));
         }
+        let mut undecided = Undecided::default();
         loop {
-            let mut last = None;
             for _ in 0..self.members.len() {
                 let at = self.preferred.get() % self.members.len();
                 match self.client.call::<M>(self.members[at], params).await {
                     Err(e) if asks_another(e.kind) => {
                         self.preferred.set(at + 1);
-                        last = Some(e);
+                        undecided.note(e);
                     }
                     decided => return decided,
                 }
             }
             if Instant::now() + NEXT_MEMBER_PAUSE >= give_up {
-                let none = || Error::new(ErrorKind::PeerUnreachable, "no control host answered");
-                return Err(last.unwrap_or_else(none));
+                return Err(undecided.error());
             }
             compio::time::sleep(NEXT_MEMBER_PAUSE).await;
         }
     }
 }
 
+/// The errors of members that could not decide.
+#[derive(Default)]
+struct Undecided {
+    /// The error of a member that may have taken the call.
+    taken: Option<Error>,
+    last: Option<Error>,
+}
+
+impl Undecided {
+    fn note(&mut self, e: Error) {
+        if e.answer().outcome == Outcome::Unknown {
+            self.taken = Some(e.clone());
+        }
+        self.last = Some(e);
+    }
+
+    /// A later member's refusal says nothing of a call that an earlier one may
+    /// have taken.
+    fn error(self) -> Error {
+        let none = || Error::new(ErrorKind::NotReached, "no control host answered");
+        match self.taken {
+            Some(taken) => Error::new(ErrorKind::ChangeUnknown, taken.detail),
+            None => self.last.unwrap_or_else(none),
+        }
+    }
+}
+
 /// Whether another member may be able to answer.
 fn asks_another(kind: ErrorKind) -> bool {
     matches!(
@@ -130,6 +157,7 @@
         ErrorKind::NotLeader
             | ErrorKind::NoQuorum
             | ErrorKind::PeerUnreachable
+            | ErrorKind::NotReached
             | ErrorKind::Draining
             | ErrorKind::ChangeUnknown
     )
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -98,6 +98,8 @@
     OverCapacity,
     /// A peer, worker or control host did not answer.
     PeerUnreachable,
+    /// No connection to a peer, worker or control host could be made.
+    NotReached,
     /// A file is damaged.
     Corrupt,
     /// Writing or syncing a file failed.
@@ -187,6 +189,7 @@
     StaleAttempt     409 "stale-attempt"      NotRun  -32024 RetryAdvice::Never;
     OverCapacity     422 "over-capacity"      NotRun  -32025 RetryAdvice::Never;
     PeerUnreachable  503 "peer-unreachable"   Unknown -32026 RETRY_SOON;
+    NotReached       503 "not-reached"        NotRun  -32032 RETRY_SOON;
     Corrupt          500 "corrupt"            NotRun  -32027 RetryAdvice::Never;
     DiskFailed       500 "disk-failed"        Unknown -32028 RetryAdvice::Never;
     FolderInUse      500 "folder-in-use"      NotRun  -32029 RetryAdvice::Never;
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -139,7 +139,9 @@
         // Whether the other side took the call is known only where it answered.
         let kind = match e.kind {
             ErrorKind::PeerUnreachable => ErrorKind::ChangeUnknown,
-            ErrorKind::NotLeader | ErrorKind::NoQuorum => ErrorKind::HomeUnreachable,
+            ErrorKind::NotReached | ErrorKind::NotLeader | ErrorKind::NoQuorum => {
+                ErrorKind::HomeUnreachable
+            }
             other => other,
         };
         Error::new(kind, format!("domain {}: {}", remote.domain, e.detail))
