--- a/crates/replication/src/apply.rs
+++ b/crates/replication/src/apply.rs
@@ -12,6 +12,10 @@
 /// two snapshots, so that a follower a little behind needs no snapshot.
 const KEPT_SHARE: u64 = 4;
 
+/// Snapshots' worth of entries that stay in memory at most, for a follower that
+/// is being sent an older snapshot over a slow link.
+const MOST_KEPT_SNAPSHOTS: u64 = 8;
+
 /// Decodes a command that stands in the log.
 fn decode_command<M: StateMachine>(entry: &Entry, blob: &Blob) -> Result<M::Command> {
     postcard::from_bytes(&blob.0).map_err(|e| {
@@ -69,7 +73,11 @@
         self.memberships.reset(snapshot.index, snapshot.membership.clone());
         self.snapshot = Some(snapshot);
         let kept = self.cfg.snapshot_entries / KEPT_SHARE;
-        self.log.compact(self.applied.saturating_sub(kept).max(self.log.base()));
+        let most = self.cfg.snapshot_entries.saturating_mul(MOST_KEPT_SNAPSHOTS);
+        let sending = self.leading.as_ref().and_then(|l| l.sending_from());
+        let first = self.applied.saturating_sub(kept).min(sending.unwrap_or(LogIndex::MAX));
+        let first = first.max(self.applied.saturating_sub(most));
+        self.log.compact(first.max(self.log.base()));
     }
 
     /// Makes the speculative state: the applied one and the rest of the log.
--- a/crates/replication/src/change.rs
+++ b/crates/replication/src/change.rs
@@ -71,7 +71,7 @@
         let first = self.leading.as_ref().map_or(0, |l| l.first_index);
         self.answers_lately(identity, now)
             && matched >= first
-            && matched + CAUGHT_UP_ENTRIES >= self.log.last_index()
+            && matched.saturating_add(CAUGHT_UP_ENTRIES) >= self.log.last_index()
     }
 
     /// Appends the entry that makes `change`; gives its index and term.
--- a/crates/replication/src/core.rs
+++ b/crates/replication/src/core.rs
@@ -158,6 +158,16 @@
         }
     }
 
+    /// After an election that nobody won: no leader is waited for, so half a
+    /// timeout is enough to keep the candidates apart.
+    pub fn seek_again_soon(&mut self, now: Instant) {
+        if !self.hears_leader(now) {
+            let jitter = self.rng.random_range(0.0..0.5);
+            self.election_at =
+                now + self.cfg.election_timeout.mul_f64(jitter) + self.witness_delay();
+        }
+    }
+
     /// A witness leaves elections to the voters that may lead for long.
     fn witness_delay(&self) -> Duration {
         match self.membership() {
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -149,6 +149,8 @@
     };
     if is_elected(shared, transport, false, handed_over).await {
         shared.with(|core| core.take_office(term, Instant::now()));
+    } else {
+        shared.with(|core| core.seek_again_soon(Instant::now()));
     }
 }
 
@@ -186,7 +188,7 @@
     ballot: &Ballot,
     answer: Result<Vec<u8>>,
 ) -> Option<Identity> {
-    let answer: Answer = message::decode(&answer.ok()?).ok()?;
+    let answer = Answer::decode(&answer.ok()?).ok()?;
     shared.with(|core| {
         if answer.term > core.hard.term && answer.term > ballot.req.term {
             core.follow(answer.term, None, Instant::now());
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -24,7 +24,7 @@
     ///
     /// A request that isn't for this replica, or a replica that is over.
     pub async fn handle(&self, bytes: &[u8]) -> Result<Vec<u8>> {
-        let req: Request = message::decode(bytes)?;
+        let req = Request::decode(bytes)?;
         let (reaction, term) = self.with(|core| -> Result<_> {
             let reaction = core.receive(req, Instant::now())?;
             Ok((reaction, core.hard.term))
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -92,6 +92,6 @@
 }
 
 fn unformed(answer: Result<Vec<u8>>, id: ReplicaId) -> Option<Identity> {
-    let answer: Answer = message::decode(&answer.ok()?).ok()?;
+    let answer = Answer::decode(&answer.ok()?).ok()?;
     (!answer.formed && answer.from.id == id).then_some(answer.from)
 }
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     core::Core,
-    entry::{Entry, Identity, Incarnation, Payload},
+    entry::{Entry, Identity, Incarnation, Payload, Snapshot},
     machine::StateMachine,
     membership::UNKNOWN_INCARNATION,
     replica::Role,
@@ -27,6 +27,8 @@
     pub epoch: u64,
     /// Messages with entries or pieces of the present epoch without an answer.
     pub in_flight: usize,
+    /// The snapshot that is being sent, to its end even if a newer one is made.
+    pub sending: Option<Snapshot>,
     /// Offset of the snapshot's next piece.
     pub piece_offset: u64,
     pub heartbeat_at: Instant,
@@ -47,6 +49,7 @@
             probing: true,
             epoch: 0,
             in_flight: 0,
+            sending: None,
             piece_offset: 0,
             heartbeat_at: now,
             retry_at: now,
@@ -61,7 +64,6 @@
         self.probing = true;
         self.epoch += 1;
         self.in_flight = 0;
-        self.piece_offset = 0;
     }
 }
 
@@ -85,6 +87,12 @@
         self.peers.entry(peer).or_insert_with(|| Progress::new(last + 1, now))
     }
 
+    /// First index of a snapshot that is being sent; the follower will need
+    /// the entries after it.
+    pub fn sending_from(&self) -> Option<LogIndex> {
+        self.peers.values().filter_map(|p| p.sending.as_ref()).map(|s| s.index).min()
+    }
+
     fn of(&self, identity: Identity) -> Option<&Progress> {
         self.peers.get(&identity.id).filter(|p| p.incarnation == identity.incarnation)
     }
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -93,6 +93,49 @@
     NextPiece(u64),
 }
 
+/// Greatest term and index that a message may name. No group comes near it in
+/// its life, and sums with it don't overflow.
+const MAX_NUMBER: u64 = 1 << 62;
+
+impl Request {
+    /// Decodes a request and checks its numbers.
+    ///
+    /// # Errors
+    ///
+    /// `BadRequest`.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let req: Self = decode(bytes)?;
+        let index = match &req.body {
+            RequestBody::Piece(piece) => piece.index,
+            RequestBody::Append(append) => append.prev_index,
+            _ => 0,
+        };
+        check_number(req.term.max(index))?;
+        Ok(req)
+    }
+}
+
+impl Answer {
+    /// Decodes an answer and checks its term.
+    ///
+    /// # Errors
+    ///
+    /// `BadRequest`.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let answer: Self = decode(bytes)?;
+        check_number(answer.term)?;
+        Ok(answer)
+    }
+}
+
+fn check_number(number: u64) -> Result<()> {
+    if number > MAX_NUMBER {
+        let detail = format!("term or index: expected at most {MAX_NUMBER}, found {number}");
+        return Err(Error::new(ErrorKind::BadRequest, detail));
+    }
+    Ok(())
+}
+
 /// Encodes a message.
 ///
 /// # Errors
@@ -108,7 +151,7 @@
 /// # Errors
 ///
 /// `BadRequest`.
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     postcard::from_bytes(bytes)
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("replication message: {e}")))
 }
--- a/crates/replication/src/message/tests.rs
+++ b/crates/replication/src/message/tests.rs
@@ -1,6 +1,6 @@
 //! Messages survive the way there and back; anything else is refused.
 
-use super::{Answer, AnswerBody, AppendRequest, Request, RequestBody, decode, encode};
+use super::{Answer, AnswerBody, AppendRequest, MAX_NUMBER, Request, RequestBody, encode};
 use crate::entry::{Blob, Entry, Identity, Payload};
 use cyclamenloft_types::ErrorKind;
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
@@ -33,21 +33,21 @@
     #![proptest_config(config())]
 
     #[test]
-    fn a_request_survives(term in any::<u64>(), commands in vec(vec(any::<u8>(), 0..50), 0..5)) {
+    fn a_request_survives(term in 0..=MAX_NUMBER, commands in vec(vec(any::<u8>(), 0..50), 0..5)) {
         let req = append(term, commands);
-        prop_assert_eq!(decode::<Request>(&encode(&req).unwrap()).unwrap(), req);
+        prop_assert_eq!(Request::decode(&encode(&req).unwrap()).unwrap(), req);
     }
 
     #[test]
-    fn an_answer_survives(term in any::<u64>(), index in any::<u64>(), formed in any::<bool>()) {
+    fn an_answer_survives(term in 0..=MAX_NUMBER, index in any::<u64>(), formed in any::<bool>()) {
         let from = Identity { id: 1, incarnation: 2 };
         let answer = Answer { from, term, formed, body: AnswerBody::Matches(index) };
-        prop_assert_eq!(decode::<Answer>(&encode(&answer).unwrap()).unwrap(), answer);
+        prop_assert_eq!(Answer::decode(&encode(&answer).unwrap()).unwrap(), answer);
     }
 
     #[test]
     fn any_bytes_are_decoded_or_refused(bytes in vec(any::<u8>(), 0..200)) {
-        for e in [decode::<Request>(&bytes).err(), decode::<Answer>(&bytes).err()] {
+        for e in [Request::decode(&bytes).err(), Answer::decode(&bytes).err()] {
             prop_assert!(e.is_none_or(|e| e.kind == ErrorKind::BadRequest));
         }
     }
@@ -60,8 +60,16 @@
         let mut bytes = encode(&append(4, commands)).unwrap();
         let at = at.index(bytes.len());
         bytes[at] = byte;
-        if let Err(e) = decode::<Request>(&bytes) {
+        if let Err(e) = Request::decode(&bytes) {
             prop_assert_eq!(e.kind, ErrorKind::BadRequest);
         }
     }
 }
+
+#[test]
+fn numbers_that_could_overflow_are_refused() {
+    for term in [MAX_NUMBER + 1, u64::MAX] {
+        let refused = Request::decode(&encode(&append(term, Vec::new())).unwrap());
+        assert_eq!(refused.unwrap_err().kind, ErrorKind::BadRequest);
+    }
+}
--- a/crates/replication/src/peer.rs
+++ b/crates/replication/src/peer.rs
@@ -126,10 +126,14 @@
 
     fn next_piece(&mut self, peer: ReplicaId) -> Option<(SentKind, RequestBody)> {
         let progress = self.leading.as_mut()?.peers.get_mut(&peer)?;
-        let snapshot = self.snapshot.as_ref()?;
         if progress.in_flight > 0 {
             return None;
         }
+        if progress.sending.is_none() {
+            progress.sending = self.snapshot.clone();
+            progress.piece_offset = 0;
+        }
+        let snapshot = progress.sending.as_ref()?;
         let data = &snapshot.data.0;
         let start = usize::try_from(progress.piece_offset).ok()?.min(data.len());
         let end = (start + MAX_CONTENT_BYTES).min(data.len());
@@ -168,7 +172,7 @@
         if sent.term != self.hard.term {
             return;
         }
-        let heartbeat = self.cfg.heartbeat;
+        let (heartbeat, last) = (self.cfg.heartbeat, self.log.last_index());
         let Some(progress) = self.leading.as_mut().and_then(|l| l.peers.get_mut(&peer)) else {
             return;
         };
@@ -178,9 +182,9 @@
         }
         match answer {
             Ok(answer) if answer.from.id == peer && answer.term == sent.term => {
-                progress.note_incarnation(answer.from, self.log.last_index());
+                progress.note_incarnation(answer.from, last);
                 progress.answered_sent_at = progress.answered_sent_at.max(Some(sent.at));
-                progress.take_body(sent, answer.body);
+                progress.take_body(sent, answer.body, last);
             }
             _ if current => {
                 progress.restart(progress.matched + 1);
@@ -200,19 +204,20 @@
             self.incarnation = from.incarnation;
             self.matched = 0;
             self.answered_sent_at = None;
+            self.sending = None;
             self.restart(last + 1);
         }
     }
 
-    fn take_body(&mut self, sent: Sent, body: AnswerBody) {
+    fn take_body(&mut self, sent: Sent, body: AnswerBody, last: LogIndex) {
         let current = sent.epoch == self.epoch;
         match body {
             AnswerBody::Matches(index) => {
-                self.matched = self.matched.max(index);
+                self.matched = self.matched.max(index.min(last));
                 self.next = self.next.max(self.matched + 1);
                 if current {
                     self.probing = false;
-                    self.piece_offset = 0;
+                    self.sending = None;
                 }
             }
             AnswerBody::Conflict { next } if current => self.restart(next),
@@ -239,7 +244,7 @@
     out: Outgoing,
 ) -> (Sent, Result<Answer>) {
     let answer = match compio::time::timeout(out.timeout, transport.call(peer, out.request)).await {
-        Ok(answer) => answer.and_then(|bytes| message::decode(&bytes)),
+        Ok(answer) => answer.and_then(|bytes| Answer::decode(&bytes)),
         Err(_) => {
             let detail = format!("replica {peer} did not answer within {:?}", out.timeout);
             Err(Error::new(ErrorKind::PeerUnreachable, detail))
--- a/crates/replication/tests/group.rs
+++ b/crates/replication/tests/group.rs
@@ -192,11 +192,16 @@
     let late = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
     cluster.crash(late);
     cluster.net.set_faults(ROUGH);
-    for _ in 0..40 {
+    while cluster.history.borrow().accepted() < 40 {
         let leader = cluster.leader().await;
         cluster.propose_filled(leader, 20_000).await;
     }
+    // Newer snapshots are made while one is being sent.
+    let clients = cluster.spawn_clients(2);
     cluster.start(late).await;
+    let replica = cluster.get(late).unwrap();
+    until(|| replica.state(|list| list.filler.len()) >= 40 * 20_000).await;
+    drop((clients, replica));
     cluster.settle().await;
     assert!(cluster.net.largest() <= 256 << 10);
     assert!(cluster.net.largest() > 200 << 10, "the snapshot took one small piece");
