Begin anew when heartbeats are answered and entries are not; check the member list

A follower behind a link that swallowed messages waited for their timeout of ten election timeouts after the link was back. An answered heartbeat now shows that they are lost; messages become smaller where that repeats, so that a slow link still moves on.

--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -119,6 +119,14 @@
         if !self.initial_members.iter().any(|m| m.id == self.id) {
             return bad(format!("group {}: replica {} is not a member", self.group, self.id));
         }
+        let members = &self.initial_members;
+        let is_repeated = |m: &Member| members.iter().filter(|other| other.id == m.id).count() > 1;
+        if let Some(m) = members.iter().find(|m| is_repeated(m)) {
+            return bad(format!("group {}: replica {} is listed twice", self.group, m.id));
+        }
+        if !members.iter().any(|m| m.kind == MemberKind::Voter) {
+            return bad(format!("group {}: expected at least one voter", self.group));
+        }
         if self.election_timeout < self.heartbeat * 3 {
             return bad(format!(
                 "election timeout {:?}: expected at least three heartbeats of {:?}",
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -6,6 +6,7 @@
     entry::{Entry, Identity, Incarnation, Payload, Snapshot},
     machine::StateMachine,
     membership::UNKNOWN_INCARNATION,
+    peer::MAX_CONTENT_BYTES,
     replica::Role,
 };
 use cyclamenloft_types::{LogIndex, ReplicaId};
@@ -27,6 +28,11 @@
     pub epoch: u64,
     /// Messages with entries or pieces of the present epoch without an answer.
     pub in_flight: usize,
+    /// When the oldest of these was sent or answered last.
+    pub content_since: Instant,
+    /// How much a message may carry: less after messages went unanswered while
+    /// heartbeats did not, so that a slow link still moves on.
+    pub content_bytes: usize,
     /// The snapshot that is being sent, to its end even if a newer one is made.
     pub sending: Option<Snapshot>,
     /// Offset of the snapshot's next piece.
@@ -49,6 +55,8 @@
             probing: true,
             epoch: 0,
             in_flight: 0,
+            content_since: now,
+            content_bytes: MAX_CONTENT_BYTES,
             sending: None,
             piece_offset: 0,
             heartbeat_at: now,
--- a/crates/replication/src/peer.rs
+++ b/crates/replication/src/peer.rs
@@ -10,6 +10,7 @@
     entry::{Blob, Identity},
     leader::{Leading, Progress},
     machine::StateMachine,
+    membership::UNKNOWN_INCARNATION,
     message::{self, Answer, AnswerBody, AppendRequest, PieceRequest, Request, RequestBody},
     shared::Shared,
     transport::Transport,
@@ -30,7 +31,9 @@
 pub(crate) const MAX_MESSAGE_BYTES: usize = 256 << 10;
 /// Largest share of a message that entries or a snapshot's piece take; the
 /// rest is for what goes with them.
-const MAX_CONTENT_BYTES: usize = MAX_MESSAGE_BYTES - (8 << 10);
+pub(crate) const MAX_CONTENT_BYTES: usize = MAX_MESSAGE_BYTES - (8 << 10);
+/// Least that a message may carry.
+const MIN_CONTENT_BYTES: usize = 8 << 10;
 /// Largest encoded command.
 pub(crate) const MAX_COMMAND_BYTES: usize = MAX_CONTENT_BYTES - 64;
 /// Messages with entries on their way to one peer.
@@ -108,23 +111,23 @@
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term(prev_index) else {
             progress.probing = true;
-            return self.next_piece(peer);
+            return self.next_piece(peer, now);
         };
-        let entries = self.log.slice(progress.next, MAX_CONTENT_BYTES);
+        let entries = self.log.slice(progress.next, progress.content_bytes);
         // While probing, a message without entries tells how far the follower's
         // log agrees with this one; otherwise it would only repeat the last.
         let is_probe = progress.probing && progress.matched < prev_index;
         if entries.is_empty() && !is_probe {
             return None;
         }
-        progress.in_flight += 1;
+        progress.note_sent(now);
         progress.next += entries.len() as u64;
         let commit = self.commit;
         let append = AppendRequest { prev_index, prev_term, commit, entries };
         Some((SentKind::Entries, RequestBody::Append(append)))
     }
 
-    fn next_piece(&mut self, peer: ReplicaId) -> Option<(SentKind, RequestBody)> {
+    fn next_piece(&mut self, peer: ReplicaId, now: Instant) -> Option<(SentKind, RequestBody)> {
         let progress = self.leading.as_mut()?.peers.get_mut(&peer)?;
         if progress.in_flight > 0 {
             return None;
@@ -133,11 +136,11 @@
             progress.sending = self.snapshot.clone();
             progress.piece_offset = 0;
         }
+        progress.note_sent(now);
         let snapshot = progress.sending.as_ref()?;
         let data = &snapshot.data.0;
         let start = usize::try_from(progress.piece_offset).ok()?.min(data.len());
-        let end = (start + MAX_CONTENT_BYTES).min(data.len());
-        progress.in_flight += 1;
+        let end = (start + progress.content_bytes).min(data.len());
         let piece = PieceRequest {
             index: snapshot.index,
             index_term: snapshot.term,
@@ -179,12 +182,16 @@
         let current = sent.epoch == progress.epoch && sent.kind.has_content();
         if current {
             progress.in_flight = progress.in_flight.saturating_sub(1);
+            progress.content_since = now;
         }
         match answer {
             Ok(answer) if answer.from.id == peer && answer.term == sent.term => {
                 progress.note_incarnation(answer.from, last);
-                progress.answered_sent_at = progress.answered_sent_at.max(Some(sent.at));
                 progress.take_body(sent, answer.body, last);
+                if answer.body != AnswerBody::StaleTerm {
+                    progress.answered_sent_at = progress.answered_sent_at.max(Some(sent.at));
+                }
+                progress.restart_if_stuck(sent, self.cfg.election_timeout);
             }
             _ if current => {
                 progress.restart(progress.matched + 1);
@@ -200,6 +207,9 @@
 impl Progress {
     /// Begins anew where the follower came back with another disk.
     fn note_incarnation(&mut self, from: Identity, last: LogIndex) {
+        if self.incarnation == UNKNOWN_INCARNATION {
+            self.incarnation = from.incarnation;
+        }
         if self.incarnation != from.incarnation {
             self.incarnation = from.incarnation;
             self.matched = 0;
@@ -209,6 +219,23 @@
         }
     }
 
+    fn note_sent(&mut self, now: Instant) {
+        if self.in_flight == 0 {
+            self.content_since = now;
+        }
+        self.in_flight += 1;
+    }
+
+    /// Begins anew where a heartbeat was answered that was sent long after
+    /// messages that are still not: they were lost on a link that is back.
+    fn restart_if_stuck(&mut self, sent: Sent, timeout: Duration) {
+        let is_stuck = self.in_flight > 0 && sent.at > self.content_since + timeout;
+        if sent.kind == SentKind::Heartbeat && is_stuck {
+            self.content_bytes = (self.content_bytes / 2).max(MIN_CONTENT_BYTES);
+            self.restart(self.matched + 1);
+        }
+    }
+
     fn take_body(&mut self, sent: Sent, body: AnswerBody, last: LogIndex) {
         let current = sent.epoch == self.epoch;
         match body {
@@ -217,11 +244,13 @@
                 self.next = self.next.max(self.matched + 1);
                 if current {
                     self.probing = false;
+                    self.content_bytes = (self.content_bytes * 2).min(MAX_CONTENT_BYTES);
                     self.sending = None;
                 }
             }
             AnswerBody::Conflict { next } if current => self.restart(next),
             AnswerBody::NextPiece(offset) if current => self.piece_offset = offset,
+            AnswerBody::StaleTerm if current => self.restart(self.matched + 1),
             AnswerBody::Conflict { .. }
             | AnswerBody::NextPiece(_)
             | AnswerBody::Ok
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     change::Change,
-    config::{Config, MemberKind},
+    config::{Config, Member, MemberKind},
     core::{Core, Proposal, change_unknown},
     election,
     entry::{Blob, Incarnation, Payload},
     machine::StateMachine,
+    membership::MemberRecord,
     peer::MAX_COMMAND_BYTES,
     shared::{Shared, stopping},
     storage::Storage,
@@ -100,11 +101,8 @@
         })
         .await
         .map_err(|_| Error::new(ErrorKind::Internal, "the thread that opens the log ended"))??;
-        let alone = cfg.initial_members.iter().filter(|m| m.kind != MemberKind::Learner).count()
-            == 1
-            && recovered.snapshot.is_none();
         let core = Core::new(cfg, empty, recovered, Instant::now())?;
-        let alone = core.is_only_voter() || alone && core.may_form_alone();
+        let alone = core.decides_alone();
         let shared = Rc::new(Shared::new(core));
         let driver = election::run(shared.clone(), Rc::new(transport));
         let tasks = [
@@ -294,16 +292,20 @@
         (self.role, self.hard.term, self.leader)
     }
 
-    /// Whether this replica is the only initial voter of a group that isn't
-    /// formed.
-    fn may_form_alone(&self) -> bool {
-        let voter = |m: &&crate::Member| m.id == self.me.id && m.kind == MemberKind::Voter;
-        self.membership().is_none() && self.cfg.initial_members.iter().any(|m| voter(&m))
+    /// Whether this replica is the only voter of its group, or will be once the
+    /// group is formed.
+    fn decides_alone(&self) -> bool {
+        if self.membership().is_some() {
+            return self.is_only_voter();
+        }
+        let mut voters = self.cfg.initial_members.iter().filter(|m| m.kind != MemberKind::Learner);
+        let own = |m: &Member| m.id == self.me.id && m.kind == MemberKind::Voter;
+        voters.next().is_some_and(own) && voters.next().is_none()
     }
 
     fn status(&self) -> Status {
         let members = self.membership().into_iter().flat_map(|m| m.members());
-        let member = |m: &crate::membership::MemberRecord| MemberStatus {
+        let member = |m: &MemberRecord| MemberStatus {
             id: m.id,
             incarnation: m.incarnation,
             kind: m.kind,
