Measure replicated groups; notice closed connections in group_bench

The longest time without a leader, 1.6 to 1.75 s in three of five runs, came from the measuring program: it called over connections whose other side had crashed, and the vote request hung for a timeout.

--- a/crates/replication/examples/group_bench/link.rs
+++ b/crates/replication/examples/group_bench/link.rs
@@ -10,7 +10,7 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io,
     net::SocketAddr,
@@ -50,6 +50,8 @@
 struct Connection {
     tx: mpsc::UnboundedSender<(u64, Vec<u8>)>,
     waiting: Waiting,
+    /// False once the other side has closed.
+    open: Rc<Cell<bool>>,
 }
 
 /// One replica's connections to the others.
@@ -93,15 +95,17 @@
     }
 
     async fn connection(&self, to: ReplicaId) -> io::Result<Connection> {
-        if let Some(connection) = self.connections.borrow().get(&to) {
-            return Ok(connection.clone());
+        let known = self.connections.borrow().get(&to).cloned();
+        if let Some(connection) = known.filter(|c| c.open.get()) {
+            return Ok(connection);
         }
         let stream = TcpStream::connect(self.wires.addresses[&to]).await?;
         stream.set_nodelay(true)?;
         let (tx, rx) = mpsc::unbounded();
         let waiting = Waiting::default();
         compio::runtime::spawn(send(stream.clone(), rx)).detach();
-        let answers = waiting.clone();
+        let open = Rc::new(Cell::new(true));
+        let (answers, is_open) = (waiting.clone(), open.clone());
         compio::runtime::spawn(async move {
             let mut stream = stream;
             while let Ok((id, body)) = read_frame(&mut stream).await {
@@ -109,10 +113,11 @@
                     let _ = tx.send(body);
                 }
             }
+            is_open.set(false);
             answers.borrow_mut().clear();
         })
         .detach();
-        let connection = Connection { tx, waiting };
+        let connection = Connection { tx, waiting, open };
         self.connections.borrow_mut().insert(to, connection.clone());
         Ok(connection)
     }
