Routing: bounds on what peers say, and how the package is used

A loan from a peer could carry any length and any number of slots, and a renewal request any share. A loan now lasts a lease at most, an allowance never exceeds the target's slots, and unknown shares are not promised. A witness needs no requests of its own to handle messages.

--- a/crates/routing/src/slots/loan.rs
+++ b/crates/routing/src/slots/loan.rs
@@ -113,7 +113,8 @@
     /// Slots of the target on which requests may be started.
     pub(crate) fn borrowed(&self, target: &str, now: Instant) -> u16 {
         let Some(loans) = self.borrowed.get(target) else { return 0 };
-        loans.iter().filter(|l| l.until > now).map(|l| l.slots).sum()
+        let live = loans.iter().filter(|l| l.until > now);
+        live.fold(0, |sum, l| sum.saturating_add(l.slots))
     }
 
     /// Notes a request to `lender` and returns its number.
@@ -129,13 +130,13 @@
         self.asked.values().any(|(l, at)| &**l == lender && *at + patience > now)
     }
 
-    /// Takes in a loan, once for each request.
-    pub(crate) fn accept(&mut self, loan: Loan, now: Instant) -> bool {
+    /// Takes in a loan, once for each request, and for a lease at most.
+    pub(crate) fn accept(&mut self, loan: Loan, lease: Duration, now: Instant) -> bool {
         if self.asked.get(&loan.request).is_none_or(|(lender, _)| *lender != loan.lender) {
             return false;
         }
         let Some((_, sent)) = self.asked.remove(&loan.request) else { return false };
-        let until = sent + Duration::from_millis(loan.length_ms);
+        let until = sent + Duration::from_millis(loan.length_ms).min(lease);
         for lent in loan.slots {
             let borrowed = Borrowed {
                 lender: loan.lender.clone(),
--- a/crates/routing/src/slots/table.rs
+++ b/crates/routing/src/slots/table.rs
@@ -31,6 +31,21 @@
     fn idle_targets(&self, most: usize) -> Vec<TargetId>;
 }
 
+/// A host without requests of its own, such as a witness.
+impl Occupancy for () {
+    fn occupied(&self, _target: &str) -> u16 {
+        0
+    }
+
+    fn free_slots(&self) -> u32 {
+        0
+    }
+
+    fn idle_targets(&self, _most: usize) -> Vec<TargetId> {
+        Vec::new()
+    }
+}
+
 /// What a target's announcements have told.
 #[derive(Debug)]
 struct Announced {
@@ -76,7 +91,8 @@
     /// The table of `host`, which begins its life `incarnation` now. The roster
     /// has to be the same at all hosts. `witness` is an entry host of another
     /// domain that votes where the roster is even; it makes itself a table with
-    /// the same arguments, but for `host` and `incarnation`.
+    /// the same arguments, but for `host` and `incarnation`, and passes it the
+    /// roster's messages by [`SlotTable::handle`].
     #[must_use]
     pub fn new(
         host: HostId,
@@ -131,7 +147,8 @@
     pub fn allowance(&self, target: &str, now: Instant) -> Allowance {
         let mut allowance = self.own(target, now);
         if !self.stopped {
-            allowance.total += self.borrower.borrowed(target, now);
+            let borrowed = self.borrower.borrowed(target, now);
+            allowance.total = allowance.total.saturating_add(borrowed).min(self.slots);
         }
         allowance
     }
--- a/crates/routing/src/slots/table/lending.rs
+++ b/crates/routing/src/slots/table/lending.rs
@@ -118,7 +118,7 @@
 
     pub(super) fn take_loan(&mut self, loan: Loan, now: Instant) {
         let is_mine = loan.borrower == self.host && loan.borrower_incarnation == self.incarnation;
-        if is_mine && !self.stopped && self.borrower.accept(loan, now) {
+        if is_mine && !self.stopped && self.borrower.accept(loan, self.config.lease, now) {
             self.changes += 1;
         }
     }
--- a/crates/routing/src/slots/table/renewal.rs
+++ b/crates/routing/src/slots/table/renewal.rs
@@ -95,6 +95,8 @@
         if !self.voters.contains(&self.host) || !self.roster.contains(&holder) {
             return None;
         }
+        let parts = self.roster.len().saturating_sub(1);
+        shares.retain(|s| usize::from(s.part) < parts && self.roster.contains(&s.owner));
         shares.retain(|share| self.promises.grant(share, &holder, incarnation, now));
         let renewal = Renewal {
             voter: self.host.clone(),
--- a/crates/routing/tests/all/slots.rs
+++ b/crates/routing/tests/all/slots.rs
@@ -4,7 +4,10 @@
     slot_world::{Network, STEP, World},
     support::{cases, ms},
 };
-use cyclamenloft_routing::LeaseConfig;
+use cyclamenloft_routing::{
+    LeaseConfig, SlotMessage,
+    slots::{LentSlots, Loan},
+};
 use proptest::{prelude::*, test_runner::RngSeed};
 use std::time::Duration;
 
@@ -184,6 +187,33 @@
     }
 }
 
+#[test]
+fn a_loan_out_of_all_bounds_does_no_harm() {
+    let mut world = settled(3, false);
+    let now = world.now(0);
+    let table = world.hosts[0].table.as_mut().unwrap();
+    let asked = table.poll(5, &(), now);
+    let request = asked.iter().find_map(|e| match &e.message {
+        SlotMessage::LoanRequest(r) => Some((e.to.clone(), r.clone())),
+        _ => None,
+    });
+    let (lender, request) = request.unwrap();
+    let slots = vec![LentSlots { target: "t0".into(), slots: u16::MAX }; 2];
+    let loan = SlotMessage::Loan(Loan {
+        lender,
+        incarnation: 1,
+        borrower: request.borrower,
+        borrower_incarnation: request.incarnation,
+        request: request.number,
+        number: 1,
+        length_ms: u64::MAX,
+        slots,
+    });
+    assert!(table.handle(loan, &(), now).is_empty());
+    assert_eq!(table.allowance("t0", now).total, SLOTS);
+    assert!(table.allowance("t0", now + LeaseConfig::default().lease).total < SLOTS);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Kill(usize),
