--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -3,7 +3,7 @@
 //! Each host of the roster has a base share of each target's slots
 //! ([`base_share`]), in two parts: a floor of one slot, which is its own for as
 //! long as it is on the roster, and the rest, its extra. The extra is held
-//! under a [lease](lease) that a majority of the roster renews, and is taken
+//! under a [lease] that a majority of the roster renews, and is taken
 //! over by others once the holder must have stopped using it. Idle slots of the
 //! extra are [lent](loan) to busy neighbours. [`SlotTable`] puts these together
 //! for one service at one entry host.
