--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -17,8 +17,7 @@
     pub addr: SocketAddr,
     /// Failure domain of the target.
     pub domain: DomainName,
-    /// Grows with each change that the target announces, of its count as of its
-    /// state; older records are ignored.
+    /// Grows with each announcement; older records are ignored.
     pub sequence: u64,
     /// Whether the target wants no new requests.
     pub leaving: bool,
