--- a/crates/placement/examples/replay.rs
+++ b/crates/placement/examples/replay.rs
@@ -1,31 +1,54 @@
 //! Replays traces and prints what came out next to the baselines:
 //! `cargo run --release -p cyclamenloft-placement --example replay -- tests/traces/*.jsonl`
+//!
+//! With `--fit` (`scored`, `first-fit`, `best-fit`) or `--relief` (`ladder`,
+//! `evict-only`, `off`) in front, only that policy is replayed. `--decisions`
+//! prints each decision.
 
 use cyclamenloft_placement::{
     PlacementPolicy,
     trace::{Outcome, compare, read, replay},
 };
-use std::{fs::File, io::BufReader, time::Instant};
+use serde::de::DeserializeOwned;
+use std::{error::Error, fs::File, io::BufReader, time::Instant};
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
-    if std::env::var_os("DECISIONS").is_some() {
-        tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).init();
-    }
-    for path in std::env::args().skip(1) {
-        let entries = read(BufReader::new(File::open(&path)?)).map_err(|e| e.detail.to_string())?;
-        let started = Instant::now();
-        if std::env::var_os("ONLY_GIVEN").is_some() {
-            print("scored", &replay(&entries, &PlacementPolicy::default()));
-            continue;
-        }
-        let comparison = compare(&entries, &PlacementPolicy::default());
-        println!("{path} ({:.1} s)", started.elapsed().as_secs_f64());
-        print("scored", &comparison.given);
-        print("first-fit", &comparison.first_fit);
-        print("best-fit", &comparison.best_fit);
-        for unmet in &comparison.unmet {
-            println!("  UNMET {unmet}");
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut policy = PlacementPolicy::default();
+    let mut only = false;
+    let mut args = std::env::args().skip(1);
+    while let Some(arg) = args.next() {
+        match arg.as_str() {
+            "--fit" => policy.fit = value(args.next())?,
+            "--relief" => policy.relief = value(args.next())?,
+            "--decisions" => {
+                tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).init();
+            }
+            path => run(path, &policy, only)?,
         }
+        only = only || arg.starts_with("--");
+    }
+    Ok(())
+}
+
+fn value<T: DeserializeOwned>(text: Option<String>) -> Result<T, Box<dyn Error>> {
+    Ok(serde_json::from_value(text.unwrap_or_default().into())?)
+}
+
+fn run(path: &str, policy: &PlacementPolicy, only: bool) -> Result<(), Box<dyn Error>> {
+    let entries = read(BufReader::new(File::open(path)?)).map_err(|e| e.detail.to_string())?;
+    let started = Instant::now();
+    if only {
+        println!("{path}");
+        print(&format!("{:?}, {:?}", policy.fit, policy.relief), &replay(&entries, policy));
+        return Ok(());
+    }
+    let comparison = compare(&entries, policy);
+    println!("{path} ({:.1} s)", started.elapsed().as_secs_f64());
+    print("scored", &comparison.given);
+    print("first-fit", &comparison.first_fit);
+    print("best-fit", &comparison.best_fit);
+    for unmet in &comparison.unmet {
+        println!("  UNMET {unmet}");
     }
     Ok(())
 }
