--- a/crates/placement/src/learn/profile.rs
+++ b/crates/placement/src/learn/profile.rs
@@ -13,8 +13,6 @@
 const NEWEST_DAY: f64 = 0.5;
 /// Weight of the newest day in the drift of the peak.
 const NEWEST_DRIFT: f64 = 0.3;
-/// Days by which the blended profile lags behind the present one.
-const LAG_DAYS: f64 = 1.0 / NEWEST_DAY;
 /// Largest drift that is followed, in slots a day.
 const MAX_DRIFT: f64 = 4.0;
 /// Share of the day's largest load from which a slot belongs to the peak.
@@ -25,7 +23,8 @@
     day: u64,
     /// Sums and counts of the loads of the present day.
     today: [(f64, u32); SLOTS],
-    /// Blend of the past days; negative where nothing is known.
+    /// Blend of the past days, moved along with the drift to where the last
+    /// day's peak lies; negative where nothing is known.
     past: [f64; SLOTS],
     /// Middle of the last day's peak, in slots.
     last_peak: Option<f64>,
@@ -61,10 +60,9 @@
         let profile = self.classes.get(class)?;
         let start = (from.as_millis() as u64 % DAY_MS) as f64 / SLOT_MS as f64;
         let slots = (span.as_millis() as u64 / SLOT_MS).min(SLOTS as u64 - 1);
-        let shift = profile.drift * LAG_DAYS;
         // One slot more on each side covers what the drift leaves open.
         (0..slots + 3)
-            .map(|n| (start + n as f64 - 1.0 - shift).rem_euclid(SLOTS as f64) as usize)
+            .map(|n| (start + n as f64 - 1.0 - profile.drift).rem_euclid(SLOTS as f64) as usize)
             .map(|slot| profile.past[slot.min(SLOTS - 1)])
             .filter(|load| *load >= 0.0)
             .reduce(f64::max)
@@ -101,6 +99,9 @@
             .iter()
             .map(|(sum, count)| (*count > 0).then(|| sum / f64::from(*count)))
             .collect();
+        self.today = [(0.0, 0); SLOTS];
+        self.follow(&known);
+        self.past = moved(&self.past, self.drift);
         for (past, load) in self.past.iter_mut().zip(&known) {
             match load {
                 Some(load) if *past >= 0.0 => *past += NEWEST_DAY * (load - *past),
@@ -108,8 +109,11 @@
                 None => {}
             }
         }
-        self.today = [(0.0, 0); SLOTS];
-        let Some(peak) = peak_middle(&known) else {
+    }
+
+    /// Corrects the drift by how far the peak has moved since the last day.
+    fn follow(&mut self, day: &[Option<f64>]) {
+        let Some(peak) = peak_middle(day) else {
             return;
         };
         if let Some(last) = self.last_peak.replace(peak) {
@@ -121,6 +125,20 @@
     }
 }
 
+/// A profile moved later by a number of slots.
+fn moved(past: &[f64; SLOTS], by: f64) -> [f64; SLOTS] {
+    std::array::from_fn(|slot| {
+        let from = (slot as f64 - by).rem_euclid(SLOTS as f64);
+        let here = from as usize % SLOTS;
+        let (a, b) = (past[here], past[(here + 1) % SLOTS]);
+        match (a >= 0.0, b >= 0.0) {
+            (true, true) => a + (b - a) * from.fract(),
+            (true, false) => a,
+            (false, _) => b,
+        }
+    })
+}
+
 /// The middle of the slots with nearly the largest load, weighted with what
 /// they exceed the threshold by. Days pass midnight, so the slots are taken as
 /// distances from the largest.
--- a/crates/placement/src/scheduler/relief.rs
+++ b/crates/placement/src/scheduler/relief.rs
@@ -33,23 +33,34 @@
 /// Longest time that a throttle is held after a relapse.
 const LONGEST_HOLD: Duration = Duration::from_secs(10 * 60);
 
-/// Time for which a class that was evicted from a worker stays away from it.
-const AVOID: Duration = Duration::from_secs(15 * 60);
+/// First time for which a class that was evicted from a worker stays away
+/// from it; it doubles with each further eviction.
+const FIRST_AVOID: Duration = Duration::from_secs(15 * 60);
+/// Longest time for which a class stays away from a worker.
+const LONGEST_AVOID: Duration = Duration::from_secs(4 * 60 * 60);
+
+#[derive(Debug)]
+struct Avoidance {
+    until: Instant,
+    span: Duration,
+}
 
 /// Classes that were evicted from workers for the relief of a service.
 #[derive(Debug, Default)]
-pub(super) struct Avoided(BTreeMap<(WorkerId, JobClass), Instant>);
+pub(super) struct Avoided(BTreeMap<(WorkerId, JobClass), Avoidance>);
 
 impl Avoided {
     fn insert(&mut self, worker: &WorkerId, class: &JobClass, now: Timestamp) {
-        self.0.retain(|_, until| *until > now.instant);
-        self.0.insert((worker.clone(), class.clone()), now.instant + AVOID);
+        self.0.retain(|_, a| a.until + LONGEST_AVOID > now.instant);
+        let key = (worker.clone(), class.clone());
+        let span = self.0.get(&key).map_or(FIRST_AVOID, |a| (a.span * 2).min(LONGEST_AVOID));
+        self.0.insert(key, Avoidance { until: now.instant + span, span });
     }
 
     /// Whether a class was evicted from a worker a while ago.
     pub(super) fn contains(&self, worker: &WorkerId, class: &JobClass, now: Timestamp) -> bool {
         !self.0.is_empty()
-            && self.0.get(&(worker.clone(), class.clone())).is_some_and(|at| *at > now.instant)
+            && self.0.get(&(worker.clone(), class.clone())).is_some_and(|a| a.until > now.instant)
     }
 }
 
--- a/crates/placement/src/state/queue.rs
+++ b/crates/placement/src/state/queue.rs
@@ -142,6 +142,21 @@
         self.groups.values().map(|g| (&g.of, &g.tasks))
     }
 
+    /// Whether groups, lanes and counts agree.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let counted: usize = self.groups.values().map(|g| g.tasks.len()).sum();
+        let in_lane = |number: &GroupNumber, group: &Group| {
+            let due = group.tasks.first().map(|t| t.0);
+            let lane = self.lanes.get(&group.of.priority).and_then(|t| t.get(&group.of.team));
+            due.is_some_and(|due| lane.is_some_and(|l| l.contains(&(due, *number))))
+        };
+        let in_lanes: usize = self.lanes.values().flat_map(|t| t.values()).map(Lane::len).sum();
+        counted == self.depth.iter().sum::<usize>()
+            && in_lanes == self.groups.len()
+            && self.numbers.len() == self.groups.len()
+            && self.groups.iter().all(|(number, group)| in_lane(number, group))
+    }
+
     /// Number of waiting tasks of `priority`.
     pub(crate) fn depth(&self, priority: Priority) -> usize {
         self.depth[priority as usize]
--- a/crates/placement/src/state/verify.rs
+++ b/crates/placement/src/state/verify.rs
@@ -66,6 +66,9 @@
         if waiting != self.waiting().cloned().collect() || live != self.index.live_tasks {
             return Err("the queue differs from the waiting tasks".into());
         }
+        if !self.index.queue.is_consistent() {
+            return Err("the queue's groups and lanes differ".into());
+        }
         Ok(held)
     }
 }
--- a/crates/placement/tests/all/learning.rs
+++ b/crates/placement/tests/all/learning.rs
@@ -132,25 +132,33 @@
     assert_eq!(profiles.largest("other", at(1), hours(1)), None);
 }
 
-#[test]
-fn the_profile_follows_a_peak_that_creeps_later() {
-    let mut profiles = DayProfiles::default();
-    let peak = |day: u32| 18.0 + 0.25 * f64::from(day);
-    for day in 0..16 {
-        feed(&mut profiles, day, peak(day));
-    }
-    let next = DAY * 16;
-    profiles.observe(&"service".into(), 0.3, next);
-    let drift = profiles.drift_minutes("service");
-    assert!((10.0..20.0).contains(&drift), "{drift} minutes a day, truth 15");
-    // The hour before today's peak, which no day before has reached.
-    let at = |hour: f64| next + Duration::from_secs_f64(hour * 3600.0);
-    let moment = Duration::from_secs(60);
-    let late = profiles.largest("service", at(peak(16) + 0.25), moment).unwrap();
-    let early = profiles.largest("service", at(peak(16) - 2.0), moment).unwrap();
-    assert!(late > 0.85 && early < 0.75, "late {late}, early {early}");
+macro_rules! drift {
+    ($name:ident, $hours_a_day:expr, $minutes:expr) => {
+        #[test]
+        fn $name() {
+            let mut profiles = DayProfiles::default();
+            let peak = |day: u32| 12.0 + $hours_a_day * f64::from(day);
+            for day in 0..12 {
+                feed(&mut profiles, day, peak(day));
+            }
+            let next = DAY * 12;
+            profiles.observe(&"service".into(), 0.3, next);
+            let drift = profiles.drift_minutes("service");
+            assert!($minutes.contains(&drift), "{drift} minutes a day");
+            // The time of today's peak, which no day before has reached.
+            let at = |hour: f64| next + Duration::from_secs_f64(hour * 3600.0);
+            let moment = Duration::from_secs(60);
+            let late = profiles.largest("service", at(peak(12) + 0.25), moment).unwrap();
+            let early = profiles.largest("service", at(peak(12) - 2.0), moment).unwrap();
+            assert!(late > 0.85 && early < 0.75, "late {late}, early {early}");
+        }
+    };
 }
 
+drift!(the_profile_follows_a_peak_that_creeps_later, 0.25, 10.0..20.0);
+drift!(the_profile_follows_a_peak_that_moves_fast, 0.75, 38.0..52.0);
+drift!(the_profile_follows_a_peak_that_creeps_earlier, -0.25, -20.0..-10.0);
+
 fn target_policy() -> PlacementPolicy {
     PlacementPolicy {
         latency_targets: vec![LatencyTarget { class: "service".into(), p99_us: 100_000 }],
@@ -351,3 +359,31 @@
     host.group.tick();
     assert!(host.group.state.worker("w1").unwrap().tasks.contains(&key("noisy", 0)));
 }
+
+#[test]
+fn an_evicted_class_is_tried_again_ever_more_rarely() {
+    let mut host = Host::new(target_policy());
+    host.teach();
+    let mut placed = 0;
+    // Three hours: after 15 minutes, then 30, then 60 at the earliest.
+    for _ in 0..5400 {
+        let commands = host.period(|noisy| if noisy > 0 { 150_000 } else { 40_000 });
+        placed += commands.iter().filter(|c| matches!(c, Command::Place(_))).count();
+    }
+    assert!((1..=3).contains(&placed), "placed {placed} times");
+}
+
+#[test]
+fn what_a_class_is_known_to_do_keeps_the_next_of_it_away() {
+    let mut host = Host::new(PlacementPolicy { relief: ReliefPolicy::Off, ..target_policy() });
+    for round in 0..60u64 {
+        host.noisy_percent = if round % 4 < 2 { 20 } else { 100 };
+        host.period(|noisy| 40_000 + u64::from(noisy) * 400);
+    }
+    host.group.submit(batch("calm", "quiet", 1)).unwrap();
+    host.group.submit(batch("noisy-too", "noisy", 1)).unwrap();
+    host.period(|noisy| 40_000 + u64::from(noisy) * 400);
+    let state = &host.group.state;
+    assert!(state.worker("w0").unwrap().tasks.contains(&key("calm", 0)));
+    assert_eq!(host.group.scheduler.held_back(state, "noisy-too"), Some(Hold::Harmful));
+}
--- a/crates/placement/tests/all/placing.rs
+++ b/crates/placement/tests/all/placing.rs
@@ -246,6 +246,23 @@
     assert_eq!(*state, TaskState::Waiting { checkpoint: Some("c1".into()) });
 }
 
+#[test]
+fn room_that_is_being_made_is_kept_from_lesser_tasks() {
+    let mut group = Group::new(PlacementPolicy::default());
+    group.announce("w0", 1, cores(4));
+    group.submit(job("batch", 1, 3)).unwrap();
+    group.tick();
+    group.submit(with(Priority::Urgent, job("urgent", 1, 4))).unwrap();
+    assert_eq!(group.tick(), [Command::Evict(vec![(key("batch", 0), 1)])]);
+    group.submit(job("small", 1, 1)).unwrap();
+    group.submit(with(Priority::Service, job("service", 1, 1))).unwrap();
+    assert!(group.tick().is_empty());
+    let mut report = full("w0", 1, 1, vec![]);
+    report.ended.push(ended("batch", 0, 1, AttemptEnd::Evicted { checkpoint: None }));
+    group.report(&report).unwrap();
+    assert_eq!(placed_jobs(&group.tick()), ["urgent".into()]);
+}
+
 #[test]
 fn batch_evicts_nobody() {
     let mut group = Group::new(PlacementPolicy::default());
