--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,6 +18,6 @@
     Announcement, AttemptEnd, Lease, NumberedOrder, Order, OrdersRequest, Report, RunningTask,
 };
 pub use policy::{FitPolicy, LatencyTarget, PlacementPolicy, ReliefPolicy, TeamPolicy};
-pub use scheduler::Scheduler;
+pub use scheduler::{Hold, Scheduler, status::Status};
 pub use state::PlacementState;
 pub use time::Timestamp;
--- a/crates/placement/src/trace/compare.rs
+++ b/crates/placement/src/trace/compare.rs
@@ -1,6 +1,6 @@
 //! A replay next to those of the baselines, and what the trace demands.
 
-use super::{Bounds, Entry, Event, Outcome, driver::baseline, replay};
+use super::{Bounds, Entry, Event, Outcome, replay};
 use crate::policy::{FitPolicy, PlacementPolicy, ReliefPolicy};
 use serde::Serialize;
 
@@ -77,3 +77,7 @@
     );
     unmet
 }
+
+fn baseline(fit: FitPolicy, relief: ReliefPolicy) -> PlacementPolicy {
+    PlacementPolicy { fit, relief, ..PlacementPolicy::default() }
+}
--- a/crates/placement/src/trace/driver.rs
+++ b/crates/placement/src/trace/driver.rs
@@ -9,7 +9,7 @@
 use crate::{
     command::Command,
     messages::{AttemptEnd, NumberedOrder, Order, Report},
-    policy::{FitPolicy, PlacementPolicy},
+    policy::PlacementPolicy,
     scheduler::Scheduler,
     state::PlacementState,
     time::Timestamp,
@@ -405,8 +405,3 @@
         self.out
     }
 }
-
-/// The policy of a baseline.
-pub(super) fn baseline(fit: FitPolicy, relief: crate::ReliefPolicy) -> PlacementPolicy {
-    PlacementPolicy { fit, relief, ..PlacementPolicy::default() }
-}
