--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -3,11 +3,11 @@
 
 use crate::permit::Reserved;
 use cyclamenloft_routing::{
-    AttemptResult, Decision, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
-    ServiceRouter, TargetRecord, Ticket, slots::base_share,
+    AttemptResult, Decision, NoRetry, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
+    ServiceRouter, TargetRecord, Ticket, slots::base_share, spill::SpillChoice,
 };
 use cyclamenloft_target::Endpoint;
-use cyclamenloft_types::{ErrorKind, HostId, Outcome, TargetId};
+use cyclamenloft_types::{ErrorKind, HostId, Outcome, RequestId, TargetId};
 use futures_channel::oneshot;
 use std::{
     collections::{HashMap, HashSet},
@@ -16,18 +16,18 @@
     time::{Duration, Instant},
 };
 
-/// Targets that one request may be sent to, one after the other.
-const MAX_ATTEMPTS: usize = 3;
 /// When a refused request may be sent again, where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What became of a request that waited.
 type Turn = Result<Reserved, Refusal>;
 
-struct State {
-    router: ServiceRouter,
+pub(crate) struct State {
+    pub(crate) router: ServiceRouter,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
     policy: ServicePolicy,
+    /// Requests that are to go to another domain instead of waiting here.
+    pub(crate) spilled: HashMap<RequestId, SpillChoice>,
     /// Until when the newest announcement at an address holds.
     live: HashMap<SocketAddr, Instant>,
 }
@@ -49,7 +49,13 @@
         policy: ServicePolicy,
     ) -> Arc<Self> {
         let router = ServiceRouter::new(host.clone(), roster.clone(), routing, policy.clone());
-        let state = State { router, waiting: HashMap::new(), policy, live: HashMap::new() };
+        let state = State {
+            router,
+            waiting: HashMap::new(),
+            policy,
+            spilled: HashMap::new(),
+            live: HashMap::new(),
+        };
         Arc::new(Self { host, roster, state: Mutex::new(state) })
     }
 
@@ -94,7 +100,7 @@
     pub fn endpoint(&self, permit: &Permit) -> Endpoint {
         let all = self.lock().policy.connections;
         let share = base_share(all, &permit.target, &self.roster, &self.host);
-        Endpoint { addr: permit.addr, connections: share.max(1) }
+        Endpoint { addr: permit.addr, connections: share }
     }
 
     /// Waits for the decision on a request, at most until its deadline.
@@ -111,10 +117,16 @@
         let deadline = facts.deadline;
         let (ticket, rx) = {
             let mut state = self.lock();
-            match state.router.admit(facts, avoid, now) {
+            match state.router.admit(facts.clone(), avoid, now) {
                 Decision::Dispatch(permit) => return Ok(Reserved::new(self.clone(), permit)),
                 Decision::Refuse(refusal) => return Err(refusal),
                 Decision::Wait(ticket) => {
+                    if let Some(choice) = state.router.consider_spill(&facts, now) {
+                        state.router.cancel(ticket);
+                        let detail = format!("domain {} answers sooner", choice.domain);
+                        state.spilled.insert(facts.id, choice);
+                        return Err(refusal(ErrorKind::Overloaded, detail));
+                    }
                     let (tx, rx) = oneshot::channel();
                     state.waiting.insert(ticket, tx);
                     (ticket, rx)
@@ -148,16 +160,8 @@
         outcome: Outcome,
         now: Instant,
     ) -> Result<Duration, &'static str> {
-        if outcome != Outcome::NotRun && !facts.idempotent {
-            return Err("may-have-run");
-        }
-        if failed.len() >= MAX_ATTEMPTS {
-            return Err("too-many-attempts");
-        }
-        if now >= facts.deadline {
-            return Err("deadline-too-short");
-        }
-        Ok(Duration::ZERO)
+        let mut state = self.lock();
+        state.router.retry(facts, failed, outcome, now).map_err(NoRetry::as_str)
     }
 
     pub(crate) fn release(self: &Arc<Self>, permit: Permit, result: AttemptResult, now: Instant) {
@@ -167,7 +171,7 @@
     /// Lets `f` decide, and hands the decisions to the requests that wait for
     /// them. Nothing is sent under the lock, because a receiver that is gone
     /// gives its slot back.
-    fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
+    pub(crate) fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
         let decided: Vec<_> = {
             let mut state = self.lock();
             let decided = f(&mut state);
@@ -190,7 +194,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         // Decisions don't panic half-way; a poisoned lock still holds a whole state.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -198,7 +202,7 @@
 
 /// A refusal that may be sent again soon.
 pub(crate) fn refusal(kind: ErrorKind, detail: impl Into<Box<str>>) -> Refusal {
-    Refusal { kind, detail: detail.into(), retry_after: RETRY_AFTER }
+    Refusal::new(kind, detail, RETRY_AFTER)
 }
 
 struct WaitingGuard<'a> {
--- a/crates/caller/src/handler.rs
+++ b/crates/caller/src/handler.rs
@@ -82,7 +82,7 @@
 
 /// The refusal of a request that is at fault itself.
 fn refused_early(id: &str, error: Error) -> Refusal {
-    let refusal = Refusal { kind: error.kind, detail: error.detail, retry_after: RETRY_AFTER };
+    let refusal = Refusal::new(error.kind, error.detail, RETRY_AFTER);
     decision_log::refused(id, None, &refusal);
     refusal
 }
--- a/crates/peer/src/calls.rs
+++ b/crates/peer/src/calls.rs
@@ -1,10 +1,17 @@
 //! The methods that peers call on each other, with their typed parameters and
 //! answers.
 
-use cyclamenloft_operator::{Accepted, ConfigFile};
+use cyclamenloft_caller::idempotency::{KeyAnswer, KeyQuestion};
+use cyclamenloft_operator::{
+    Update,
+    messages::{ApplyAnswer, ApplyRequest, HistoryAnswer, HistoryRequest},
+};
 use cyclamenloft_placement::{Announcement, Lease, NumberedOrder, OrdersRequest, Report};
+use cyclamenloft_routing::{slots::SlotMessage, spill::WaitReport};
 use cyclamenloft_target::TargetAnnouncement;
-use cyclamenloft_types::{ConfigNumber, HostId, JobId, JobSpec, JobState, LogIndex, WorkerId};
+use cyclamenloft_types::{
+    ConfigNumber, HostId, JobId, JobSpec, JobState, LogIndex, ServiceName, WorkerId,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A method of the peers' protocol.
@@ -39,6 +46,12 @@
 methods! {
     /// Passes targets' announcements on to another entry host of the domain.
     SpreadTargets = "targets.spread": Vec<TargetAnnouncement> => Nothing;
+    /// Exchanges messages about slots with another entry host of the domain.
+    ExchangeSlots = "slots.exchange": Vec<ServiceSlots> => Vec<ServiceSlots>;
+    /// Reads how long requests would wait at an entry host of another domain.
+    ReadWaits = "waits.read": Nothing => Vec<ServiceWait>;
+    /// Asks the owner of an idempotency key.
+    AskKey = "keys.ask": KeyQuestion => KeyAnswer;
     /// Hands a worker's announcement to the control leader.
     AnnounceWorker = "workers.announce": Announcement => Lease;
     /// Hands a worker's report to the control leader.
@@ -56,11 +69,11 @@
     /// Cancels jobs.
     CancelJobs = "jobs.cancel": Vec<JobId> => CancelAnswer;
     /// Proposes a configuration.
-    ApplyConfig = "config.apply": ApplyParams => Accepted;
+    ApplyConfig = "config.apply": ApplyRequest => ApplyAnswer;
     /// Waits for a configuration with a number above the given one.
-    WaitConfig = "config.wait": WaitConfigParams => ConfigUpdate;
+    WaitConfig = "config.wait": WaitConfigParams => Update;
     /// Lists the accepted configurations.
-    ConfigHistory = "config.history": Nothing => Vec<Accepted>;
+    ConfigHistory = "config.history": HistoryRequest => HistoryAnswer;
     /// Describes the process.
     ProcessStatus = "status": Nothing => StatusAnswer;
 }
@@ -69,6 +82,24 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Nothing {}
 
+/// A message about the slots of one service's targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSlots {
+    /// The service.
+    pub service: ServiceName,
+    /// The message.
+    pub message: SlotMessage,
+}
+
+/// How long requests of one service would wait at the answering host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWait {
+    /// The service.
+    pub service: ServiceName,
+    /// The wait.
+    pub report: WaitReport,
+}
+
 /// A worker in a list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerSummary {
@@ -121,36 +152,17 @@
     pub unknown: Vec<JobId>,
 }
 
-/// A configuration to be accepted under a number.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ApplyParams {
-    /// The number; one more than the last accepted.
-    pub number: ConfigNumber,
-    /// Who proposes it.
-    pub author: Box<str>,
-    /// The whole content.
-    pub files: Vec<ConfigFile>,
-}
-
 /// A wait for a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitConfigParams {
     /// The number that the asker has in force.
     pub above: ConfigNumber,
+    /// Whether the asker needs the whole content, because changes did not fit.
+    pub whole: bool,
     /// Longest time to wait, in milliseconds; 0 answers at once.
     pub wait_ms: u64,
 }
 
-/// A configuration in force at the answering process.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigUpdate {
-    /// The number in force.
-    pub number: ConfigNumber,
-    /// The whole content; absent where the asker has it.
-    pub files: Option<Vec<ConfigFile>>,
-}
-
 /// A group's standing at one replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupStatus {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -1,15 +1,15 @@
 //! The listener for operators and submitters of jobs.
 
-use super::Entry;
+use super::{Entry, homes};
 use cyclamenloft_http::{
     Handler, Request, Response, Token, error_response, json_response, read_json,
 };
-use cyclamenloft_operator::{ConfigFile, Draft};
+use cyclamenloft_operator::messages::{ApplyAnswer, ApplyRequest, HistoryRequest, Refusal};
 use cyclamenloft_peer::{
     Method, PeerSet,
     calls::{
-        ApplyConfig, ApplyParams, CancelJobs, ConfigHistory, ConfigUpdate, ListJobs, ListWorkers,
-        Nothing, ProcessStatus, ReadJob, ServiceStatus, StatusAnswer, SubmitJob, WaitConfigParams,
+        ApplyConfig, ConfigHistory, ListWorkers, Nothing, ProcessStatus, ServiceStatus,
+        StatusAnswer,
     },
 };
 use cyclamenloft_types::{Error, ErrorKind, JobId, JobSpec, Result, check_name};
@@ -44,24 +44,25 @@
             (HttpMethod::POST, "/v1/jobs") => {
                 let spec: JobSpec = read_json(req.into_body(), MAX_JOB_BYTES).await?;
                 spec.check()?;
-                pass_on::<SubmitJob>(&entry.control, &spec).await
+                Ok(json_response(StatusCode::OK, &homes::submit(entry, spec).await?))
+            }
+            (HttpMethod::GET, "/v1/jobs") => {
+                Ok(json_response(StatusCode::OK, &homes::list(entry).await?))
             }
-            (HttpMethod::GET, "/v1/jobs") => pass_on::<ListJobs>(&entry.control, &Nothing {}).await,
             (HttpMethod::POST, "/v1/jobs/cancel") => {
                 let ids: Vec<JobId> = read_json(req.into_body(), MAX_CANCEL_BYTES).await?;
-                pass_on::<CancelJobs>(&entry.control, &ids).await
+                Ok(json_response(StatusCode::OK, &homes::cancel(entry, ids).await?))
             }
             (HttpMethod::POST, "/v1/config") => {
-                let params: ApplyParams = read_json(req.into_body(), MAX_CONFIG_BYTES).await?;
-                check_name("author", &params.author)?;
-                Draft::from_files(params.files.clone()).check()?;
-                pass_on::<ApplyConfig>(&entry.config_voters, &params).await
+                let req: ApplyRequest = read_json(req.into_body(), MAX_CONFIG_BYTES).await?;
+                apply(entry, req).await
             }
             (HttpMethod::GET, "/v1/config") => {
-                Ok(json_response(StatusCode::OK, &show(entry).await))
+                Ok(json_response(StatusCode::OK, &entry.board.show()))
             }
-            (HttpMethod::GET, "/v1/config/history") => {
-                pass_on::<ConfigHistory>(&entry.config_voters, &Nothing {}).await
+            (HttpMethod::POST, "/v1/config/history") => {
+                let req: HistoryRequest = read_json(req.into_body(), MAX_JOB_BYTES).await?;
+                pass_on::<ConfigHistory>(&entry.config_voters, &req).await
             }
             (HttpMethod::GET, "/v1/workers") => {
                 pass_on::<ListWorkers>(&entry.control, &Nothing {}).await
@@ -71,7 +72,7 @@
             }
             (HttpMethod::GET, path) if path.starts_with("/v1/jobs/") => {
                 let id = check_name("job id", path.trim_start_matches("/v1/jobs/"))?;
-                pass_on::<ReadJob>(&entry.control, &id).await
+                Ok(json_response(StatusCode::OK, &homes::read(entry, id).await?))
             }
             (method, path) => {
                 Err(Error::new(ErrorKind::NotFound, format!("no {method} on path {path:?}")))
@@ -91,18 +92,32 @@
     Ok(json_response(StatusCode::OK, &answer))
 }
 
-async fn show(entry: &Entry) -> ConfigUpdate {
-    let files: Option<Vec<ConfigFile>> =
-        entry.board.answer_wait(WaitConfigParams { above: 0, wait_ms: 0 }).await.files;
-    ConfigUpdate { number: entry.board.number(), files }
+/// Hands a configuration to the config group. Problems of the files are found
+/// here already, so that the group is asked about content in order only.
+async fn apply(entry: &Entry, req: ApplyRequest) -> Result<Response> {
+    let answer = match req.clone().check() {
+        Ok(_) => {
+            let give_up = Instant::now() + PASS_ON;
+            entry.config_voters.call::<ApplyConfig>(&req, give_up).await?
+        }
+        Err(Refusal::Invalid(report)) => ApplyAnswer::Invalid((&report).into()),
+        Err(Refusal::Error(e)) => return Err(e),
+    };
+    let kind = match &answer {
+        ApplyAnswer::Accepted(_) => return Ok(json_response(StatusCode::OK, &answer)),
+        ApplyAnswer::Conflict { .. } => ErrorKind::Conflict,
+        ApplyAnswer::Invalid(_) => ErrorKind::InvalidConfig,
+    };
+    let status = StatusCode::from_u16(kind.answer().status).unwrap_or(StatusCode::CONFLICT);
+    Ok(json_response(status, &answer))
 }
 
 /// The standing of this entry host.
 pub(super) fn status(entry: &Entry) -> StatusAnswer {
     let registry = entry.registry.borrow();
     let now = Instant::now();
-    let deployment = entry.board.deployment();
-    let services = deployment.services.keys().map(|service| ServiceStatus {
+    let checked = entry.board.checked();
+    let services = checked.deployment().services.keys().map(|service| ServiceStatus {
         service: service.clone(),
         targets: registry.valid(now).filter(|a| a.service == *service).count(),
     });
