--- a/crates/caller/src/decision_log.rs
+++ b/crates/caller/src/decision_log.rs
@@ -4,7 +4,7 @@
 use cyclamenloft_routing::{Permit, Refusal};
 use cyclamenloft_types::{CallerName, Outcome, RequestId, ServiceName};
 use http::StatusCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Target of these lines for log filters.
 pub const LOG_TARGET: &str = "cyclamenloft::decision";
@@ -20,10 +20,14 @@
 
 impl Trail {
     fn elapsed_us(&self) -> u64 {
-        u64::try_from(self.arrived.elapsed().as_micros()).unwrap_or(u64::MAX)
+        micros(self.arrived.elapsed())
     }
 }
 
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// An attempt at a target has ended, or its answer's head has come.
 pub(crate) fn attempt(trail: &Trail, permit: &Permit, outcome: Outcome, detail: &str) {
     tracing::info!(
@@ -33,6 +37,10 @@
         caller = %trail.caller,
         chosen = %permit.target,
         reason = permit.reason,
+        in_flight = permit.estimates.in_flight,
+        share = permit.estimates.share,
+        wait_us = micros(permit.estimates.wait),
+        ewma_us = micros(permit.estimates.ewma),
         outcome = outcome.as_str(),
         detail,
         elapsed_us = trail.elapsed_us(),
@@ -63,7 +71,11 @@
         request,
         service = trail.map(|t| &*t.service),
         caller = trail.map(|t| &*t.caller),
-        reason = answer.code,
+        error = answer.code,
+        reason = refusal.reason,
+        in_flight = refusal.estimates.in_flight,
+        share = refusal.estimates.share,
+        wait_us = micros(refusal.estimates.wait),
         outcome = answer.outcome.as_str(),
         detail = %refusal.detail,
         elapsed_us = trail.map(Trail::elapsed_us),
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -104,11 +104,11 @@
 pub(crate) async fn run(exchange: Box<Exchange>) -> Result<Answered, Refusal> {
     let mut queued = Queued::new(exchange, History::default());
     loop {
-        let dispatched = match queued.dispatch().await {
-            Ok(dispatched) => dispatched,
-            Err(refused) => return refused.hand_over().await,
+        let ended = match queued.dispatch().await {
+            Ok(dispatched) => dispatched.answer().await,
+            Err(refused) => refused.hand_over().await,
         };
-        match dispatched.answer().await {
+        match ended {
             Ok(answered) => return Ok(answered),
             Err(Unanswered::Again(again)) => queued = *again,
             Err(Unanswered::Over(refusal)) => return Err(refusal),
@@ -215,36 +215,53 @@
 
 impl Refused {
     /// Hands the request to another entry host where there is one to take it;
-    /// otherwise the refusal stands.
-    async fn hand_over(mut self: Box<Self>) -> Result<Answered, Refusal> {
+    /// otherwise the refusal stands. Where the other host did not run it, it
+    /// comes back to wait here.
+    async fn hand_over(mut self: Box<Self>) -> Result<Answered, Unanswered> {
         let Exchange { facts, trail, spill, .. } = &*self.queued.exchange;
-        let (trail, spill, facts) = (trail.clone(), spill.clone(), facts.clone());
+        let (trail, spill) = (trail.clone(), spill.clone());
         let chosen = spill.and_then(|spill| {
-            let hop = spill.rule.choose(&trail.service, &facts, &self.refusal, Instant::now());
+            let hop = spill.rule.choose(&trail.service, facts, &self.refusal, Instant::now());
             hop.map(|hop| (spill, hop))
         });
         let Some((spill, hop)) = chosen else {
-            return Err(self.queued.refuse(self.refusal));
+            return Err(self.over());
         };
         let Some(req) = self.queued.next_request() else {
-            return Err(self.queued.refuse(self.refusal));
+            return Err(self.over());
         };
-        match spill.client.send(&hop, req, &trail.service, &facts).await {
+        let facts = &self.queued.exchange.facts;
+        match spill.client.send(&hop, req, &trail.service, facts).await {
             Ok(response) => {
                 decision_log::hop(&trail, &hop, Outcome::Done, "");
                 Ok(Answered { response, held: None, trail })
             }
             Err(HopFailure::NotRun { detail }) => {
                 decision_log::hop(&trail, &hop, Outcome::NotRun, &detail);
-                Err(self.queued.refuse(self.refusal))
+                Err(self.stay())
             }
             Err(HopFailure::Unknown(lost)) => {
                 decision_log::hop(&trail, &hop, Outcome::Unknown, &lost.detail);
                 self.queued.history.lost = Some(lost);
-                Err(self.queued.refuse(self.refusal))
+                Err(self.over())
             }
         }
     }
+
+    /// The request may be dispatched here after all, and takes no other hop.
+    fn stay(self: Box<Self>) -> Unanswered {
+        if !self.queued.exchange.outgoing.is_repeatable() {
+            return self.over();
+        }
+        let mut queued = self.queued;
+        queued.exchange.spill = None;
+        queued.exchange.facts.hopped = true;
+        Unanswered::Again(Box::new(queued))
+    }
+
+    fn over(self: Box<Self>) -> Unanswered {
+        Unanswered::Over(self.queued.refuse(self.refusal))
+    }
 }
 
 impl Dispatched {
--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -3,7 +3,7 @@
 
 use crate::permit::Reserved;
 use cyclamenloft_routing::{
-    AttemptResult, Decision, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
+    AttemptResult, Decision, NoRetry, Permit, Refusal, RequestFacts, RoutingPolicy, ServicePolicy,
     ServiceRouter, TargetRecord, Ticket, slots::base_share, spill::SpillChoice,
 };
 use cyclamenloft_target::Endpoint;
@@ -16,8 +16,6 @@
     time::{Duration, Instant},
 };
 
-/// Targets that one request may be sent to, one after the other.
-const MAX_ATTEMPTS: usize = 3;
 /// When a refused request may be sent again, where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -102,7 +100,7 @@
     pub fn endpoint(&self, permit: &Permit) -> Endpoint {
         let all = self.lock().policy.connections;
         let share = base_share(all, &permit.target, &self.roster, &self.host);
-        Endpoint { addr: permit.addr, connections: share.max(1) }
+        Endpoint { addr: permit.addr, connections: share }
     }
 
     /// Waits for the decision on a request, at most until its deadline.
@@ -162,16 +160,8 @@
         outcome: Outcome,
         now: Instant,
     ) -> Result<Duration, &'static str> {
-        if outcome != Outcome::NotRun && !facts.idempotent {
-            return Err("may-have-run");
-        }
-        if failed.len() >= MAX_ATTEMPTS {
-            return Err("too-many-attempts");
-        }
-        if now >= facts.deadline {
-            return Err("deadline-too-short");
-        }
-        Ok(Duration::ZERO)
+        let mut state = self.lock();
+        state.router.retry(facts, failed, outcome, now).map_err(NoRetry::as_str)
     }
 
     pub(crate) fn release(self: &Arc<Self>, permit: Permit, result: AttemptResult, now: Instant) {
