Status tells a replica that does not vote; second loss waits for the repair's end

It took the number in force for the end of the repair, but that arrives through the other voters too: the config group had not admitted the wiped replica yet when the second was killed, so that one voter of three was left, which must refuse. Nothing an operator sees told the two apart either. Change: the status of a group names a replica that has no vote a learner; the case waits until no group does, then kills and wipes the leader as before. The check itself is unchanged.

--- a/src/control/methods.rs
+++ b/src/control/methods.rs
@@ -19,7 +19,7 @@
     Announcement, Command, Lease, NumberedOrder, OrdersRequest, Report, Timestamp,
     command::Applied, state::Job,
 };
-use cyclamenloft_replication::{Replica, StateMachine, Status};
+use cyclamenloft_replication::{MemberKind, Replica, StateMachine, Status};
 use cyclamenloft_types::{Error, ErrorKind, JobId, JobSpec, JobState, Result, TaskState};
 use cyclamenloft_worker::{check_announcement, check_orders_request, check_report};
 use serde_json::value::RawValue;
@@ -224,11 +224,19 @@
 }
 
 fn group_status<M: StateMachine>(group: &str, replica: &Replica<M>) -> GroupStatus {
-    let Status { role, leader, committed, .. } = replica.status();
+    let status = replica.status();
+    let role = if is_learner(&status) { "learner".into() } else { format!("{:?}", status.role) };
     GroupStatus {
         group: group.into(),
-        role: format!("{role:?}").to_lowercase().into(),
-        leader,
-        committed,
+        role: role.to_lowercase().into(),
+        leader: status.leader,
+        committed: status.committed,
     }
 }
+
+/// Whether the group has not made this replica a voter or witness, or not
+/// again after it lost its files.
+fn is_learner(status: &Status) -> bool {
+    let own = status.members.iter().find(|m| m.incarnation == status.incarnation);
+    own.is_none_or(|own| own.kind == MemberKind::Learner)
+}
--- a/tests/all/failures/control.rs
+++ b/tests/all/failures/control.rs
@@ -164,10 +164,11 @@
     deployment.control(repaired).kill();
     deployment.wipe(repaired);
     deployment.control(repaired).restart();
-    // The repair is over once the replica has what the others have.
+    // The repair is over once the replica votes in both groups again.
     wait_for("the repair", async || {
         let all = deployment.status(&hosts[0]).await.unwrap_or_default();
-        all.iter().any(|s| &*s.host == repaired && s.ready && s.config == last)
+        let own = all.iter().find(|s| &*s.host == repaired && s.ready);
+        own.is_some_and(|s| s.groups.iter().all(|g| &*g.role != "learner"))
     })
     .await;
     let lost = deployment.leader(&hosts[0], CONFIG).await;
