--- a/tests/all/failures/control.rs
+++ b/tests/all/failures/control.rs
@@ -1,6 +1,6 @@
 //! Failures of control replicas: kills, partitions, lost disks.
 
-use super::{WITH_SERVICE, YARD, job_finished, layout, long_job, race, submit};
+use super::{WITH_SERVICE, YARD, job_finished, layout, long_job, race, submit, tasks::urgent};
 use crate::{
     cases,
     checker::{Changes, Proposal, Watch},
@@ -9,6 +9,7 @@
 use compio::runtime::spawn;
 use cyclamenloft_operator::messages::ApplyAnswer;
 use cyclamenloft_peer::calls::SubmitAnswer;
+use cyclamenloft_standin::journal::{Event, Line, TaskEnd};
 use cyclamenloft_types::{Error, Outcome, Result};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
@@ -16,7 +17,9 @@
 cases! {
     killed_control_replicas_lose_no_change => kills_at_random(31);
     killed_control_replicas_lose_no_change_again => kills_at_random(32);
+    frozen_control_replicas_take_nothing_back => freezes_at_random(33);
     a_leader_killed_in_each_step_of_placing_starts_nothing_twice => leader_killed();
+    a_leader_killed_in_each_step_of_evicting_resumes_once => leader_killed_evicting();
     a_minority_refuses_and_catches_up => minority();
     a_leader_that_hears_but_is_not_heard_is_replaced => one_way();
     a_wiped_disk_comes_back_whole => wiped();
@@ -60,6 +63,55 @@
     nothing_lost(&deployment, watch, &proposals).await;
 }
 
+/// Operators race while leaders stop for longer than any lease and go on
+/// afterwards as if nothing had happened.
+async fn freezes_at_random(seed: u64) {
+    let mut deployment = replicated(seed).await;
+    let watch = Watch::start(&deployment);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let race = race(3, 12, seed);
+    let operators = Operators::start(&deployment.operators, &deployment.hosts, race);
+    while !operators.finished() {
+        let leader = deployment.leader(&deployment.hosts[0], CONFIG).await;
+        deployment.control(&leader).freeze();
+        compio::time::sleep(Duration::from_millis(rng.random_range(500..2500))).await;
+        deployment.control(&leader).thaw();
+        compio::time::sleep(Duration::from_millis(rng.random_range(0..1000))).await;
+    }
+    let proposals = operators.finish().await;
+    deployment.settled(&deployment.hosts).await;
+    nothing_lost(&deployment, watch, &proposals).await;
+}
+
+/// Batch fills the only worker; each urgent job evicts some of it, and the
+/// leader dies a little later each time: before the eviction is ordered, before
+/// its checkpoint is reported, before the task resumes.
+async fn leader_killed_evicting() {
+    let mut deployment = replicated(42).await;
+    deployment.configure(WITH_SERVICE).await;
+    deployment.start_worker(YARD, "worker-1", 4);
+    let first = deployment.hosts[0];
+    submit(&deployment, 0, &long_job("long", 4, 6000)).await;
+    let starts = |l: &Line| matches!(l.event, Event::TaskStarted { .. });
+    wait_for("the tasks to run", async || deployment.evidence().count(starts) >= 4).await;
+    for step in 0..4_u64 {
+        let leader = deployment.leader(&first, PLACEMENT).await;
+        let name = format!("urgent-{step}");
+        submit(&deployment, 1, &urgent(&name, 2)).await;
+        compio::time::sleep(Duration::from_millis(step * 80)).await;
+        deployment.control(&leader).kill();
+        job_finished(&deployment, 1, &name).await;
+        deployment.control(&leader).restart();
+    }
+    job_finished(&deployment, 1, "long").await;
+    let evidence = deployment.evidence();
+    evidence.check();
+    assert_eq!(evidence.finished().len(), 12);
+    let evicted = evidence
+        .count(|l| matches!(l.event, Event::TaskEnded { end, .. } if end == TaskEnd::Evicted));
+    assert!(evicted >= 2, "{evicted} evictions");
+}
+
 /// The leader dies a little later after each submission: before the job is
 /// accepted, placed, started, reported.
 async fn leader_killed() {
--- a/tests/all/failures/requests.rs
+++ b/tests/all/failures/requests.rs
@@ -11,6 +11,7 @@
     a_planned_stop_of_an_entry_host_cuts_nothing => entry_stop();
     a_killed_entry_host_loses_nothing_twice => entry_killed();
     a_leaving_target_gets_nothing_and_cuts_nothing => target_leaves();
+    a_target_that_leaves_unheard_gets_nothing_soon => leaving_unheard();
     a_target_that_dies_has_run_what_it_has_run => target_killed();
     a_target_that_never_answers_holds_nobody_up => target_frozen();
     an_entry_host_cut_from_control_keeps_serving => cut_from_control();
@@ -150,3 +151,21 @@
     wait_for("the host to be ready", async || ready().await.is_some()).await;
     assert_eq!(ready().await, Some(5));
 }
+
+/// One entry host is cut off from the others and from a target that leaves: it
+/// learns of it only because the target's announcements end.
+async fn leaving_unheard() {
+    let deployment = Deployment::behind_proxies(&layout(2, 1), 12);
+    let mut deployment = serving(deployment, 3, "20ms").await;
+    let callers = callers(&deployment, PATIENT);
+    callers.answers(40).await;
+    let unheard = ["galway-yard-entry-2"];
+    deployment.links.cut(&unheard, &["target-0", "galway-yard-entry-1"]);
+    deployment.stop_target(0);
+    deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
+    deployment.links.heal();
+    callers.answers(40).await;
+    let evidence = deployment.evidence_with(callers).await;
+    evidence.check();
+    evidence.all_answered();
+}
