--- a/tests/all/checker/history.rs
+++ b/tests/all/checker/history.rs
@@ -76,6 +76,11 @@
         Self(entries)
     }
 
+    /// A history read elsewhere.
+    pub fn of(entries: Vec<Entry>) -> Self {
+        Self(entries)
+    }
+
     /// The last number.
     pub fn last(&self) -> u64 {
         self.0.last().map_or(0, |e| e.number)
--- a/tests/all/checker/mod.rs
+++ b/tests/all/checker/mod.rs
@@ -4,6 +4,7 @@
 mod history;
 mod requests;
 mod tasks;
+mod tests;
 
 pub use history::{Changes, Proposal, Watch};
 
