--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -17,6 +17,7 @@
     a_resent_key_runs_once => resent_key();
     every_request_leaves_its_decisions_in_the_log => decision_log();
     a_peer_hands_a_request_over => handed_over();
+    requests_at_a_killed_target_run_once => target_killed();
 }
 
 async fn with_targets(service_time: &str, targets: usize) -> Deployment {
