Teams, quotas and latency targets reach placement; replay; targets count by entry host

Cause: configured teams, classes and eviction budgets were checked and shown but nothing used them; displaced requests heard of it at the next tick only; a restarted host's floor waited for the count of all hosts to fall. Change: the placement policy follows from the configuration, quotas divided by the domains' weights; cyclamenloft replay; targets may announce requests in flight by entry host; routing.spill.enabled is honoured; the stand-in worker takes a stop of an unknown attempt as seen.

--- a/crates/caller/src/forwarder.rs
+++ b/crates/caller/src/forwarder.rs
@@ -98,7 +98,7 @@
         };
         let fault = CallerFault::default();
         let upload = Upload::receive(body, &parts.headers, &self.limits, deadline, &fault).await?;
-        let outgoing = Outgoing::new(parts, &marks, upload, from);
+        let outgoing = Outgoing::new(parts, &marks, upload, from, gate.host());
         let begin = marks.key.as_ref().map(|key| begin(&marks, key, &outgoing, deadline));
         let spill = self.spill.clone().filter(|_| !hopped);
         let pool = self.pool.clone();
--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -21,10 +21,12 @@
 
 /// What became of a request that waited.
 type Turn = Result<Reserved, Refusal>;
+/// Where a waiting request hears of its turn.
+type Waiter = oneshot::Sender<Turn>;
 
 pub(crate) struct State {
     pub(crate) router: ServiceRouter,
-    waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
+    waiting: HashMap<Ticket, Waiter>,
     policy: ServicePolicy,
     /// Requests that are to go to another domain instead of waiting here.
     pub(crate) spilled: HashMap<RequestId, SpillChoice>,
@@ -32,6 +34,18 @@
     live: HashMap<SocketAddr, Instant>,
 }
 
+impl State {
+    fn waiters_of(&mut self, decided: Vec<(Ticket, Decision)>) -> Vec<(Option<Waiter>, Decision)> {
+        let waiting = &mut self.waiting;
+        decided.into_iter().map(|(t, decision)| (waiting.remove(&t), decision)).collect()
+    }
+
+    fn take_displaced(&mut self) -> Vec<(Option<Waiter>, Decision)> {
+        let decided = self.router.take_decided();
+        self.waiters_of(decided)
+    }
+}
+
 /// The decisions of one service at this entry host.
 pub struct Gate {
     host: HostId,
@@ -66,6 +80,11 @@
         state.router.set_policy(routing, policy);
     }
 
+    /// This entry host.
+    pub(crate) fn host(&self) -> &str {
+        &self.host
+    }
+
     /// The service's policy in force.
     #[must_use]
     pub fn policy(&self) -> ServicePolicy {
@@ -115,6 +134,7 @@
         now: Instant,
     ) -> Result<Reserved, Refusal> {
         let deadline = facts.deadline;
+        let displaced;
         let (ticket, rx) = {
             let mut state = self.lock();
             match state.router.admit(facts.clone(), avoid, now) {
@@ -129,10 +149,13 @@
                     }
                     let (tx, rx) = oneshot::channel();
                     state.waiting.insert(ticket, tx);
+                    // This request may have taken the place of another.
+                    displaced = state.take_displaced();
                     (ticket, rx)
                 }
             }
         };
+        self.tell(displaced);
         // Dropped when the caller goes away, or the deadline passes, before the
         // decision.
         let _waiting = WaitingGuard { gate: self, ticket };
@@ -172,15 +195,15 @@
     /// them. Nothing is sent under the lock, because a receiver that is gone
     /// gives its slot back.
     pub(crate) fn decide(self: &Arc<Self>, f: impl FnOnce(&mut State) -> Vec<(Ticket, Decision)>) {
-        let decided: Vec<_> = {
+        let decided = {
             let mut state = self.lock();
             let decided = f(&mut state);
-            if decided.is_empty() {
-                return;
-            }
-            let waiting = &mut state.waiting;
-            decided.into_iter().map(|(t, decision)| (waiting.remove(&t), decision)).collect()
+            state.waiters_of(decided)
         };
+        self.tell(decided);
+    }
+
+    fn tell(self: &Arc<Self>, decided: Vec<(Option<Waiter>, Decision)>) {
         for (tx, decision) in decided {
             let turn = match decision {
                 Decision::Dispatch(permit) => Ok(Reserved::new(self.clone(), permit)),
--- a/crates/caller/src/marks.rs
+++ b/crates/caller/src/marks.rs
@@ -16,6 +16,9 @@
 pub const IDEMPOTENT_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-idempotent");
 /// Header with the request's priority: `batch`, `service` or `urgent`.
 pub const PRIORITY_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-priority");
+/// Header that names the entry host to targets, so that they can count the
+/// requests of each.
+pub const ENTRY_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-entry");
 /// Header with the request's id, given to targets and back to callers.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("cyclamenloft-request-id");
 
--- a/crates/caller/src/neighbours.rs
+++ b/crates/caller/src/neighbours.rs
@@ -20,6 +20,12 @@
         self.lock().router.enable_leases(incarnation, None, config, now);
     }
 
+    /// Takes in how many requests of this host a target is working on, as the
+    /// announcement taken in last tells.
+    pub fn observe_own_in_flight(&self, target: &str, count: u16, now: Instant) {
+        self.lock().router.observe_own_in_flight(target, count, now);
+    }
+
     /// Messages about slots that are due.
     #[must_use]
     pub fn slot_messages(&self, now: Instant) -> Vec<Envelope> {
--- a/crates/caller/src/outgoing.rs
+++ b/crates/caller/src/outgoing.rs
@@ -1,7 +1,7 @@
 //! The request that targets get, made from the caller's.
 
 use crate::{
-    marks::{DEADLINE_HEADER, Marks, REQUEST_ID_HEADER},
+    marks::{DEADLINE_HEADER, ENTRY_HEADER, Marks, REQUEST_ID_HEADER},
     upload::Upload,
 };
 use cyclamenloft_http::Body;
@@ -16,7 +16,7 @@
 const VIA: HeaderValue = HeaderValue::from_static("1.1 cyclamenloft");
 
 /// Headers that are added to a request.
-const ADDED_HEADERS: usize = 4;
+const ADDED_HEADERS: usize = 5;
 
 /// What is sent to a target, as often as it may be.
 pub(crate) struct Outgoing {
@@ -30,8 +30,14 @@
 
 impl Outgoing {
     /// Makes the request from the caller's head; `remote` is the address that it
-    /// came from.
-    pub(crate) fn new(parts: Parts, marks: &Marks, upload: Upload, remote: &str) -> Self {
+    /// came from, `host` this entry host.
+    pub(crate) fn new(
+        parts: Parts,
+        marks: &Marks,
+        upload: Upload,
+        remote: &str,
+        host: &str,
+    ) -> Self {
         let mut headers = parts.headers;
         headers.reserve(ADDED_HEADERS);
         remove_hop_by_hop(&mut headers);
@@ -40,6 +46,9 @@
         if let Ok(value) = HeaderValue::from_str(remote) {
             headers.append(FORWARDED_FOR, value);
         }
+        if let Ok(value) = HeaderValue::from_str(host) {
+            headers.insert(ENTRY_HEADER, value);
+        }
         if let Ok(value) = HeaderValue::from_str(&marks.id) {
             headers.insert(REQUEST_ID_HEADER, value);
         }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -7,11 +7,12 @@
     Handler, JsonClient, Limits, Request, Response, StopSignal, bind, full, read_limited, serve,
     stop_pair, text_response,
 };
-use cyclamenloft_target::{AnnounceAnswer, TargetAnnouncement, TargetPhase};
-use cyclamenloft_types::{DomainName, Result, ServiceName, TargetId};
-use http::StatusCode;
+use cyclamenloft_target::{AnnounceAnswer, EntryInFlight, TargetAnnouncement, TargetPhase};
+use cyclamenloft_types::{DomainName, HostId, Result, ServiceName, TargetId};
+use http::{HeaderMap, StatusCode};
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     path::PathBuf,
     rc::Rc,
@@ -51,6 +52,7 @@
     settings: TargetSettings,
     journal: Journal,
     in_flight: Cell<usize>,
+    by_entry: RefCell<BTreeMap<HostId, u16>>,
     phase: Cell<TargetPhase>,
     service_time: Cell<Duration>,
     answered: Cell<u64>,
@@ -72,6 +74,7 @@
             settings,
             journal,
             in_flight: Cell::new(0),
+            by_entry: RefCell::default(),
             phase: Cell::new(TargetPhase::Serving),
             service_time,
             answered: Cell::new(0),
@@ -131,6 +134,7 @@
             sequence: self.next_sequence(),
             phase: self.phase.get(),
             in_flight: self.in_flight.get() as u16,
+            by_entry: Some(self.count_by_entry()),
         };
         let Ok(client) = JsonClient::new(None, ANNOUNCE_TIMEOUT) else {
             return Duration::from_millis(200);
@@ -149,6 +153,15 @@
         Duration::from_millis(200)
     }
 
+    fn count_by_entry(&self) -> Vec<EntryInFlight> {
+        let counts = self.by_entry.borrow();
+        counts
+            .iter()
+            .filter(|(_, count)| **count > 0)
+            .map(|(host, count)| EntryInFlight { host: host.clone(), in_flight: *count })
+            .collect()
+    }
+
     /// Sequences grow across restarts because they start from the wall clock.
     fn next_sequence(&self) -> u64 {
         let clock = SystemTime::now()
@@ -166,8 +179,7 @@
             .and_then(|v| v.to_str().ok())
             .unwrap_or_default()
             .into();
-        self.in_flight.set(self.in_flight.get() + 1);
-        let _in_flight = InFlight(&self.in_flight);
+        let _in_flight = InFlight::begin(self, req.headers());
         self.journal.write(Event::RequestBegan {
             number: number.clone(),
             in_flight: self.in_flight.get(),
@@ -188,11 +200,28 @@
     }
 }
 
-struct InFlight<'a>(&'a Cell<usize>);
+/// Counts a request while the target works on it.
+struct InFlight<'a> {
+    target: &'a TargetStandin,
+    entry: HostId,
+}
+
+impl<'a> InFlight<'a> {
+    fn begin(target: &'a TargetStandin, headers: &HeaderMap) -> Self {
+        let named = headers.get("cyclamenloft-entry").and_then(|v| v.to_str().ok());
+        let entry: HostId = named.unwrap_or_default().into();
+        target.in_flight.set(target.in_flight.get() + 1);
+        *target.by_entry.borrow_mut().entry(entry.clone()).or_default() += 1;
+        Self { target, entry }
+    }
+}
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.target.in_flight.set(self.target.in_flight.get() - 1);
+        if let Some(count) = self.target.by_entry.borrow_mut().get_mut(&self.entry) {
+            *count -= 1;
+        }
     }
 }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -230,7 +230,7 @@
             }
             Order::Throttle { .. } => {}
             Order::Evict { task, attempt } => self.evict(task, attempt),
-            Order::Stop { task, attempt } => self.end(&task, attempt, AttemptEnd::Stopped),
+            Order::Stop { task, attempt } => self.stop(&task, attempt),
         }
     }
 
@@ -282,6 +282,25 @@
         self.end(&task, attempt, AttemptEnd::Evicted { checkpoint: Some(checkpoint.into()) });
     }
 
+    /// Stops an attempt. One that never came here counts as seen from now on,
+    /// so that its start, should it still come, is ignored.
+    fn stop(&self, task: &TaskKey, attempt: AttemptNumber) {
+        let unknown = {
+            let mut state = self.state.borrow_mut();
+            let seen = state.seen.entry(task.clone()).or_default();
+            let unknown = *seen < attempt;
+            *seen = attempt.max(*seen);
+            if unknown {
+                let (task, end) = (task.clone(), AttemptEnd::Stopped);
+                state.ended.push(EndedTask { task, attempt, end });
+            }
+            unknown
+        };
+        if !unknown {
+            self.end(task, attempt, AttemptEnd::Stopped);
+        }
+    }
+
     fn end(&self, task: &TaskKey, attempt: AttemptNumber, end: AttemptEnd) {
         let mut state = self.state.borrow_mut();
         if state.running.get(task).is_none_or(|r| r.attempt != attempt) {
--- a/crates/target/src/announcement.rs
+++ b/crates/target/src/announcement.rs
@@ -1,7 +1,9 @@
 //! What a target tells the system of itself.
 
 use cyclamenloft_routing::TargetRecord;
-use cyclamenloft_types::{DomainName, Error, ErrorKind, Result, ServiceName, TargetId, check_name};
+use cyclamenloft_types::{
+    DomainName, Error, ErrorKind, HostId, Result, ServiceName, TargetId, check_name,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     net::SocketAddr,
@@ -42,6 +44,20 @@
     /// Requests that it is working on.
     #[serde(default)]
     pub in_flight: u16,
+    /// The same by entry host, as the `Cyclamenloft-Entry` header of each
+    /// request names it. A target that doesn't count so leaves it out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub by_entry: Option<Vec<EntryInFlight>>,
+}
+
+/// Requests of one entry host that a target is working on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryInFlight {
+    /// The entry host.
+    pub host: HostId,
+    /// How many.
+    pub in_flight: u16,
 }
 
 /// The answer to an announcement.
@@ -84,6 +100,17 @@
         Ok(())
     }
 
+    /// Requests of `host` that the target is working on, where it tells.
+    #[must_use]
+    pub fn in_flight_of(&self, host: &str) -> Option<u16> {
+        match &self.by_entry {
+            Some(counts) => {
+                Some(counts.iter().find(|c| &*c.host == host).map_or(0, |c| c.in_flight))
+            }
+            None => (self.in_flight == 0).then_some(0),
+        }
+    }
+
     /// The record that routing keeps, valid from `now`.
     #[must_use]
     pub fn record(&self, now: Instant) -> TargetRecord {
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod registry;
 pub mod usage;
 
-pub use announcement::{AnnounceAnswer, TargetAnnouncement, TargetPhase};
+pub use announcement::{AnnounceAnswer, EntryInFlight, TargetAnnouncement, TargetPhase};
 pub use connection::{Acquired, TargetBody};
 pub use failure::{Lost, NoConnection, NoConnectionCause, Returned, SendFailure};
 pub use pool::{Endpoint, Pool, PoolLimits};
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod job;
 mod output;
+mod replay;
 mod status;
 
 use crate::{
@@ -30,6 +31,7 @@
     };
     match args.subcommand() {
         Some(("local", args)) => local::run(args).map(|()| ExitCode::SUCCESS),
+        Some(("replay", args)) => replay::run(args),
         Some(("completions", args)) => completions(args).map(|()| ExitCode::SUCCESS),
         Some((name, args)) => process::runtime()?.block_on(dispatch(name, args)),
         None => Err(Error::new(ErrorKind::BadSetting, "expected a command; see --help")),
@@ -63,6 +65,7 @@
         .subcommand(status::workers_command())
         .subcommand(status::services_command())
         .subcommand(status::command())
+        .subcommand(replay::command())
         .subcommand(local::command())
         .subcommand(
             Command::new("completions").about("Prints completions for a shell").arg(
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod methods;
 mod placement;
+mod policy;
 
 use crate::{
     board::ConfigBoard,
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -1,6 +1,6 @@
 //! The leader's loop of a placement group: decide, agree, then act.
 
-use super::Control;
+use super::{Control, policy::placement_policy};
 use cyclamenloft_placement::{Command, Receipt, Scheduler, Timestamp};
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use std::{rc::Rc, time::Duration};
@@ -41,7 +41,7 @@
         return Ok(());
     }
     control.placement.barrier().await?;
-    let policy = control.board.checked().deployment().placement.clone();
+    let policy = placement_policy(control.board.checked().deployment(), &control.domain);
     let now = Timestamp::read();
     let scheduler = control.placement.state(|state| Scheduler::lead(policy, state, now));
     control.scheduler.replace(Some(scheduler));
@@ -51,7 +51,7 @@
 }
 
 async fn decide(control: &Control) -> Result<()> {
-    let policy = control.board.checked().deployment().placement.clone();
+    let policy = placement_policy(control.board.checked().deployment(), &control.domain);
     let commands = with_scheduler(control, |scheduler| {
         scheduler.set_policy(policy);
         control.placement.state(|state| scheduler.tick(state, Timestamp::read()))
--- /dev/null
+++ b/src/control/policy.rs
@@ -0,0 +1,58 @@
+//! The placement policy that follows from the configuration in force.
+
+use cyclamenloft_operator::Deployment;
+use cyclamenloft_placement::{
+    PlacementPolicy,
+    policy::{LatencyTarget, TeamPolicy},
+    state::Totals,
+};
+use cyclamenloft_types::Resources;
+
+/// The policy of the placement group of `domain`.
+pub(super) fn placement_policy(deployment: &Deployment, domain: &str) -> PlacementPolicy {
+    let share = Share::of(deployment, domain);
+    let teams = deployment.teams.iter().map(|(name, team)| TeamPolicy {
+        team: name.clone(),
+        weight: team.weight,
+        quota: team.quota.map(|quota| share.part(&quota)),
+    });
+    let targets = deployment.classes.iter().filter_map(|(name, class)| {
+        let p99_us = u64::try_from(class.latency_p99?.as_micros()).unwrap_or(u64::MAX);
+        Some(LatencyTarget { class: name.clone(), p99_us })
+    });
+    PlacementPolicy {
+        teams: teams.collect(),
+        latency_targets: targets.collect(),
+        evictions_per_hour: deployment.eviction.per_hour,
+        ..deployment.placement.clone()
+    }
+}
+
+/// A domain's part of what is divided among the domains by their weights.
+#[derive(Clone, Copy)]
+struct Share {
+    weight: u64,
+    all: u64,
+}
+
+impl Share {
+    /// A domain that isn't configured has the whole, as in a deployment that
+    /// lists no domains.
+    fn of(deployment: &Deployment, domain: &str) -> Self {
+        let all: u64 = deployment.domains.values().map(|d| u64::from(d.weight)).sum();
+        match deployment.domains.get(domain) {
+            Some(own) if all > 0 => Self { weight: u64::from(own.weight), all },
+            _ => Self { weight: 1, all: 1 },
+        }
+    }
+
+    /// Rounded down, so that the parts never exceed the whole.
+    fn part(self, whole: &Resources) -> Totals {
+        let part = |amount: u64| amount * self.weight / self.all;
+        Totals {
+            cpu_millis: part(u64::from(whole.cpu_millis)),
+            memory_mib: part(u64::from(whole.memory_mib)),
+            accelerators: part(u64::from(whole.accelerators)),
+        }
+    }
+}
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -66,6 +66,9 @@
     // Targets of a service that is not configured yet wait in the registry.
     if let Ok(gate) = entry.gates.get(&announcement.service) {
         gate.announce(announcement.record(now), now);
+        if let Some(count) = announcement.in_flight_of(&entry.host) {
+            gate.observe_own_in_flight(&announcement.target, count, now);
+        }
     }
 }
 
--- a/src/entry/spill.rs
+++ b/src/entry/spill.rs
@@ -150,6 +150,10 @@
 }
 
 fn observe(entry: &Entry, addr: SocketAddr, waits: Vec<ServiceWait>, delay: Duration) {
+    // Without newer reports, the known ones count for nothing soon.
+    if !entry.board.checked().deployment().spill.enabled {
+        return;
+    }
     for ServiceWait { service, report } in waits {
         entry.remote_addresses.0.set(&report.host, addr);
         if let Ok(gate) = entry.gates.get(&service) {
