Refuse a senseless membership change for what it is, also while another is under way

The members test failed in 5 or more of 30 runs side by side: a learner added twice was refused with NoQuorum when the entry that notes its incarnation was not committed yet.

--- a/crates/replication/src/change.rs
+++ b/crates/replication/src/change.rs
@@ -77,15 +77,19 @@
     /// Appends the entry that makes `change`; gives its index and term.
     fn begin_change(&mut self, change: Change, now: Instant) -> Result<(LogIndex, Term)> {
         self.check_leads(now)?;
-        let Some(membership) = self.changeable() else {
+        let busy = || {
             let detail = "another membership change or the leader's first entry is not committed";
-            return Err(Error::new(ErrorKind::NoQuorum, detail));
+            Error::new(ErrorKind::NoQuorum, detail)
         };
+        // A change that makes no sense is refused for that, also while another
+        // is under way.
+        let membership = self.membership().ok_or_else(busy)?;
         let changed = match change {
             Change::AddLearner(id) => Self::add_learner(membership, id)?,
             Change::Promote(id, kind) => self.promote(membership, id, kind, now)?,
             Change::Remove(id) => self.remove(membership, id)?,
         };
+        self.changeable().ok_or_else(busy)?;
         if !changed.has_quorum(|identity| self.answers_lately(identity, now)) {
             let detail = format!("{change:?}: no majority of the changed group answers");
             return Err(Error::new(ErrorKind::NoQuorum, detail));
