--- a/crates/caller/tests/all/outcomes.rs
+++ b/crates/caller/tests/all/outcomes.rs
@@ -83,6 +83,7 @@
     a_caller_that_leaves_closes_the_connection => caller_leaves();
     a_caller_that_leaves_the_queue_frees_its_place => caller_leaves_queue();
     a_lost_attempt_is_told_whatever_ends_the_next => lost_then_refused();
+    another_attempt_carries_the_same_request => same_request();
     an_idle_connection_closed_by_the_target_is_replaced => idle_closed();
 }
 
@@ -183,3 +184,23 @@
         wait_for("the close to be heard", || entry.connections.open(target.addr) == 0);
     }
 }
+
+/// But for the time that is left, the second target gets what the first got.
+fn same_request() {
+    let (first, second) = (Target::start(close), Target::start(GOOD));
+    let entry = Entry::start(Setup::default(), &[&first, &second]);
+    let raw =
+        MARKED_POST.replacen("host: a", "host: a\r\nx-two: 1\r\nx-two: 2\r\nx-odd: \u{e9}", 1);
+    assert_eq!(entry.ask(raw).status(), 200);
+    let lines = |target: &Target| {
+        let text = target.request(0);
+        let kept = text.lines().filter(|line| !line.starts_with("cyclamenloft-deadline-ms"));
+        let mut lines: Vec<String> = kept.map(str::to_owned).collect();
+        lines.sort();
+        lines
+    };
+    assert_eq!(lines(&first), lines(&second));
+    assert!(lines(&first).len() > 8);
+    let request = second.request(0);
+    assert!(request.contains("x-two: 1\r\nx-two: 2\r\n"), "{request}");
+}
