--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -141,6 +141,7 @@
     handed_over: bool,
 ) {
     if !handed_over && !is_elected(shared, transport, true, false).await {
+        shared.with(|core| core.ask_again_soon(Instant::now()));
         return;
     }
     let Some(term) = shared.with(|core| (!core.is_over()).then_some(core.hard.term + 1)) else {
@@ -148,6 +149,8 @@
     };
     if is_elected(shared, transport, false, handed_over).await {
         shared.with(|core| core.take_office(term, Instant::now()));
+    } else {
+        shared.with(|core| core.seek_again_soon(Instant::now()));
     }
 }
 
@@ -185,7 +188,7 @@
     ballot: &Ballot,
     answer: Result<Vec<u8>>,
 ) -> Option<Identity> {
-    let answer: Answer = message::decode(&answer.ok()?).ok()?;
+    let answer = Answer::decode(&answer.ok()?).ok()?;
     shared.with(|core| {
         if answer.term > core.hard.term && answer.term > ballot.req.term {
             core.follow(answer.term, None, Instant::now());
--- a/crates/replication/tests/group.rs
+++ b/crates/replication/tests/group.rs
@@ -15,7 +15,8 @@
     until,
 };
 
-const ROUGH: Faults = Faults { loss: 0.05, repeat: 0.05, delay: Duration::from_millis(3) };
+const ROUGH: Faults =
+    Faults { loss: 0.05, repeat: 0.05, delay: Duration::from_millis(3), silent: false };
 
 async fn one_replica_serves_and_recovers() {
     let cluster = Cluster::new(1, voters(1)).started().await;
@@ -170,7 +171,7 @@
 
 async fn partitions_at_random_lose_nothing() {
     let cluster = Cluster::new(11, voters(5)).started().await;
-    cluster.net.set_faults(ROUGH);
+    cluster.net.set_faults(Faults { silent: true, ..ROUGH });
     let clients = cluster.spawn_clients(6);
     for _ in 0..8 {
         let (a, b) = (1 + cluster.net.random(5), 1 + cluster.net.random(5));
@@ -192,11 +193,16 @@
     let late = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
     cluster.crash(late);
     cluster.net.set_faults(ROUGH);
-    for _ in 0..40 {
+    while cluster.history.borrow().accepted() < 40 {
         let leader = cluster.leader().await;
         cluster.propose_filled(leader, 20_000).await;
     }
+    // Newer snapshots are made while one is being sent.
+    let clients = cluster.spawn_clients(2);
     cluster.start(late).await;
+    let replica = cluster.get(late).unwrap();
+    until(|| replica.state(|list| list.filler.len()) >= 40 * 20_000).await;
+    drop((clients, replica));
     cluster.settle().await;
     assert!(cluster.net.largest() <= 256 << 10);
     assert!(cluster.net.largest() > 200 << 10, "the snapshot took one small piece");
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -12,7 +12,7 @@
 mod process;
 mod proxy;
 
-pub use callers::{Callers, Outcome, Traffic};
+pub use callers::{Callers, Outcome, Sent, Traffic};
 pub use deployment::Deployment;
 pub use known_red::run_named;
 pub use operators::{Operators, Race};
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     cases,
-    harness::{Deployment, DomainLayout, EntryHost, wait_for},
+    harness::{Deployment, DomainLayout, EntryHost, Outcome, Sent, Traffic, wait_for},
     paths::SERVICE,
 };
 use cyclamenloft_standin::journal::Event;
@@ -17,6 +17,7 @@
     a_resent_key_runs_once => resent_key();
     every_request_leaves_its_decisions_in_the_log => decision_log();
     a_peer_hands_a_request_over => handed_over();
+    requests_at_a_killed_target_run_once => target_killed();
 }
 
 async fn with_targets(service_time: &str, targets: usize) -> Deployment {
@@ -37,6 +38,11 @@
     evidence.count(|line| matches!(line.event, Event::RequestBegan { .. }))
 }
 
+/// A request that may run once.
+fn once(outcome: Outcome) -> Sent {
+    Sent { idempotent: false, outcome }
+}
+
 fn post(path: &str, number: &str, lines: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-request-number: {number}\r\n\
@@ -72,6 +78,8 @@
     let again = ask(callers, post("/matchdesk/orders", "n-1", lines)).await;
     assert_eq!(header(&again, "cyclamenloft-replayed"), Some("true"), "{again}");
     assert_eq!(again.split("\r\n\r\n").nth(1), first.split("\r\n\r\n").nth(1));
+    let traffic = Traffic::from([("n-1".into(), once(Outcome::Answered))]);
+    deployment.evidence().with(traffic).check();
     assert_eq!(began(&deployment), 1);
 }
 
@@ -118,3 +126,35 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(began(&deployment), 1);
 }
+
+/// Each request that is not idempotent is answered, or unknown, or not run; none
+/// runs twice and none that was said not to have run did.
+async fn target_killed() {
+    let mut deployment = with_targets("40ms", 3).await;
+    let EntryHost { callers, .. } = deployment.hosts[0];
+    let send = |n: usize| {
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(5 * n as u64)).await;
+            let answer = ask(callers, post("/matchdesk/orders", &format!("n-{n}"), "")).await;
+            (format!("n-{n}"), answer)
+        })
+    };
+    let sent: Vec<_> = (0..120).map(send).collect();
+    compio::time::sleep(Duration::from_millis(200)).await;
+    deployment.stand_ins[0].kill();
+    let mut traffic = Traffic::new();
+    for one in sent {
+        let (number, answer) = one.await.unwrap();
+        let outcome = match header(&answer, "cyclamenloft-outcome") {
+            Some("not-run") => Outcome::NotRun,
+            Some("unknown") => Outcome::Unknown,
+            None if answer.contains(&format!("{number}\n")) => Outcome::Answered,
+            _ => Outcome::Wrong(answer.into()),
+        };
+        traffic.insert(number.into(), once(outcome));
+    }
+    let answered = traffic.values().filter(|s| s.outcome == Outcome::Answered).count();
+    deployment.evidence().with(traffic).check();
+    // The other targets went on.
+    assert!(answered >= 60, "{answered} answered");
+}
