Workers get the orders of the next leader when theirs is cut off silently

Cause: an entry host waited up to 35 s for a control replica's answer to a wait for orders. Workers give up before that, which drops the call, so that the replica that was cut off was asked first again each time, for as long as the cut lasted. Found by workers_follow_when_their_leader_is_cut_off. Ruled out: the election; the next leader placed the tasks at once. Change: an entry host waits 5 s for orders at one replica, 6 s for its answer, and then asks the next.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -118,6 +118,7 @@
 fn create(settings: &EntrySettings) -> Result<(Entry, KeyCalls)> {
     let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
     let to_control = PeerClient::new(settings.peer_token.clone(), CONTROL_TIMEOUT)?;
+    let for_orders = PeerClient::new(settings.peer_token.clone(), platform::ORDERS_TIMEOUT)?;
     let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
         list.iter().map(|r| r.addr).collect()
     };
@@ -135,7 +136,7 @@
         registry: RefCell::default(),
         board: ConfigBoard::default(),
         control: PeerSet::new(to_control.clone(), addrs(&settings.control)),
-        orders: PeerSet::new(client.clone(), addrs(&settings.control)),
+        orders: PeerSet::new(for_orders, addrs(&settings.control)),
         config_voters: PeerSet::new(to_control, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
         remotes: homes::remotes(&client, &settings.remotes),
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -8,11 +8,11 @@
     Method, PeerSet,
     calls::{AnnounceWorker, ReportWorker, WaitOrders},
 };
+use cyclamenloft_placement::OrdersRequest;
 use cyclamenloft_target::{AnnounceAnswer, TargetAnnouncement};
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use cyclamenloft_worker::paths;
 use http::{Method as HttpMethod, StatusCode};
-use serde::de::DeserializeOwned;
 use std::{
     net::SocketAddr,
     rc::Rc,
@@ -31,6 +31,13 @@
 /// Time for which a worker's message is passed on to the control leader.
 const PASS_ON: Duration = Duration::from_secs(4);
 
+/// Longest wait for orders at one control replica, whatever the worker asks for.
+const ORDERS_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for a control replica's answer to a wait for orders. It is over
+/// before the worker gives up, so that a replica that was cut off without a sign
+/// is not asked first again.
+pub(super) const ORDERS_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Answers targets, workers and probes.
 pub(super) struct PlatformHandler(pub(super) Rc<Entry>);
 
@@ -43,13 +50,18 @@
             (&HttpMethod::GET, LIVE) => Ok(text_response(StatusCode::OK, "live\n")),
             (&HttpMethod::POST, ANNOUNCE_TARGET) => self.announce_target(req).await,
             (&HttpMethod::POST, paths::ANNOUNCE) => {
-                pass_on::<AnnounceWorker>(control, req, paths::MAX_ANNOUNCEMENT_BYTES).await
+                let params = read_json(req.into_body(), paths::MAX_ANNOUNCEMENT_BYTES).await?;
+                pass_on::<AnnounceWorker>(control, &params).await
             }
             (&HttpMethod::POST, paths::REPORT) => {
-                pass_on::<ReportWorker>(control, req, paths::MAX_REPORT_BYTES).await
+                let params = read_json(req.into_body(), paths::MAX_REPORT_BYTES).await?;
+                pass_on::<ReportWorker>(control, &params).await
             }
             (&HttpMethod::POST, paths::ORDERS) => {
-                pass_on::<WaitOrders>(&self.0.orders, req, paths::MAX_ORDERS_REQUEST_BYTES).await
+                let limit = paths::MAX_ORDERS_REQUEST_BYTES;
+                let mut params: OrdersRequest = read_json(req.into_body(), limit).await?;
+                params.wait_ms = params.wait_ms.min(ORDERS_WAIT.as_millis() as u64);
+                pass_on::<WaitOrders>(&self.0.orders, &params).await
             }
             (method, path) => {
                 Err(Error::new(ErrorKind::NotFound, format!("no {method} on path {path:?}")))
@@ -86,12 +98,8 @@
 }
 
 /// Hands a worker's message to the control leader and its answer back.
-async fn pass_on<M: Method>(control: &PeerSet, req: Request, limit: usize) -> Result<Response>
-where
-    M::Params: DeserializeOwned,
-{
-    let params: M::Params = read_json(req.into_body(), limit).await?;
-    let answer = control.call::<M>(&params, Instant::now() + PASS_ON).await?;
+async fn pass_on<M: Method>(control: &PeerSet, params: &M::Params) -> Result<Response> {
+    let answer = control.call::<M>(params, Instant::now() + PASS_ON).await?;
     Ok(json_response(StatusCode::OK, &answer))
 }
 
