--- a/tests/all/failures/combined.rs
+++ b/tests/all/failures/combined.rs
@@ -1,6 +1,9 @@
 //! Several failures at once, while callers ask, tasks run and operators work.
 
-use super::{WITH_SERVICE, YARD, job_finished, layout, long_job, serving, submit, tasks::urgent};
+use super::{
+    WITH_SERVICE, YARD, all_answered, job_finished, layout, long_job, serving, submit,
+    tasks::urgent,
+};
 use crate::{
     cases,
     checker::{Changes, Watch},
@@ -48,9 +51,7 @@
         callers.answers(20).await;
     }
     job_finished(&deployment, 0, "long").await;
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    let evidence = all_answered(&deployment, callers).await;
     assert_eq!(evidence.finished().len(), 24);
     let lost = evidence.count(|line| ended(line, |end| end != TaskEnd::Finished));
     assert_eq!(lost, 0, "a planned stop ends no task");
@@ -82,9 +83,7 @@
     deployment.controls[0].restart();
     let mut proposals = operators.finish().await;
     proposals.push(deployment.configure(WITH_SERVICE).await);
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    let evidence = all_answered(&deployment, callers).await;
     assert_eq!(evidence.finished().len(), 22);
     let changes = Changes::read(&deployment, &deployment.hosts[0]).await;
     changes.check(&proposals);
--- a/tests/all/failures/control.rs
+++ b/tests/all/failures/control.rs
@@ -20,6 +20,7 @@
     frozen_control_replicas_take_nothing_back => freezes_at_random(33);
     a_leader_killed_in_each_step_of_placing_starts_nothing_twice => leader_killed();
     a_leader_killed_in_each_step_of_evicting_resumes_once => leader_killed_evicting();
+    workers_follow_when_their_leader_is_cut_off => leader_cut_from_workers();
     a_minority_refuses_and_catches_up => minority();
     a_leader_that_hears_but_is_not_heard_is_replaced => one_way();
     a_wiped_disk_comes_back_whole => wiped();
@@ -146,6 +147,27 @@
     assert_eq!(evidence.finished().len(), 18);
 }
 
+/// A worker waits for orders of a leader that is then cut off without a sign:
+/// it must get those of the next leader.
+async fn leader_cut_from_workers() {
+    let mut deployment = replicated(43).await;
+    deployment.configure(WITH_SERVICE).await;
+    deployment.start_worker(YARD, "worker-1", 4);
+    submit(&deployment, 0, &long_job("before", 2, 50)).await;
+    job_finished(&deployment, 0, "before").await;
+    let leader = deployment.leader(&deployment.hosts[0], PLACEMENT).await;
+    let rest: Vec<_> =
+        deployment.names_of(YARD).into_iter().filter(|name| *name != leader).collect();
+    deployment.links.cut(&[leader], &rest);
+    submit(&deployment, 1, &long_job("after", 2, 50)).await;
+    job_finished(&deployment, 1, "after").await;
+    deployment.links.heal();
+    deployment.settled(&deployment.hosts).await;
+    let evidence = deployment.evidence();
+    evidence.check();
+    assert_eq!(evidence.finished().len(), 4);
+}
+
 /// The replica that leads is cut off with one entry host.
 async fn minority() {
     let deployment = replicated(51).await;
--- a/tests/all/failures/mod.rs
+++ b/tests/all/failures/mod.rs
@@ -8,7 +8,8 @@
 mod tasks;
 
 use crate::{
-    harness::{Deployment, DomainLayout, Race, until_ok, wait_for},
+    checker::Evidence,
+    harness::{Callers, Deployment, DomainLayout, Race, until_ok, wait_for},
     paths::job,
 };
 use cyclamenloft_peer::calls::SubmitAnswer;
@@ -70,3 +71,11 @@
 fn race(operators: u64, changes: usize, seed: u64) -> Race {
     Race { operators, changes, seed, base: "" }
 }
+
+/// Every request was answered, and the checker has nothing to say.
+async fn all_answered(deployment: &Deployment, callers: Callers) -> Evidence {
+    let evidence = deployment.evidence_with(callers).await;
+    evidence.check();
+    evidence.all_answered();
+    evidence
+}
--- a/tests/all/failures/requests.rs
+++ b/tests/all/failures/requests.rs
@@ -1,6 +1,6 @@
 //! Failures while callers ask.
 
-use super::{YARD, layout, serving};
+use super::{YARD, all_answered, layout, serving};
 use crate::{
     cases,
     harness::{Callers, Deployment, Outcome, Traffic, wait_for},
@@ -37,10 +37,7 @@
     deployment.entries[0].terminate();
     deployment.entries[0].stopped().await;
     callers.answers(40).await;
-    let traffic = callers.stop().await;
-    let evidence = deployment.evidence().with(traffic);
-    evidence.check();
-    evidence.all_answered();
+    all_answered(&deployment, callers).await;
 }
 
 async fn entry_killed() {
@@ -62,9 +59,7 @@
     deployment.stop_target(0);
     deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
     callers.answers(60).await;
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    all_answered(&deployment, callers).await;
 }
 
 async fn target_killed() {
@@ -110,9 +105,7 @@
     deployment.in_force(2).await;
     deployment.links.heal();
     callers.answers(20).await;
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    all_answered(&deployment, callers).await;
 }
 
 async fn without_control() {
@@ -126,9 +119,7 @@
     deployment.stop_target(0);
     deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
     callers.answers(60).await;
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    all_answered(&deployment, callers).await;
 }
 
 async fn entry_restart() {
@@ -165,7 +156,5 @@
     deployment.targets_known(&deployment.hosts, "matchdesk", 2).await;
     deployment.links.heal();
     callers.answers(40).await;
-    let evidence = deployment.evidence_with(callers).await;
-    evidence.check();
-    evidence.all_answered();
+    all_answered(&deployment, callers).await;
 }
