A domain cut off silently holds up no question for longer than 10 s

Cause: an entry host waited 35 s for each entry host of another domain, so that listing jobs took over a minute while a domain was cut off without a sign. Found by a_domain_cut_off_learns_of_changes_after_the_cut. Change: one host of another domain is waited for 9 s, all of them 10 s. A call that was given up on is told as change-unknown, as before.

--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -25,6 +25,11 @@
 /// Time for which a call is passed on to another domain.
 const PASS_ON_AWAY: Duration = Duration::from_secs(10);
 
+/// Longest wait for one entry host of another domain. Between the time that the
+/// other side takes to give up and the time that this side does, so that a host
+/// that is cut off without a sign is not asked first again.
+pub(super) const AWAY_TIMEOUT: Duration = Duration::from_secs(9);
+
 /// Another failure domain, reached through its entry hosts.
 pub(crate) struct Remote {
     domain: DomainName,
@@ -134,7 +139,10 @@
 }
 
 async fn call_away<M: Method>(remote: &Remote, params: &M::Params) -> Result<M::Answer> {
-    let called = remote.entries.call::<M>(params, Instant::now() + PASS_ON_AWAY).await;
+    let call = remote.entries.call::<M>(params, Instant::now() + PASS_ON_AWAY);
+    let called = compio::time::timeout(PASS_ON_AWAY, call).await.unwrap_or_else(|_| {
+        Err(Error::new(ErrorKind::PeerUnreachable, "no entry host answered in time"))
+    });
     called.map_err(|e| {
         // Whether the other side took the call is known only where it answered.
         let kind = match e.kind {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -116,7 +116,7 @@
 }
 
 fn create(settings: &EntrySettings) -> Result<(Entry, KeyCalls)> {
-    let client = PeerClient::new(settings.peer_token.clone(), CALL_TIMEOUT)?;
+    let away = PeerClient::new(settings.peer_token.clone(), homes::AWAY_TIMEOUT)?;
     let to_control = PeerClient::new(settings.peer_token.clone(), CONTROL_TIMEOUT)?;
     let for_orders = PeerClient::new(settings.peer_token.clone(), platform::ORDERS_TIMEOUT)?;
     let addrs = |list: &[crate::settings::raw::ReplicaAddr]| -> Vec<SocketAddr> {
@@ -139,7 +139,7 @@
         orders: PeerSet::new(for_orders, addrs(&settings.control)),
         config_voters: PeerSet::new(to_control, addrs(&settings.config_voters)),
         spread: spread::Spread::start(settings.peer_token.clone(), &settings.roster)?,
-        remotes: homes::remotes(&client, &settings.remotes),
+        remotes: homes::remotes(&away, &settings.remotes),
         // One thread more takes requests from other entry hosts.
         connections: HostConnections::new(settings.threads + 1),
         keys,
