--- a/tests/all/failures/operators.rs
+++ b/tests/all/failures/operators.rs
@@ -54,6 +54,18 @@
     deployment.links.cut(&cut, &rest);
     let hosts = &deployment.hosts[..4];
     let proposals = Operators::start(&deployment.operators, hosts, race(3, 5, 121)).finish().await;
+    // The others still answer of their own, and say so of what they can't reach.
+    let first = deployment.hosts[0];
+    let here = JobSpec { home: Some(YARD.into()), ..long_job("here", 1, 50) };
+    submit(&deployment, 0, &here).await;
+    let listed: Vec<JobSummary> =
+        deployment.operators.get(first.operators, "/v1/jobs").await.unwrap();
+    assert_eq!(listed.len(), 1);
+    let away = JobSpec { home: Some("clare-yard".into()), ..long_job("away", 1, 50) };
+    let away: Result<SubmitAnswer> =
+        deployment.operators.post(first.operators, "/v1/jobs", &away).await;
+    let kind = away.unwrap_err().kind;
+    assert!(matches!(kind, ErrorKind::ChangeUnknown | ErrorKind::HomeUnreachable), "{kind:?}");
     let alone = deployment.propose(&deployment.hosts[4], 1, "alone", "[teams.alone]\n").await;
     assert!(alone.is_err(), "{alone:?}");
     deployment.links.heal();
