--- a/crates/caller/src/outgoing.rs
+++ b/crates/caller/src/outgoing.rs
@@ -24,7 +24,7 @@
     uri: Uri,
     headers: HeaderMap,
     upload: Upload,
-    /// Whether another attempt may need the headers again.
+    /// Whether it can be built again. Whether it may run again is decided elsewhere.
     repeatable: bool,
 }
 
@@ -43,7 +43,7 @@
         if let Ok(value) = HeaderValue::from_str(&marks.id) {
             headers.insert(REQUEST_ID_HEADER, value);
         }
-        let repeatable = marks.idempotent && upload.is_whole();
+        let repeatable = upload.is_whole();
         Self { method: parts.method, uri: marks.path.clone().into(), headers, upload, repeatable }
     }
 
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -13,7 +13,7 @@
 mod proxy;
 
 pub use callers::{Callers, Outcome, Sent, Traffic};
-pub use deployment::{Deployment, read_journal};
+pub use deployment::Deployment;
 pub use known_red::run_named;
 pub use operators::{Operators, Race};
 pub use plan::{DomainLayout, EntryHost};
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -1,15 +1,12 @@
-//! Requests through real processes: resent keys, requests handed over, the
-//! decision log, and targets that die.
+//! Requests through real processes: resent keys, requests handed over and the
+//! decision log.
 
 use crate::{
     cases,
-    harness::{
-        Deployment, DomainLayout, EntryHost, Outcome, Sent, Traffic, read_journal, until_ok,
-        wait_for,
-    },
+    harness::{Deployment, DomainLayout, EntryHost, Outcome, Sent, Traffic, wait_for},
     paths::SERVICE,
 };
-use cyclamenloft_standin::journal::{Event, Line};
+use cyclamenloft_standin::journal::Event;
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
@@ -27,27 +24,18 @@
     let mut deployment =
         Deployment::start(&[DomainLayout { name: "cascadia-pdx", entries: 1, controls: 1 }]);
     deployment.ready().await;
-    let first = deployment.hosts[0];
-    until_ok("a service", async || deployment.apply(&first, 1, SERVICE).await).await;
-    deployment.in_force(1).await;
+    deployment.configure(SERVICE).await;
     for _ in 0..targets {
         deployment.start_target("cascadia-pdx", "matchdesk", service_time);
     }
-    let all = async || deployment.targets(&first, "matchdesk").await == targets;
-    wait_for("the targets", all).await;
+    deployment.targets_known(&deployment.hosts, "matchdesk", targets).await;
     deployment
 }
 
-fn journals(deployment: &Deployment) -> Vec<Vec<Line>> {
-    deployment.stand_ins.iter().map(|p| read_journal(&deployment.journal(&p.name))).collect()
-}
-
-fn began(deployment: &Deployment) -> Vec<Box<str>> {
-    let began = |line: Line| match line.event {
-        Event::RequestBegan { number, .. } => Some(number),
-        _ => None,
-    };
-    journals(deployment).into_iter().flatten().filter_map(began).collect()
+fn began(deployment: &Deployment) -> usize {
+    let evidence = deployment.evidence();
+    evidence.check();
+    evidence.count(|line| matches!(line.event, Event::RequestBegan { .. }))
 }
 
 /// A request that may run once.
@@ -92,7 +80,7 @@
     assert_eq!(again.split("\r\n\r\n").nth(1), first.split("\r\n\r\n").nth(1));
     let traffic = Traffic::from([("n-1".into(), once(Outcome::Answered))]);
     deployment.evidence().with(traffic).check();
-    assert_eq!(began(&deployment).len(), 1);
+    assert_eq!(began(&deployment), 1);
 }
 
 async fn decision_log() {
@@ -133,10 +121,10 @@
     };
     let refused = ask(peers, hop("not-the-token-of-the-peers")).await;
     assert_eq!(header(&refused, "cyclamenloft-outcome"), Some("not-run"), "{refused}");
-    assert_eq!(began(&deployment).len(), 0);
+    assert_eq!(began(&deployment), 0);
     let answer = ask(peers, hop("a-token-for-tests-only")).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    assert_eq!(began(&deployment).len(), 1);
+    assert_eq!(began(&deployment), 1);
 }
 
 /// Each request that is not idempotent is answered, or unknown, or not run; none
