--- a/crates/operator/src/deployment.rs
+++ b/crates/operator/src/deployment.rs
@@ -60,8 +60,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Domain {
-    /// Weight when a job without a home is given one; 1 by default. At 0 the
-    /// domain is given none.
+    /// The domain's part of each team's quota, relative to the other domains;
+    /// 1 by default. At 0 it has none.
     #[serde(default = "default_weight")]
     pub weight: u32,
 }
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -19,6 +19,10 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+/// Most workers of one process.
+const MAX_WORKERS: u64 = 500;
+/// Workers in a rack.
+const WORKERS_PER_RACK: u64 = 8;
 /// Most processor cores of a stand-in worker.
 const MAX_CORES: u64 = 1024;
 /// Most memory of a stand-in worker, in gibibytes.
@@ -43,6 +47,7 @@
         match which {
             "target" => run_target(args).await,
             "worker" => run_worker(args).await,
+            "workers" => run_workers(args).await,
             _ => run_load(args).await,
         }
     })
@@ -77,6 +82,19 @@
                 .arg(flag("memory-gib", "N", "Memory").default_value("60"))
                 .arg(flag("fails-everything", "true|false", "Fail").default_value("false")),
         )
+        .subcommand(
+            Command::new("workers")
+                .about("Several workers in one process, 8 to a rack")
+                .arg(flag("domain", "NAME", "Failure domain").required(true))
+                .arg(flag("count", "N", "How many").required(true))
+                .arg(
+                    flag("platforms", "IP:PORT,...", "Platform listeners of entry hosts")
+                        .required(true),
+                )
+                .arg(flag("cores", "N", "Processor cores of each").default_value("16"))
+                .arg(flag("memory-gib", "N", "Memory of each").default_value("60"))
+                .arg(flag("log-filter", "FILTER", "Which lines are logged").default_value("warn")),
+        )
         .subcommand(
             Command::new("load")
                 .arg(
@@ -127,6 +145,34 @@
     since.map_or(1, |t| u64::try_from(t.as_micros()).unwrap_or(1))
 }
 
+/// Runs several workers until the process is told to stop.
+async fn run_workers(args: &ArgMatches) -> Result<()> {
+    let count = optional_number(args, "count", 1..=MAX_WORKERS)?.unwrap_or(1);
+    let cores = optional_number(args, "cores", 1..=MAX_CORES)?.unwrap_or(16) as u32;
+    let gib = optional_number(args, "memory-gib", 1..=MAX_GIB)?.unwrap_or(60) as u32;
+    let mut platforms = addrs(args, "platforms")?;
+    let domain = name(args, "domain")?;
+    let stop = terminated_signal();
+    for number in 0..count {
+        // Each begins at another entry host.
+        platforms.rotate_left(1);
+        let worker = WorkerStandin::new(WorkerSettings {
+            name: format!("worker-{number}").into(),
+            boot: 1,
+            domain: domain.clone(),
+            rack: format!("rack-{}", number / WORKERS_PER_RACK).into(),
+            capacity: Resources::new(cores * 1000, gib * 1024, 0),
+            platforms: platforms.clone(),
+            fails_everything: false,
+            journal: None,
+        })?;
+        let stop = stop.clone();
+        compio::runtime::spawn(async move { worker.run(stop).await }).detach();
+    }
+    stop.stopped().await;
+    Ok(())
+}
+
 async fn run_load(args: &ArgMatches) -> Result<()> {
     let report = load::run(LoadSettings {
         entries: addrs(args, "entries")?,
