Slow idempotent requests go to a second target; a control replica is ready once it has caught up

Cause: the hedging rule and its setting existed, but no request used them. Change: while a repeatable request waits for its answer beyond the service's 95th percentile, a second target may be asked within the retry budget; the loser's connection is closed. Ready now also needs what was on disk and what the groups had committed to be applied, and the configuration to be in force. Before: a_request_that_hangs_is_answered_by_another_target got 504 after 20 s. After: 200; a POST at the same target still gets 504 and unknown.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::{
     decision_log::{self, Trail},
     gate::{Gate, refusal},
+    hedge::{self, Raced},
     hop::{HopClient, HopFailure, HopRule},
     outgoing::{Outgoing, set_deadline},
     permit::{InFlight, Reserved},
@@ -265,24 +266,36 @@
 }
 
 impl Dispatched {
-    /// Sends the request and waits for the answer's head.
+    /// Sends the request and waits for the answer's head, which may come from a
+    /// second target.
     async fn answer(self) -> Result<Answered, Unanswered> {
-        let Self { exchange, history, req, held, connection } = self;
+        let Self { mut exchange, history, req, held, connection } = self;
         let fresh = connection.is_fresh();
-        match connection.send(req, exchange.facts.deadline).await {
-            Ok(response) => {
-                let trail = exchange.trail.clone();
-                decision_log::attempt(&trail, held.permit(), Outcome::Done, "");
-                Ok(Answered { response, held: Some(held), trail })
+        let sending = connection.send(req, exchange.facts.deadline);
+        let target = held.permit().target.clone();
+        match hedge::race(&mut exchange, &target, sending).await {
+            Raced::First(Ok(response)) => Ok(answered(&exchange, response, held)),
+            Raced::Second(response, second) => {
+                let slow = "a second target answered first";
+                decision_log::attempt(&exchange.trail, held.permit(), Outcome::Unknown, slow);
+                Ok(answered(&exchange, response, second))
             }
-            Err(SendFailure::Returned(returned)) => {
+            Raced::First(Err(SendFailure::Returned(returned))) => {
                 send_back(exchange, history, held, returned, fresh).await
             }
-            Err(SendFailure::Lost(lost)) => give_up(exchange, history, held, lost).await,
+            Raced::First(Err(SendFailure::Lost(lost))) => {
+                give_up(exchange, history, held, lost).await
+            }
         }
     }
 }
 
+fn answered(exchange: &Exchange, response: Response<TargetBody>, held: InFlight) -> Answered {
+    let trail = exchange.trail.clone();
+    decision_log::attempt(&trail, held.permit(), Outcome::Done, "");
+    Answered { response, held: Some(held), trail }
+}
+
 /// The request came back unsent: it goes to the same target by another
 /// connection where this one had been idle, else to another target.
 async fn send_back(
--- a/crates/caller/src/gate.rs
+++ b/crates/caller/src/gate.rs
@@ -187,6 +187,22 @@
         state.router.retry(facts, failed, outcome, now).map_err(NoRetry::as_str)
     }
 
+    /// After what time without an answer a second attempt is worth asking for.
+    pub(crate) fn hedge_after(&self, facts: &RequestFacts, now: Instant) -> Option<Duration> {
+        self.lock().router.hedge_after(facts, now)
+    }
+
+    /// A slot for a second attempt while `first` works on the request.
+    pub(crate) fn hedge(
+        self: &Arc<Self>,
+        facts: &RequestFacts,
+        first: &TargetId,
+        now: Instant,
+    ) -> Option<Reserved> {
+        let permit = self.lock().router.hedge(facts, first, now)?;
+        Some(Reserved::new(self.clone(), permit))
+    }
+
     pub(crate) fn release(self: &Arc<Self>, permit: Permit, result: AttemptResult, now: Instant) {
         self.decide(|state| state.router.release(permit, result, now));
     }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod forward;
+mod hedge;
 mod keyed;
 mod neighbours;
 mod outgoing;
--- a/crates/caller/tests/all/main.rs
+++ b/crates/caller/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod connections;
+mod hedging;
 mod hops;
 mod keys;
 mod memory;
--- a/crates/caller/tests/all/support.rs
+++ b/crates/caller/tests/all/support.rs
@@ -69,6 +69,8 @@
     pub hop_to: Option<SocketAddr>,
     /// The token that this host presents to it.
     pub token: &'static str,
+    /// Whether slow requests may go to a second target.
+    pub hedging: bool,
 }
 
 pub const TOKEN: &str = "a-token-for-tests-only";
@@ -94,6 +96,7 @@
             memory: MemoryLimits::default(),
             hop_to: None,
             token: TOKEN,
+            hedging: false,
         }
     }
 }
@@ -106,7 +109,8 @@
         let peers_listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
         let peers = peers_listener.local_addr().unwrap();
         let policy = setup.policy.clone();
-        let gate = Gate::new("entry-1".into(), vec!["entry-1".into()], routing(), policy);
+        let gate =
+            Gate::new("entry-1".into(), vec!["entry-1".into()], routing(setup.hedging), policy);
         let gates = Gates::default();
         gates.set([(SERVICE.into(), gate.clone())]);
         for (number, target) in targets.iter().enumerate() {
@@ -164,9 +168,9 @@
 }
 
 /// Round robin without admission: tests name the target that comes first.
-fn routing() -> RoutingPolicy {
+fn routing(hedging: bool) -> RoutingPolicy {
     let choice = cyclamenloft_routing::ChoicePolicy::RoundRobin;
-    RoutingPolicy { choice, admission: false, hedging: false, ..RoutingPolicy::default() }
+    RoutingPolicy { choice, admission: false, hedging, ..RoutingPolicy::default() }
 }
 
 async fn tick(gate: Arc<Gate>) {
--- a/src/control/methods.rs
+++ b/src/control/methods.rs
@@ -216,13 +216,31 @@
         host: control.host.clone(),
         domain: control.domain.clone(),
         program: "control".into(),
-        ready: groups.iter().all(|g| g.leader.is_some()),
+        ready: groups.iter().all(|g| g.leader.is_some()) && has_caught_up(control),
         config: control.board.number(),
         groups,
         services: Vec::new(),
     }
 }
 
+/// Whether this replica has once applied all that it had on disk and that its
+/// groups had committed when it heard of them. A replica that lags under load
+/// afterwards is still ready.
+fn has_caught_up(control: &Control) -> bool {
+    let config_applied = control.config.as_ref().is_none_or(|config| {
+        is_applied(&config.status()) && control.board.number() >= config.state(|s| s.number())
+    });
+    let caught_up =
+        control.caught_up.get() || (config_applied && is_applied(&control.placement.status()));
+    control.caught_up.set(caught_up);
+    caught_up
+}
+
+/// Before a group is formed, or before its leader was heard, nothing is committed.
+fn is_applied(status: &Status) -> bool {
+    status.committed > 0 && status.applied >= status.committed.max(status.durable)
+}
+
 fn group_status<M: StateMachine>(group: &str, replica: &Replica<M>) -> GroupStatus {
     let status = replica.status();
     let role = if is_learner(&status) { "learner".into() } else { format!("{:?}", status.role) };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,7 +20,13 @@
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica, StateMachine};
 use cyclamenloft_types::{Error, HostId, ReplicaId, Result, TaskState};
 use futures_util::future::{Either, select};
-use std::{cell::RefCell, path::Path, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    path::Path,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 pub(crate) use config::follow_source as follow_config;
 
@@ -47,6 +53,8 @@
     pub(crate) orders: Notify,
     /// Tells that the state changed in a way that a decision may follow from.
     pub(crate) due: Notify,
+    /// Whether this replica has once caught up with its groups.
+    pub(crate) caught_up: Cell<bool>,
 }
 
 /// Runs a control process until `stop`.
@@ -118,6 +126,7 @@
         scheduler: RefCell::new(None),
         orders: Notify::default(),
         due: Notify::default(),
+        caught_up: Cell::new(false),
     })
 }
 
