--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -15,6 +15,9 @@
 const MAX_ATTEMPTS: usize = 4;
 /// Share of the slots in use above which no request is sent twice.
 const MAX_HEDGED_LOAD: f64 = 0.8;
+/// Least time without an answer before a second attempt. It costs a connection
+/// and a slot, and cancelling it closes the connection.
+pub const MIN_HEDGE_WAIT: Duration = Duration::from_millis(10);
 
 /// Why a failed request is not tried again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,15 +90,16 @@
     }
 
     /// After what time without an answer [`ServiceRouter::hedge`] is worth
-    /// asking: the service's 95th percentile, for idempotent requests that have
-    /// the time.
+    /// asking: the service's 95th percentile, but not less than
+    /// [`MIN_HEDGE_WAIT`], for idempotent requests that have the time.
     #[must_use]
     pub fn hedge_after(&self, facts: &RequestFacts, now: Instant) -> Option<Duration> {
         if !self.routing.hedging || !facts.idempotent || !self.budget.covers_one() {
             return None;
         }
         let latency = self.latency_quantiles.get(now)?;
-        (now + latency.p95 + latency.p50 < facts.deadline).then_some(latency.p95)
+        let wait = latency.p95.max(MIN_HEDGE_WAIT);
+        (now + wait + latency.p50 < facts.deadline).then_some(wait)
     }
 
     /// The right to send an idempotent request a second time while `first` still
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -134,14 +134,7 @@
 macro_rules! answers {
     ($($kind:ident $status:literal $code:literal $outcome:ident $rpc:literal $retry:expr;)*) => {
         /// The table from kind to answer, one row for each kind.
-        pub const ANSWERS: &[Answer] = &[$(Answer {
-            kind: ErrorKind::$kind,
-            status: $status,
-            code: $code,
-            outcome: Outcome::$outcome,
-            retry: $retry,
-            rpc_code: $rpc,
-        }),*];
+        pub const ANSWERS: &[Answer] = &[$(*ErrorKind::$kind.answer()),*];
 
         impl ErrorKind {
             /// The answer for this kind.
