Early visibility reaches the placement decisions; one round's proposals travel together

Cause: the daemon had the setting, but its decisions waited for each commit either way, and each command of a round waited for the one before. Without it, the commands of a round are proposed together.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -53,6 +53,8 @@
     pub(crate) orders: Notify,
     /// Tells that the state changed in a way that a decision may follow from.
     pub(crate) due: Notify,
+    /// Whether decisions may use entries that are not durable yet.
+    pub(crate) early_visibility: bool,
     /// Whether this replica has once caught up with its groups.
     pub(crate) caught_up: Cell<bool>,
 }
@@ -126,6 +128,7 @@
         scheduler: RefCell::new(None),
         orders: Notify::default(),
         due: Notify::default(),
+        early_visibility: settings.early_visibility,
         caught_up: Cell::new(false),
     })
 }
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -1,8 +1,9 @@
 //! The leader's loop of a placement group: decide, agree, then act.
 
 use super::{Control, policy::placement_policy};
-use cyclamenloft_placement::{Command, Receipt, Scheduler, Timestamp};
+use cyclamenloft_placement::{Command, PlacementState, Receipt, Scheduler, Timestamp};
 use cyclamenloft_types::{Error, ErrorKind, Result};
+use futures_util::future::join_all;
 use std::{rc::Rc, time::Duration};
 
 /// Time between rounds of decisions when nothing happens.
@@ -50,18 +51,40 @@
     Ok(())
 }
 
-async fn decide(control: &Control) -> Result<()> {
+/// Decides what is due and proposes it. With early visibility, decisions use
+/// entries that are not durable yet, and the next round doesn't wait for them;
+/// workers hear of a decision only once it is committed, either way.
+async fn decide(control: &Rc<Control>) -> Result<()> {
     let policy = placement_policy(control.board.checked().deployment(), &control.domain);
     let commands = with_scheduler(control, |scheduler| {
         scheduler.set_policy(policy);
-        control.placement.state(|state| scheduler.tick(state, Timestamp::read()))
+        let tick = |state: &PlacementState| scheduler.tick(state, Timestamp::read());
+        match control.early_visibility {
+            true => control.placement.speculative_state(tick),
+            false => control.placement.state(tick),
+        }
     })?;
-    for command in commands {
-        commit(control, command).await?.ok();
+    // Proposals enter the log in the order in which they are first polled.
+    if control.early_visibility {
+        for command in commands {
+            compio::runtime::spawn(commit_later(control.clone(), command)).detach();
+        }
+        return Ok(());
+    }
+    let pending = commands.into_iter().map(|command| commit(control, command));
+    for committed in join_all(pending).await {
+        // A receipt that is an error means that a later change came first.
+        committed?.ok();
     }
     Ok(())
 }
 
+async fn commit_later(control: Rc<Control>, command: Command) {
+    if let Err(e) = commit(&control, command).await {
+        tracing::info!(error = %e, "a decision was not committed");
+    }
+}
+
 /// Runs `f` on the scheduler while this replica surely leads.
 ///
 /// # Errors
