--- /dev/null
+++ b/tests/all/bad_input.rs
@@ -0,0 +1,96 @@
+//! Input that is refused: a clear error kind each time, and nothing done.
+
+use crate::{
+    cases,
+    harness::{Deployment, DomainLayout},
+    paths::job,
+};
+use cyclamenloft_http::JsonClient;
+use cyclamenloft_peer::calls::{JobSummary, SubmitAnswer};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+
+cases! {
+    malformed_input_is_refused_and_changes_nothing => malformed();
+    without_the_token_nothing_is_done => no_token();
+}
+
+const ANNOUNCE_TARGET: &str = "/v1/targets/announce";
+const ANNOUNCE_WORKER: &str = "/v1/workers/announce";
+
+async fn one_host() -> Deployment {
+    let layout = DomainLayout { name: "mayo-yard", entries: 1, controls: 1 };
+    let mut deployment = Deployment::start(&[layout]);
+    deployment.ready().await;
+    deployment
+}
+
+async fn refusal(client: &JsonClient, addr: SocketAddr, path: &str, value: &Value) -> Error {
+    let answer: Result<Value> = client.post(addr, path, value).await;
+    answer.unwrap_err()
+}
+
+async fn malformed() {
+    let deployment = one_host().await;
+    let host = deployment.hosts[0];
+    let platform = JsonClient::new(None, Duration::from_secs(20)).unwrap();
+    let target = json!({
+        "target": "t", "service": "orders-desk", "domain": "mayo-yard",
+        "addr": "127.0.0.1:9", "sequence": 1, "phase": "serving"
+    });
+    let with = |key: &str, value: Value| {
+        let mut changed = target.clone();
+        changed[key] = value;
+        changed
+    };
+    let bad_targets = [
+        with("addr", json!("0.0.0.0:0")),
+        with("addr", json!("localhost")),
+        with("domain", json!("clare-yard")),
+        with("target", json!("a b")),
+        with("phase", json!("resting")),
+        with("unknown", json!(1)),
+        json!([]),
+    ];
+    for bad in &bad_targets {
+        let e = refusal(&platform, host.platform, ANNOUNCE_TARGET, bad).await;
+        assert_eq!(e.kind, ErrorKind::BadRequest, "{bad}: {e}");
+    }
+    let long = with("target", json!("x".repeat(100_000)));
+    let e = refusal(&platform, host.platform, ANNOUNCE_TARGET, &long).await;
+    assert_eq!(e.kind, ErrorKind::TooLarge, "{e}");
+    let worker = json!({
+        "worker": "w", "boot": 1, "domain": "mayo-yard", "rack": "r",
+        "capacity": {"cpu_millis": 0, "memory_mib": 1}
+    });
+    let e = refusal(&platform, host.platform, ANNOUNCE_WORKER, &worker).await;
+    assert_eq!(e.kind, ErrorKind::BadRequest, "{e}");
+    let e = refusal(&platform, host.platform, "/v1/nothing", &worker).await;
+    assert_eq!(e.kind, ErrorKind::NotFound, "{e}");
+    let mut spec = job("j", 1);
+    spec.tasks = 0;
+    let submitted: Result<SubmitAnswer> =
+        deployment.operators.post(host.operators, "/v1/jobs", &spec).await;
+    let e = submitted.unwrap_err();
+    assert_eq!(e.kind, ErrorKind::BadRequest);
+    assert!(e.detail.contains("\"tasks\"") && e.detail.contains("found 0"), "{e}");
+    nothing_done(&deployment).await;
+}
+
+async fn no_token() {
+    let deployment = one_host().await;
+    let host = deployment.hosts[0];
+    let stranger = JsonClient::new(None, Duration::from_secs(20)).unwrap();
+    let spec = serde_json::to_value(job("j", 1)).unwrap();
+    let e = refusal(&stranger, host.operators, "/v1/jobs", &spec).await;
+    assert_eq!(e.kind, ErrorKind::Unauthorized, "{e}");
+    nothing_done(&deployment).await;
+}
+
+async fn nothing_done(deployment: &Deployment) {
+    let host = deployment.hosts[0];
+    let jobs: Vec<JobSummary> = deployment.operators.get(host.operators, "/v1/jobs").await.unwrap();
+    assert!(jobs.is_empty(), "{jobs:?}");
+    assert_eq!(deployment.targets(&host, "orders-desk").await, 0);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 
 mod harness;
 
+mod bad_input;
 mod checker;
 mod failures;
 mod paths;
