The stated bound on slow targets also where a service has a tail, as a known failure

Cause: that case had a bound of 2 times below round robin, taken from the measured 2.4; the stated target is 3 times. Change: the bound is 3; the case is listed in KNOWN-RED.txt, still run and printed; the routing tests use the same list as the integration tests.

--- a/crates/routing/tests/all/faults.rs
+++ b/crates/routing/tests/all/faults.rs
@@ -73,7 +73,7 @@
 
 cases! { slow_targets_hardly_show:
     targets_that_turn_slow_in_waves_hardly_show("slow in waves", 0.0, slow_in_waves, 3.0);
-    nor_do_they_where_the_service_has_a_tail("slow in waves", 0.02, slow_in_waves, 2.0);
+    nor_do_they_where_the_service_has_a_tail("slow in waves", 0.02, slow_in_waves, 3.0);
     flapping_targets_hardly_show("flapping", 0.0, flapping, 1.0);
 }
 
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -6,6 +6,8 @@
 mod choice;
 mod faults;
 mod invariants;
+#[path = "../../../../tests/all/harness/known_red.rs"]
+mod known_red;
 mod lifecycle;
 mod neighbours;
 mod overload;
--- a/crates/routing/tests/all/support.rs
+++ b/crates/routing/tests/all/support.rs
@@ -15,7 +15,8 @@
     ($f:ident: $($name:ident($($arg:expr),* $(,)?);)+) => {
         $(#[test]
         fn $name() {
-            $f($($arg),*);
+            let name = concat!(module_path!(), "::", stringify!($name));
+            $crate::known_red::run_named(name, || $f($($arg),*));
         })+
     };
 }
