Remove what nothing uses from the stand-in target

Cause: reading the whole change once more. An extra body, a count of answers and a changeable service time were never set or read.

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -2,7 +2,6 @@
 //! writes down every request that it worked on.
 
 use crate::journal::{Event, Journal};
-use bytes::Bytes;
 use cyclamenloft_http::{
     Handler, JsonClient, Limits, Request, Response, StopSignal, bind, full, read_limited, serve,
     stop_pair, text_response,
@@ -54,11 +53,8 @@
     in_flight: Cell<usize>,
     by_entry: RefCell<BTreeMap<HostId, u16>>,
     phase: Cell<TargetPhase>,
-    service_time: Cell<Duration>,
-    answered: Cell<u64>,
     next_platform: Cell<usize>,
     last_sequence: Cell<u64>,
-    extra: RefCell<Option<Bytes>>,
 }
 
 impl TargetStandin {
@@ -69,32 +65,17 @@
     /// A journal that can't be opened.
     pub fn new(settings: TargetSettings) -> Result<Rc<Self>> {
         let journal = Journal::open(&settings.name, settings.journal.as_deref())?;
-        let service_time = Cell::new(settings.service_time);
         Ok(Rc::new(Self {
             settings,
             journal,
             in_flight: Cell::new(0),
             by_entry: RefCell::default(),
             phase: Cell::new(TargetPhase::Serving),
-            service_time,
-            answered: Cell::new(0),
             next_platform: Cell::new(0),
             last_sequence: Cell::new(0),
-            extra: RefCell::new(None),
         }))
     }
 
-    /// Requests answered so far.
-    #[must_use]
-    pub fn answered(&self) -> u64 {
-        self.answered.get()
-    }
-
-    /// Changes the time that each request takes.
-    pub fn set_service_time(&self, time: Duration) {
-        self.service_time.set(time);
-    }
-
     /// Serves until `stop`, then leaves gracefully.
     ///
     /// # Errors
@@ -186,16 +167,12 @@
             leaving: self.phase.get() == TargetPhase::Leaving,
         });
         let body = read_limited(req.into_body(), MAX_BODY_BYTES).await?;
-        compio::time::sleep(self.service_time.get()).await;
-        self.answered.set(self.answered.get() + 1);
+        compio::time::sleep(self.settings.service_time).await;
         self.journal.write(Event::RequestEnded { number: number.clone() });
         // The answer names the request and echoes its body, so that a caller
         // can tell a swapped or cut answer.
         let mut content = format!("{} {number}\n", self.settings.name).into_bytes();
         content.extend_from_slice(&body);
-        if let Some(extra) = &*self.extra.borrow() {
-            content.extend_from_slice(extra);
-        }
         Ok(Response::new(full(content)))
     }
 }
