--- /dev/null
+++ b/crates/dispatch/src/lead.rs
@@ -0,0 +1,220 @@
+//! The leader's loop: decide, agree, then act. Decisions follow from the agreed
+//! state and from what the workers list; orders follow from both, so nothing
+//! has to be remembered between a decision and its order.
+
+use crate::{
+    members::Watch,
+    node::{Node, wall_ms},
+    notify::Notify,
+    port::WorkerPort,
+    worker,
+};
+use compio::runtime::JoinHandle;
+use cyclamenloft_placement::submission::{
+    Change, Fleet, LifeId, Outcome, SubmissionId, SubmissionState, planner, state::Phase,
+};
+use cyclamenloft_types::{Result, Term};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Time between rounds when nothing happens: what a deadline or a stuck task
+/// may wait beyond its time.
+const TICK: Duration = Duration::from_millis(100);
+/// Least time between rounds, so that what arrives together is agreed on
+/// together: half of a commit.
+const GATHER: Duration = Duration::from_millis(8);
+/// Pause of a follower between two looks at its role.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks at members and at what can be forgotten.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+
+/// The calls to one life of a worker.
+pub(crate) struct LineTasks {
+    /// Tells that there may be an order.
+    pub wake: Rc<Notify>,
+    /// Dropped, and thereby ended, with the entry.
+    _tasks: [JoinHandle<()>; 2],
+}
+
+/// What a replica knows while it leads.
+pub(crate) struct Leadership {
+    /// The term, which is the fencing token.
+    pub token: Term,
+    pub fleet: RefCell<Fleet>,
+    lines: RefCell<BTreeMap<LifeId, LineTasks>>,
+    over: RefCell<BTreeMap<SubmissionId, Instant>>,
+}
+
+impl Leadership {
+    fn new(token: Term, longest_lease: Duration, now: Instant) -> Self {
+        Self {
+            token,
+            fleet: RefCell::new(Fleet::new(longest_lease, now)),
+            lines: RefCell::default(),
+            over: RefCell::default(),
+        }
+    }
+
+    /// Wakes the line to a life.
+    pub fn wake(&self, life: LifeId) {
+        if let Some(line) = self.lines.borrow().get(&life) {
+            line.wake.notify();
+        }
+    }
+
+    /// Wakes the lines to all workers that run a submission's tasks.
+    pub fn wake_runs(&self, state: &SubmissionState, id: SubmissionId) {
+        let Some(record) = state.record(id) else { return };
+        for run in record.tasks.iter().flatten().flatten().flat_map(|t| &t.runs) {
+            self.wake(run.life);
+        }
+    }
+}
+
+/// Leads the group whenever this replica is its leader.
+pub(crate) async fn run<P: WorkerPort>(node: Rc<Node<P>>) {
+    let mut watch = Watch::default();
+    let mut housekeeping = Instant::now();
+    loop {
+        let now = Instant::now();
+        if !node.replica.leads(now) {
+            if node.leadership.take().is_some() {
+                tracing::info!(event = "leadership-lost", term = node.replica.status().term);
+            }
+            compio::time::sleep(FOLLOW_PAUSE).await;
+            continue;
+        }
+        let seen = node.due.seen();
+        let led = match lead_now(&node).await {
+            Ok(leadership) => round(&node, &leadership).await,
+            Err(e) => Err(e),
+        };
+        if let Err(e) = led {
+            tracing::info!(event = "round-failed", error = %e);
+            compio::time::sleep(FOLLOW_PAUSE).await;
+            continue;
+        }
+        if now >= housekeeping {
+            housekeeping = now + HOUSEKEEPING;
+            watch.maintain(&node, now).await;
+            forget(&node).await;
+        }
+        compio::time::sleep(GATHER).await;
+        let _ = compio::time::timeout(TICK, node.due.changed(seen)).await;
+    }
+}
+
+/// What this replica knows as the leader of the present term.
+async fn lead_now<P: WorkerPort>(node: &Rc<Node<P>>) -> Result<Rc<Leadership>> {
+    let term = node.replica.status().term;
+    if let Some(known) = node.leadership.borrow().as_ref().filter(|l| l.token == term) {
+        return Ok(known.clone());
+    }
+    node.leadership.take();
+    node.replica.barrier().await?;
+    let fresh = Rc::new(Leadership::new(term, node.settings.longest_lease, Instant::now()));
+    node.leadership.replace(Some(fresh.clone()));
+    let (open, lives) = node.state(|s| (s.open().count(), s.lives().count()));
+    tracing::info!(event = "leadership-gained", term, open, lives);
+    node.metrics.count("leadership", "gained");
+    Ok(fresh)
+}
+
+async fn round<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+    tend_lines(node, leadership);
+    let now = Instant::now();
+    let lost = node.state(|s| leadership.fleet.borrow().lost(s, now));
+    for (life, checkpoints) in lost {
+        let worker = node.state(|s| s.life(life).map(|l| (l.worker.id.clone(), l.runs.len())));
+        node.propose(Change::Lost { life, checkpoints }).await?;
+        if let Some((worker, runs)) = worker {
+            tracing::info!(decision = "worker", %worker, life, runs, outcome = "lost");
+        }
+        node.metrics.count("worker", "lost");
+    }
+    let stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, Instant::now()));
+    for (life, task) in stuck {
+        tracing::info!(decision = "withdraw", %task, life, outcome = "stuck");
+        node.metrics.count("withdraw", "stuck");
+        leadership.wake(life);
+    }
+    place(node, leadership).await
+}
+
+async fn place<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+    let began = Instant::now();
+    let wanted =
+        node.state(|s| planner::plan(s, &leadership.fleet.borrow(), Instant::now(), wall_ms()));
+    node.metrics.time("plan", began.elapsed());
+    if wanted.is_empty() {
+        return Ok(());
+    }
+    let asked = wanted.len();
+    let Outcome::Placed(placed) = node.propose(Change::Place(wanted)).await? else {
+        return Ok(());
+    };
+    let commit_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
+    for p in &placed {
+        let worker = node.state(|s| s.life(p.life).map(|l| l.worker.id.clone()));
+        let worker = worker.as_deref().unwrap_or("");
+        tracing::info!(
+            decision = "place", task = %p.task, attempt = p.attempt, worker, life = p.life,
+            commit_us, outcome = "placed"
+        );
+        leadership.wake(p.life);
+    }
+    node.metrics.count_many("place", "placed", placed.len() as u64);
+    node.metrics.count_many("place", "void", (asked - placed.len()) as u64);
+    Ok(())
+}
+
+/// Starts a line to each life that is new and ends those of lives that are over.
+fn tend_lines<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) {
+    node.state(|s| {
+        leadership.fleet.borrow_mut().retain(s);
+        let mut lines = leadership.lines.borrow_mut();
+        lines.retain(|id, _| s.life(*id).is_some());
+        for (id, life) in s.lives() {
+            lines.entry(id).or_insert_with(|| {
+                let wake = Rc::new(Notify::default());
+                let line = Rc::new(node.port.line(&life.worker));
+                let cx = worker::Context {
+                    node: node.clone(),
+                    leadership: Rc::downgrade(leadership),
+                    life: id,
+                    worker: life.worker.id.clone(),
+                    line,
+                    wake: wake.clone(),
+                };
+                let looks = compio::runtime::spawn(worker::look(cx.clone()));
+                let orders = compio::runtime::spawn(worker::order(cx));
+                LineTasks { wake, _tasks: [looks, orders] }
+            });
+        }
+        node.metrics.level("workers", lines.len());
+    });
+}
+
+/// Forgets submissions that have been over for long.
+async fn forget<P: WorkerPort>(node: &Node<P>) {
+    let Some(leadership) = node.leadership.borrow().clone() else { return };
+    let now = Instant::now();
+    let due: Vec<SubmissionId> = node.state(|s| {
+        node.metrics.level("open", s.open().count());
+        let mut over = leadership.over.borrow_mut();
+        over.retain(|id, _| s.record(*id).is_some());
+        let ended = s.records().filter(|(_, r)| r.phase != Phase::Open);
+        let mut old =
+            |id: &SubmissionId| now >= *over.entry(*id).or_insert(now) + node.settings.remember;
+        ended.map(|(id, _)| *id).filter(&mut old).collect()
+    });
+    if !due.is_empty()
+        && let Err(e) = node.propose(Change::Forget(due)).await
+    {
+        tracing::info!(event = "forget-failed", error = %e);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,25 @@
+//! Submissions end to end: entry hosts hand them to the leader of one group
+//! that spans failure domains; the leader agrees on each step with the group
+//! and then calls the workers.
+//!
+//! [`entry`] is the side of an entry host, [`Node`] the side of a replica. How
+//! workers are called is behind the [`WorkerPort`] trait.
+
+pub mod ask;
+pub mod entry;
+pub mod metrics;
+pub mod node;
+pub mod notify;
+pub mod port;
+pub mod telemetry;
+
+mod admission;
+mod answer;
+mod lead;
+mod members;
+mod transport;
+mod worker;
+
+pub use ask::{Ask, Draft, Reply};
+pub use node::{Node, NodeSettings};
+pub use port::{Look, OrderCall, OrderReply, WorkerPort};
--- /dev/null
+++ b/crates/dispatch/src/metrics.rs
@@ -0,0 +1,103 @@
+//! Counters and latency histograms, served as text.
+
+use cyclamenloft_http::{Request, Response, server::Handler, text_response};
+use http::StatusCode;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// First bucket of a histogram, in seconds: below a call inside a domain.
+const FIRST_BUCKET_S: f64 = 0.0005;
+/// Buckets of a histogram, each twice the one before: up to 16 s, beyond every
+/// client's patience.
+const BUCKETS: u16 = 16;
+
+/// What a counted event was, and how it came out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Event {
+    /// What was done, such as `submit` or `start`.
+    pub what: String,
+    /// How it came out, such as `accepted`.
+    pub outcome: String,
+}
+
+/// What a duration was of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Span {
+    /// What took the time, such as `commit`.
+    pub what: String,
+}
+
+/// A process's counters and histograms.
+pub struct Metrics {
+    registry: Registry,
+    events: Family<Event, Counter>,
+    spans: Family<Span, Histogram>,
+    gauges: Family<Span, Gauge>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let events = Family::<Event, Counter>::default();
+        let spans = Family::<Span, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+        });
+        let gauges = Family::<Span, Gauge>::default();
+        let mut registry = Registry::with_prefix("cyclamenloft");
+        registry.register("events", "Events by outcome", events.clone());
+        registry.register("seconds", "Durations", spans.clone());
+        registry.register("level", "Present sizes", gauges.clone());
+        Self { registry, events, spans, gauges }
+    }
+}
+
+impl Metrics {
+    /// Counts an event.
+    pub fn count(&self, what: &str, outcome: &str) {
+        self.count_many(what, outcome, 1);
+    }
+
+    /// Counts several equal events.
+    pub fn count_many(&self, what: &str, outcome: &str, events: u64) {
+        let event = Event { what: what.into(), outcome: outcome.into() };
+        self.events.get_or_create(&event).inc_by(events);
+    }
+
+    /// Notes how long something took.
+    pub fn time(&self, what: &str, span: Duration) {
+        self.spans.get_or_create(&Span { what: what.into() }).observe(span.as_secs_f64());
+    }
+
+    /// Sets a present size.
+    pub fn level(&self, what: &str, value: usize) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.gauges.get_or_create(&Span { what: what.into() }).set(value);
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(e) = encode(&mut text, &self.registry) {
+            tracing::warn!(error = %e, "metrics were not encoded");
+        }
+        text
+    }
+}
+
+/// Serves the metrics on every path of their listener.
+pub struct MetricsHandler(pub Rc<Metrics>);
+
+impl Handler for MetricsHandler {
+    async fn handle(&self, _req: Request, _remote: SocketAddr) -> Response {
+        text_response(StatusCode::OK, self.0.text())
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/telemetry.rs
@@ -0,0 +1,49 @@
+//! Structured logs on standard output: JSON lines through a bounded queue that
+//! never blocks a decision.
+
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+
+/// Lines that may wait for standard output; more are dropped and counted. At
+/// 300 bytes a line, a little over a megabyte.
+const QUEUED_LINES: usize = 4_096;
+
+/// Keeps the writer running; dropping it writes what waits.
+pub struct LogGuard {
+    _worker: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl LogGuard {
+    /// Counter of the lines that were dropped.
+    #[must_use]
+    pub fn dropped(&self) -> ErrorCounter {
+        self.dropped.clone()
+    }
+}
+
+/// Starts logging for the whole process.
+///
+/// # Errors
+///
+/// `BadSetting` where the filter is not understood, `Internal` where logging
+/// was started before.
+pub fn start(filter: &str) -> Result<LogGuard> {
+    let parsed = EnvFilter::try_new(filter)
+        .map_err(|e| Error::new(ErrorKind::BadSetting, format!("log filter {filter:?}: {e}")))?;
+    let (writer, worker) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(QUEUED_LINES)
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    tracing_subscriber::fmt()
+        .with_env_filter(parsed)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .try_init()
+        .map_err(|e| Error::new(ErrorKind::Internal, format!("logging: {e}")))?;
+    Ok(LogGuard { _worker: worker, dropped })
+}
--- /dev/null
+++ b/crates/dispatch/src/worker.rs
@@ -0,0 +1,246 @@
+//! The leader's two tasks for each life of a worker: one looks and renews the
+//! lease, one sends orders.
+
+use crate::{
+    lead::Leadership,
+    node::Node,
+    notify::Notify,
+    port::{Look, OrderCall, WorkerPort},
+};
+use cyclamenloft_placement::submission::{
+    Change, LifeId, Observation, Outcome, RunEnd,
+    fleet::{Order, OrderAnswer},
+};
+use cyclamenloft_types::{Result, WorkerId};
+use std::{
+    cell::Cell,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+/// Wait for an end where nothing runs: the longest that workers take.
+const IDLE_WAIT: Duration = Duration::from_millis(2_000);
+/// Wait where tasks run: tails and progress are read once a second.
+const BUSY_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait where a tail is near its target or tasks are slowed: the worker
+/// averages over half a second.
+const TENSE_WAIT: Duration = Duration::from_millis(400);
+/// First pause after a look without an answer; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two tries: a worker that is back is wanted soon.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest sleep of an order task without a wake-up.
+const ORDER_IDLE: Duration = Duration::from_millis(2_000);
+
+/// What both tasks of a line share.
+pub(crate) struct Context<P: WorkerPort> {
+    pub node: Rc<Node<P>>,
+    pub leadership: Weak<Leadership>,
+    pub life: LifeId,
+    pub worker: WorkerId,
+    pub line: Rc<P::Line>,
+    pub wake: Rc<Notify>,
+}
+
+impl<P: WorkerPort> Clone for Context<P> {
+    fn clone(&self) -> Self {
+        Self {
+            node: self.node.clone(),
+            leadership: self.leadership.clone(),
+            life: self.life,
+            worker: self.worker.clone(),
+            line: self.line.clone(),
+            wake: self.wake.clone(),
+        }
+    }
+}
+
+impl<P: WorkerPort> Context<P> {
+    /// The leadership, while it lasts.
+    fn leadership(&self) -> Option<Rc<Leadership>> {
+        let leadership = self.leadership.upgrade()?;
+        self.node.replica.leads(Instant::now()).then_some(leadership)
+    }
+
+    async fn commit_ends(&self, leadership: &Leadership, ends: Vec<RunEnd>) -> Result<()> {
+        for end in &ends {
+            let how = end.how.as_str();
+            tracing::info!(
+                decision = "end", task = %end.task, attempt = end.attempt,
+                worker = %self.worker, outcome = how
+            );
+            self.node.metrics.count("end", how);
+        }
+        let outcome = self.node.propose(Change::Ended { life: self.life, ends }).await?;
+        if let Outcome::Over(over) = outcome {
+            for id in over {
+                self.node.state(|s| {
+                    let phase = s.record(id).map(|r| r.phase);
+                    tracing::info!(
+                        decision = "over", submission = %format_args!("{id:016x}"),
+                        outcome = ?phase
+                    );
+                    leadership.wake_runs(s, id);
+                });
+            }
+        }
+        self.node.due.notify();
+        Ok(())
+    }
+}
+
+/// Looks at the worker for as long as this replica leads and the life lasts.
+pub(crate) async fn look<P: WorkerPort>(cx: Context<P>) {
+    let acknowledged = Cell::new(0);
+    let mut failures = 0u32;
+    loop {
+        let Some(leadership) = cx.leadership() else {
+            compio::time::sleep(FIRST_PAUSE).await;
+            continue;
+        };
+        match look_once(&cx, &leadership, &acknowledged).await {
+            Ok(()) => {
+                if failures > 0 {
+                    tracing::info!(event = "worker-regained", worker = %cx.worker, failures);
+                }
+                failures = 0;
+            }
+            Err(e) => {
+                if failures == 0 {
+                    tracing::info!(event = "worker-silent", worker = %cx.worker, error = %e);
+                }
+                failures += 1;
+                let pause = FIRST_PAUSE * 2u32.saturating_pow(failures.min(8) - 1);
+                compio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+            }
+        }
+    }
+}
+
+async fn look_once<P: WorkerPort>(
+    cx: &Context<P>,
+    leadership: &Leadership,
+    acknowledged: &Cell<u64>,
+) -> Result<()> {
+    let sent = Instant::now();
+    let wait = {
+        let mut fleet = leadership.fleet.borrow_mut();
+        let idle = cx.node.state(|s| s.life(cx.life).is_none_or(|l| l.runs.is_empty()));
+        let view = fleet.view_mut(cx.life, sent);
+        let wait = match (view.synced, idle, view.pacer.is_tense()) {
+            (false, ..) => Duration::ZERO,
+            (_, true, _) => IDLE_WAIT,
+            (_, _, true) => TENSE_WAIT,
+            _ => BUSY_WAIT,
+        };
+        fleet.looked(cx.life, wait, sent);
+        wait
+    };
+    let lease_end_ms = grant(leadership, cx.life, sent);
+    let look =
+        Look { lease_end_ms, token: leadership.token, acknowledged: acknowledged.get(), wait };
+    cx.node.metrics.count("look", "sent");
+    let looked = cx.node.port.look(&cx.line, look).await;
+    let now = Instant::now();
+    let (seen, last_end) = match looked {
+        Ok(answer) => answer,
+        Err(e) => {
+            leadership.fleet.borrow_mut().unreachable(cx.life, now);
+            return Err(e);
+        }
+    };
+    take(cx, leadership, &seen, sent).await?;
+    acknowledged.set(acknowledged.get().max(last_end));
+    Ok(())
+}
+
+async fn take<P: WorkerPort>(
+    cx: &Context<P>,
+    leadership: &Leadership,
+    seen: &Observation,
+    sent: Instant,
+) -> Result<()> {
+    let now = Instant::now();
+    let (ends, was_synced) = cx.node.state(|s| {
+        let mut fleet = leadership.fleet.borrow_mut();
+        let was_synced = fleet.view_mut(cx.life, now).synced;
+        (fleet.observe(s, cx.life, seen, sent, now), was_synced)
+    });
+    if !ends.is_empty() {
+        cx.commit_ends(leadership, ends).await?;
+    }
+    if !was_synced {
+        cx.node.due.notify();
+    }
+    let has_order =
+        cx.node.state(|s| leadership.fleet.borrow_mut().has_order(s, cx.life, Instant::now()));
+    if has_order {
+        cx.wake.notify();
+    }
+    Ok(())
+}
+
+/// Notes and returns the end of the longest lease that may be granted now.
+fn grant(leadership: &Leadership, life: LifeId, now: Instant) -> Option<u64> {
+    let mut fleet = leadership.fleet.borrow_mut();
+    let lease = &mut fleet.view_mut(life, now).lease;
+    let end_ms = lease.next_end_ms(now)?;
+    lease.note_granted(end_ms);
+    Some(end_ms)
+}
+
+/// Sends orders for as long as this replica leads and the life lasts.
+pub(crate) async fn order<P: WorkerPort>(cx: Context<P>) {
+    loop {
+        let seen = cx.wake.seen();
+        let Some(leadership) = cx.leadership() else {
+            compio::time::sleep(FIRST_PAUSE).await;
+            continue;
+        };
+        let now = Instant::now();
+        let next = cx.node.state(|s| leadership.fleet.borrow_mut().next_order(s, cx.life, now));
+        let Some(order) = next else {
+            let retry_at = leadership.fleet.borrow().retry_at(cx.life, now);
+            let until = retry_at.unwrap_or(now + ORDER_IDLE).min(now + ORDER_IDLE);
+            drop(leadership);
+            let _ = compio::time::timeout_at(until, cx.wake.changed(seen)).await;
+            continue;
+        };
+        send(&cx, &leadership, order).await;
+    }
+}
+
+async fn send<P: WorkerPort>(cx: &Context<P>, leadership: &Leadership, order: Order) {
+    let now = Instant::now();
+    let Some(lease_end_ms) = grant(leadership, cx.life, now) else { return };
+    let call = cx.node.state(|s| {
+        let record = s.record(order.task.submission);
+        let task = record.and_then(|r| r.task(order.task));
+        OrderCall {
+            order,
+            token: leadership.token,
+            payload: record.map(|r| r.spec.payload.clone()).unwrap_or_default(),
+            checkpoint: task.map(|t| t.checkpoint.clone()).unwrap_or_default(),
+            lease_end_ms,
+        }
+    });
+    let reply = cx.node.port.order(&cx.line, &call).await;
+    let elapsed = now.elapsed();
+    cx.node.metrics.time("order", elapsed);
+    let answer = reply.answer;
+    let end = leadership.fleet.borrow_mut().answered(cx.life, order, answer, Instant::now());
+    let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+    tracing::info!(
+        decision = "order", task = %order.task, attempt = order.attempt, kind = ?order.kind,
+        worker = %cx.worker, token = call.token, lease_end_ms, elapsed_us,
+        outcome = ?answer, detail = %reply.detail
+    );
+    cx.node
+        .metrics
+        .count("order", if answer == OrderAnswer::Taken { "taken" } else { "not-taken" });
+    if let Some(end) = end
+        && let Err(e) = cx.commit_ends(leadership, vec![end]).await
+    {
+        tracing::info!(event = "end-not-agreed", task = %order.task, error = %e);
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod body;
 pub mod client;
+pub mod link;
 pub mod listen;
 pub mod server;
 mod stall;
@@ -14,6 +15,7 @@
 pub use answer::{error_response, json_response, text_response};
 pub use body::{Body, BoxError, boxed, empty, full, read_json, read_limited};
 pub use client::JsonClient;
+pub use link::{Link, Reply};
 pub use listen::bind;
 pub use server::{Handler, Limits, Request, Response, serve};
 pub use stop::{StopHandle, StopSignal, stop_pair};
--- /dev/null
+++ b/crates/http/src/link.rs
@@ -0,0 +1,169 @@
+//! Calls to one address over few, kept connections, where each connection has
+//! a price: one request at a time on a connection, and a connection whose
+//! request got no answer is never used again.
+
+use crate::body::read_limited;
+use bytes::Bytes;
+use compio::{
+    net::TcpStream,
+    runtime::{JoinHandle, spawn},
+};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use cyper_core::HyperStream;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::Instant,
+};
+
+/// Largest answer that is read, in bytes: above the largest list that a worker
+/// sends, 500 ends of some 100 bytes and as many runs.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Idle connections kept to one address; more calls at once are rare and short.
+const MAX_IDLE: usize = 4;
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Reads and writes the socket; dropping the handle drops the socket.
+    _io: JoinHandle<()>,
+}
+
+/// Connections to one address.
+pub struct Link {
+    addr: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    connects: Cell<u64>,
+}
+
+impl Link {
+    /// A link to `addr`; nothing is connected before the first call.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr, idle: RefCell::default(), connects: Cell::new(0) }
+    }
+
+    /// The address of the other side.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Connections made since the link was created.
+    #[must_use]
+    pub fn connects(&self) -> u64 {
+        self.connects.get()
+    }
+
+    /// Closes the idle connections.
+    pub fn reset(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Sends `req` and reads the whole answer, until `until`.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotReached`] where the other side has surely not received
+    /// the request, [`ErrorKind::PeerUnreachable`] where it may have.
+    pub async fn call(&self, mut req: Request<Bytes>, until: Instant) -> Result<Reply> {
+        if !req.headers().contains_key(header::HOST) {
+            let host = HeaderValue::from_str(&self.addr.to_string())
+                .map_err(|e| Error::new(ErrorKind::Internal, format!("host header: {e}")))?;
+            req.headers_mut().insert(header::HOST, host);
+        }
+        let mut req = req.map(Full::new);
+        loop {
+            let idle = self.take_idle();
+            let reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(until).await?,
+            };
+            let sent = connection.sender.try_send_request(req);
+            let response = match compio::time::timeout_at(until, sent).await {
+                Err(_) => return Err(self.unanswered("timed out")),
+                Ok(Ok(response)) => response,
+                Ok(Err(mut e)) => match e.take_message() {
+                    // The idle connection was closed before the request left.
+                    Some(returned) if reused => {
+                        req = returned;
+                        continue;
+                    }
+                    Some(_) => return Err(self.not_reached("the connection closed")),
+                    None => return Err(self.unanswered(&e.into_error().to_string())),
+                },
+            };
+            let (head, body) = response.into_parts();
+            let body =
+                match compio::time::timeout_at(until, read_limited(body, MAX_ANSWER_BYTES)).await {
+                    Ok(Ok(body)) => body,
+                    Ok(Err(e)) => return Err(self.unanswered(&e.detail)),
+                    Err(_) => return Err(self.unanswered("timed out in the answer")),
+                };
+            self.keep(connection);
+            return Ok(Reply { status: head.status, headers: head.headers, body });
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE && !connection.sender.is_closed() {
+            idle.push(connection);
+        }
+    }
+
+    async fn connect(&self, until: Instant) -> Result<Connection> {
+        let stream = match compio::time::timeout_at(until, TcpStream::connect(self.addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(self.not_reached(&e.to_string())),
+            Err(_) => return Err(self.not_reached("timed out")),
+        };
+        self.connects.set(self.connects.get() + 1);
+        if let Err(e) = stream.set_nodelay(true) {
+            tracing::debug!(addr = %self.addr, error = %e, "TCP_NODELAY not set");
+        }
+        let (sender, connection) = Builder::new()
+            .handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|e| self.not_reached(&e.to_string()))?;
+        let addr = self.addr;
+        let io = spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(%addr, error = %e, "connection ended early");
+            }
+        });
+        Ok(Connection { sender, _io: io })
+    }
+
+    fn not_reached(&self, why: &str) -> Error {
+        Error::new(ErrorKind::NotReached, format!("connect to {}: {why}", self.addr))
+    }
+
+    fn unanswered(&self, why: &str) -> Error {
+        Error::new(ErrorKind::PeerUnreachable, format!("{}: {why}", self.addr))
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod policy;
 pub mod scheduler;
 pub mod state;
+pub mod submission;
 pub mod time;
 pub mod trace;
 
--- /dev/null
+++ b/crates/placement/src/submission/fleet.rs
@@ -0,0 +1,547 @@
+//! What the leader knows of the workers beyond the agreed state: what they
+//! list, which orders they have answered, and what follows from that.
+
+use super::{
+    command::{EndHow, RunEnd},
+    health::Health,
+    lease::WorkerLease,
+    pacing::Pacer,
+    spec::{Step, TaskId},
+    state::{Life, LifeId, Phase, Record, Run, SubmissionState},
+};
+use cyclamenloft_types::AttemptNumber;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Pause before an order that got no answer is sent again: longer than a call
+/// between failure domains, shorter than a client's patience.
+const RESEND: Duration = Duration::from_millis(400);
+/// Pause before an order that the worker could not take is sent again.
+const RETRY_SOON: Duration = Duration::from_millis(60);
+/// Time for which a stopped run may still be listed before the stop is repeated.
+const STOP_AGAIN: Duration = Duration::from_millis(1500);
+/// Time without progress after which a task stands still. A task's progress is
+/// told in hundredths, and 1.5 s is a hundredth of far more than any task's work.
+const STUCK_AFTER: Duration = Duration::from_millis(1500);
+/// The same for tasks that fill, which may be starved for a while.
+const FILL_STUCK_AFTER: Duration = Duration::from_millis(4000);
+/// Time beyond the expected answer after which a worker counts as out of reach.
+const HOLD_LATE: Duration = Duration::from_millis(500);
+
+/// One run as the worker lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the start.
+    pub attempt: AttemptNumber,
+    /// Newest checkpoint; empty where there is none.
+    pub checkpoint: Box<str>,
+    /// How far it is, in hundredths; of a lasting task, 100 once it is at work.
+    pub percent: u8,
+    /// Tail latency in milliseconds of a task with a target; of any other, the
+    /// processor time that it uses, in thousandths of a core.
+    pub figure: u32,
+}
+
+/// What a worker answered to a look.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Observation {
+    /// When the life began that answered.
+    pub born_ms: u64,
+    /// The worker's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// All that runs.
+    pub running: Vec<Listed>,
+    /// Ends that were not acknowledged yet.
+    pub ended: Vec<RunEnd>,
+}
+
+/// What an order asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Start the run.
+    Start,
+    /// Stop the run.
+    Stop,
+    /// Let the run work at this share, in percent.
+    Pace(u8),
+}
+
+/// An order to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the start.
+    pub attempt: AttemptNumber,
+    /// What is asked.
+    pub kind: OrderKind,
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The worker has taken it.
+    Taken,
+    /// No room for the start.
+    NoRoom,
+    /// The run is not newer than one that ended or was stopped there.
+    Outdated,
+    /// The lease that the order carried has expired already.
+    Late,
+    /// A newer leader has called the worker.
+    Fenced,
+    /// The worker is unhealthy and has done nothing.
+    Unhealthy,
+    /// Another life of the worker answered.
+    OtherLife,
+    /// The worker can't read the order, or its ticket isn't valid.
+    Refused,
+    /// The order has surely not left this host.
+    NotSent,
+    /// No answer; it may be carried out, also later.
+    Unanswered,
+}
+
+/// What the leader knows of one run.
+#[derive(Clone, Debug)]
+struct RunView {
+    attempt: AttemptNumber,
+    /// When the worker took the start.
+    started: Option<Instant>,
+    /// A start got no answer and may still be carried out.
+    unsure: bool,
+    /// The run is to be stopped though its submission is open.
+    withdrawn: bool,
+    /// When the worker took the stop.
+    stopped: Option<Instant>,
+    listed: bool,
+    percent: u8,
+    progress_at: Instant,
+    figure: u32,
+    checkpoint: Box<str>,
+    /// Share that the worker was told.
+    pace: u8,
+    not_before: Instant,
+}
+
+impl RunView {
+    fn new(attempt: AttemptNumber, now: Instant) -> Self {
+        Self {
+            attempt,
+            started: None,
+            unsure: false,
+            withdrawn: false,
+            stopped: None,
+            listed: false,
+            percent: 0,
+            progress_at: now,
+            figure: 0,
+            checkpoint: "".into(),
+            pace: 100,
+            not_before: now,
+        }
+    }
+}
+
+/// What the leader knows of one life of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerView {
+    /// The lease of all that runs there.
+    pub lease: WorkerLease,
+    /// Whether the worker has answered under this leader's token.
+    pub synced: bool,
+    /// When the worker counts as out of reach unless it answers.
+    reachable_until: Instant,
+    /// What is held against the worker.
+    pub health: Health,
+    /// The share at which its fill tasks work.
+    pub pacer: Pacer,
+    runs: BTreeMap<TaskId, RunView>,
+    strays: BTreeSet<(TaskId, AttemptNumber)>,
+}
+
+impl WorkerView {
+    /// Whether the worker may get work now.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.synced && now < self.reachable_until && self.health.may_start(now)
+    }
+}
+
+/// The workers as the leader of one term sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    longest_lease: Duration,
+    since: Instant,
+    views: BTreeMap<LifeId, WorkerView>,
+}
+
+impl Fleet {
+    /// A fleet of which nothing is known yet, for a leader that took office at
+    /// `since`.
+    #[must_use]
+    pub fn new(longest_lease: Duration, since: Instant) -> Self {
+        Self { longest_lease, since, views: BTreeMap::new() }
+    }
+
+    /// The view of a life, made where there is none.
+    pub fn view_mut(&mut self, life: LifeId, now: Instant) -> &mut WorkerView {
+        let (longest, since) = (self.longest_lease, self.since);
+        self.views.entry(life).or_insert_with(|| WorkerView {
+            lease: WorkerLease::new(longest, since),
+            synced: false,
+            reachable_until: now,
+            health: Health::default(),
+            pacer: Pacer::default(),
+            runs: BTreeMap::new(),
+            strays: BTreeSet::new(),
+        })
+    }
+
+    /// The view of a life.
+    #[must_use]
+    pub fn view(&self, life: LifeId) -> Option<&WorkerView> {
+        self.views.get(&life)
+    }
+
+    /// Forgets lives that are over.
+    pub fn retain(&mut self, state: &SubmissionState) {
+        self.views.retain(|id, _| state.life(*id).is_some());
+    }
+
+    /// Notes that a look was sent which is answered within `wait`.
+    pub fn looked(&mut self, life: LifeId, wait: Duration, now: Instant) {
+        let view = self.view_mut(life, now);
+        if now < view.reachable_until {
+            view.reachable_until = now + wait + HOLD_LATE;
+        }
+    }
+
+    /// Notes that the worker did not answer.
+    pub fn unreachable(&mut self, life: LifeId, now: Instant) {
+        self.view_mut(life, now).reachable_until = now;
+    }
+
+    /// Takes what a worker listed in answer to a look sent at `sent`; gives the
+    /// ends to agree on.
+    pub fn observe(
+        &mut self,
+        state: &SubmissionState,
+        id: LifeId,
+        seen: &Observation,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<RunEnd> {
+        let Some(life) = state.life(id) else { return Vec::new() };
+        let view = self.view_mut(id, now);
+        view.lease.note_clock(seen.clock_ms, now);
+        view.synced = true;
+        view.reachable_until = now + HOLD_LATE;
+        view.strays.clear();
+        view.runs.retain(|task, _| life.runs.contains(task));
+        view.runs.values_mut().for_each(|run| run.listed = false);
+        for listed in &seen.running {
+            view.take_listed(state, id, listed, now);
+        }
+        let mut ends = Vec::new();
+        for end in &seen.ended {
+            if run_of(state, id, end.task).is_some_and(|r| r.attempt == end.attempt) {
+                view.note_end(end, now);
+                ends.push(end.clone());
+            }
+        }
+        for task in &life.runs {
+            let known = ends.iter().any(|e| e.task == *task);
+            if let Some(end) = (!known).then(|| view.vanished(state, id, *task, sent)).flatten() {
+                ends.push(end);
+            }
+        }
+        view.note_tails(state, now);
+        ends
+    }
+
+    /// The next order that the worker should get, if one is due.
+    pub fn next_order(
+        &mut self,
+        state: &SubmissionState,
+        id: LifeId,
+        now: Instant,
+    ) -> Option<Order> {
+        let life = state.life(id)?;
+        let view = self.view_mut(id, now);
+        if !view.synced {
+            return None;
+        }
+        if let Some((task, attempt)) = view.strays.pop_first() {
+            return Some(Order { task, attempt, kind: OrderKind::Stop });
+        }
+        let pace = view.pacer.percent();
+        let mut next: Option<Order> = None;
+        for task in &life.runs {
+            let Some((record, run)) = record_run(state, id, *task) else { continue };
+            let run_view = view.run_view(*task, run.attempt, now);
+            let Some(kind) = run_view.wanted_order(record, *task, pace, now) else { continue };
+            // Stops free room that starts may need.
+            if kind == OrderKind::Stop || next.is_none() {
+                next = Some(Order { task: *task, attempt: run.attempt, kind });
+            }
+            if kind == OrderKind::Stop {
+                break;
+            }
+        }
+        next
+    }
+
+    /// Whether an order is due.
+    pub fn has_order(&mut self, state: &SubmissionState, id: LifeId, now: Instant) -> bool {
+        let strays = self.views.get(&id).is_some_and(|v| !v.strays.is_empty());
+        strays || self.next_order(state, id, now).is_some()
+    }
+
+    /// When an order that could not be carried out is due again.
+    #[must_use]
+    pub fn retry_at(&self, id: LifeId, now: Instant) -> Option<Instant> {
+        let view = self.views.get(&id)?;
+        view.runs.values().map(|run| run.not_before).filter(|at| *at > now).min()
+    }
+
+    /// Takes what came of an order; gives an end to agree on, where one follows.
+    pub fn answered(
+        &mut self,
+        id: LifeId,
+        order: Order,
+        answer: OrderAnswer,
+        now: Instant,
+    ) -> Option<RunEnd> {
+        let view = self.view_mut(id, now);
+        let run = view.runs.get_mut(&order.task).filter(|r| r.attempt == order.attempt)?;
+        match (order.kind, answer) {
+            (OrderKind::Start, OrderAnswer::Taken | OrderAnswer::Outdated) => {
+                run.started = Some(now);
+                run.progress_at = now;
+            }
+            (OrderKind::Stop, OrderAnswer::Taken | OrderAnswer::Outdated) => {
+                run.stopped = Some(now)
+            }
+            (OrderKind::Pace(percent), OrderAnswer::Taken) => run.pace = percent,
+            // The end will be listed.
+            (OrderKind::Pace(percent), OrderAnswer::Outdated) => run.pace = percent,
+            (OrderKind::Start, OrderAnswer::NoRoom | OrderAnswer::Unhealthy) => {
+                let unsure = run.unsure;
+                // An earlier copy of the start may still be carried out: only a
+                // stop makes sure that it is not.
+                run.withdrawn = true;
+                if answer == OrderAnswer::NoRoom {
+                    view.health.note_refused(now);
+                } else {
+                    view.health.note_stuck(now);
+                }
+                if !unsure {
+                    return Some(never_ran(order));
+                }
+            }
+            (OrderKind::Start, OrderAnswer::Refused) if !run.unsure => {
+                view.health.note_stuck(now);
+                return Some(never_ran(order));
+            }
+            (kind, OrderAnswer::Unanswered) => {
+                run.unsure |= kind == OrderKind::Start;
+                run.not_before = now + RESEND;
+            }
+            (_, OrderAnswer::NotSent) => run.not_before = now + RESEND,
+            _ => run.not_before = now + RETRY_SOON,
+        }
+        None
+    }
+
+    /// Notes that a run is to be given up, as for one of higher priority.
+    pub fn withdraw(&mut self, life: LifeId, task: TaskId, now: Instant) {
+        if let Some(run) = self.view_mut(life, now).runs.get_mut(&task) {
+            run.withdrawn = true;
+        }
+    }
+
+    /// Whether a run is being given up.
+    #[must_use]
+    pub fn is_withdrawn(&self, life: LifeId, task: TaskId) -> bool {
+        self.views.get(&life).and_then(|v| v.runs.get(&task)).is_some_and(|r| r.withdrawn)
+    }
+
+    /// Runs that stand still on a worker that answers, and those checkpoints.
+    pub fn withdraw_stuck(
+        &mut self,
+        state: &SubmissionState,
+        now: Instant,
+    ) -> Vec<(LifeId, TaskId)> {
+        let mut stuck = Vec::new();
+        for (id, view) in &mut self.views {
+            if !view.is_usable(now) && !view.health.on_probation() {
+                continue;
+            }
+            let pace = view.pacer.percent();
+            let mut found = false;
+            for (task, run) in &mut view.runs {
+                let Some(step) = step_of(state, *task) else { continue };
+                if run.is_stuck(step, pace, now) {
+                    run.withdrawn = true;
+                    found = true;
+                    stuck.push((*id, *task));
+                }
+            }
+            if found {
+                view.health.note_stuck(now);
+            }
+        }
+        stuck
+    }
+
+    /// Lives whose runs have surely ended, with the checkpoints that were seen.
+    #[must_use]
+    pub fn lost(
+        &self,
+        state: &SubmissionState,
+        now: Instant,
+    ) -> Vec<(LifeId, Vec<(TaskId, Box<str>)>)> {
+        let over = |(id, view): (&LifeId, &WorkerView)| {
+            let silent = now >= view.reachable_until && now >= view.lease.surely_over_at();
+            (silent && state.life(*id).is_some()).then(|| (*id, view.checkpoints()))
+        };
+        self.views.iter().filter_map(over).collect()
+    }
+}
+
+impl WorkerView {
+    fn run_view(&mut self, task: TaskId, attempt: AttemptNumber, now: Instant) -> &mut RunView {
+        let run = self.runs.entry(task).or_insert_with(|| RunView::new(attempt, now));
+        if run.attempt != attempt {
+            *run = RunView::new(attempt, now);
+        }
+        run
+    }
+
+    fn take_listed(&mut self, state: &SubmissionState, id: LifeId, seen: &Listed, now: Instant) {
+        let known = run_of(state, id, seen.task).filter(|r| r.attempt == seen.attempt);
+        if known.is_none() {
+            self.strays.insert((seen.task, seen.attempt));
+            return;
+        }
+        let lasting = step_of(state, seen.task).is_some_and(|s| s.lasting);
+        let run = self.run_view(seen.task, seen.attempt, now);
+        run.started.get_or_insert(now);
+        run.listed = true;
+        let progressed = seen.percent != run.percent || seen.checkpoint != run.checkpoint;
+        if progressed || (lasting && seen.percent == 100) {
+            run.progress_at = now;
+            run.percent = seen.percent;
+        }
+        run.checkpoint = seen.checkpoint.clone();
+        run.figure = seen.figure;
+    }
+
+    fn note_end(&mut self, end: &RunEnd, now: Instant) {
+        match end.how {
+            EndHow::Done => self.health.note_success(),
+            EndHow::Failed => self.health.note_failure(end.task.submission, now),
+            _ => {}
+        }
+    }
+
+    /// The end of a run that an answer to a later look doesn't list any more.
+    fn vanished(
+        &mut self,
+        state: &SubmissionState,
+        id: LifeId,
+        task: TaskId,
+        sent: Instant,
+    ) -> Option<RunEnd> {
+        let attempt = run_of(state, id, task)?.attempt;
+        let run = self.runs.get(&task).filter(|r| r.attempt == attempt && !r.listed)?;
+        let before = |at: Option<Instant>| at.is_some_and(|at| at < sent);
+        let how = if before(run.stopped) {
+            if run.started.is_some() { EndHow::Stopped } else { EndHow::NeverRan }
+        } else if before(run.started) {
+            EndHow::Lapsed
+        } else {
+            return None;
+        };
+        Some(RunEnd { task, attempt, how, checkpoint: run.checkpoint.clone() })
+    }
+
+    fn note_tails(&mut self, state: &SubmissionState, now: Instant) {
+        let mut worst: f64 = 0.0;
+        for (task, run) in &self.runs {
+            let Some(target) = step_of(state, *task).and_then(|s| s.target_ms) else { continue };
+            if run.listed && run.percent == 100 && target > 0 {
+                worst = worst.max(f64::from(run.figure) / f64::from(target));
+            }
+        }
+        self.pacer.note(worst, now);
+    }
+
+    fn checkpoints(&self) -> Vec<(TaskId, Box<str>)> {
+        let saved = self.runs.iter().filter(|(_, run)| !run.checkpoint.is_empty());
+        saved.map(|(task, run)| (*task, run.checkpoint.clone())).collect()
+    }
+}
+
+impl RunView {
+    fn wanted_order(
+        &mut self,
+        record: &Record,
+        task: TaskId,
+        pace: u8,
+        now: Instant,
+    ) -> Option<OrderKind> {
+        if now < self.not_before {
+            return None;
+        }
+        let done = record.task(task).is_none_or(|t| t.done);
+        let wanted = record.phase == Phase::Open && !done && !self.withdrawn;
+        if !wanted {
+            let again = self.stopped.is_none_or(|at| self.listed && now >= at + STOP_AGAIN);
+            return again.then_some(OrderKind::Stop);
+        }
+        if self.started.is_none() {
+            return Some(OrderKind::Start);
+        }
+        let fills = record.spec.steps[usize::from(task.step)].fills;
+        (fills && self.listed && self.pace != pace).then_some(OrderKind::Pace(pace))
+    }
+
+    fn is_stuck(&self, step: &Step, pace: u8, now: Instant) -> bool {
+        let after = if step.fills { FILL_STUCK_AFTER } else { STUCK_AFTER };
+        let paced = step.fills && (pace < 100 || self.pace < 100);
+        self.listed && !self.withdrawn && !paced && now >= self.progress_at + after
+    }
+}
+
+fn never_ran(order: Order) -> RunEnd {
+    let Order { task, attempt, .. } = order;
+    RunEnd { task, attempt, how: EndHow::NeverRan, checkpoint: "".into() }
+}
+
+fn step_of(state: &SubmissionState, task: TaskId) -> Option<&Step> {
+    state.record(task.submission)?.spec.steps.get(usize::from(task.step))
+}
+
+fn run_of(state: &SubmissionState, life: LifeId, task: TaskId) -> Option<Run> {
+    record_run(state, life, task).map(|(_, run)| run)
+}
+
+fn record_run(state: &SubmissionState, life: LifeId, task: TaskId) -> Option<(&Record, Run)> {
+    let record = state.record(task.submission)?;
+    let run = record.task(task)?.runs.iter().find(|r| r.life == life)?;
+    Some((record, *run))
+}
+
+/// What runs on a life, for the planner.
+pub(super) fn runs_on<'a>(
+    state: &'a SubmissionState,
+    life: &'a Life,
+) -> impl Iterator<Item = (TaskId, &'a Step)> {
+    life.runs.iter().filter_map(|task| step_of(state, *task).map(|step| (*task, step)))
+}
--- /dev/null
+++ b/crates/placement/src/submission/planner.rs
@@ -0,0 +1,203 @@
+//! Which task goes to which worker: queues by priority and objective, steps in
+//! their order, room by processors, memory and accelerators.
+
+use super::{
+    command::Placed,
+    fleet::{Fleet, runs_on},
+    spec::{Step, TaskId},
+    state::{Life, LifeId, Record, SubmissionState},
+};
+use cyclamenloft_types::Resources;
+use std::{collections::BTreeMap, time::Instant};
+
+/// Most runs that one round places, so that one entry of the log stays small.
+pub const MAX_PLACED: usize = 256;
+/// Share of its processors that a lasting task uses on average, as the users'
+/// sheets state.
+const LASTING_USE: f64 = 0.45;
+/// Processor time that tasks which fill may ask for, beside what is left of a
+/// worker: a little more than there is, since tasks wait for one another.
+const FILL_DEPTH: f64 = 1.15;
+
+/// A worker as the planner fills it during one round.
+struct Seat<'a> {
+    id: LifeId,
+    life: &'a Life,
+    free: Resources,
+    /// Processor time that tasks which don't fill are likely to use.
+    used: f64,
+    /// Processor time that tasks which fill ask for.
+    filled: f64,
+    takes_fill: bool,
+    stress: f64,
+    /// Runs of each occurrence and step.
+    spread: BTreeMap<(u64, u32, u16), u16>,
+    probation: bool,
+}
+
+impl<'a> Seat<'a> {
+    fn new(state: &'a SubmissionState, fleet: &Fleet, id: LifeId, life: &'a Life) -> Self {
+        let free = life.worker.capacity.checked_sub(&life.reserved).unwrap_or(Resources::ZERO);
+        let view = fleet.view(id);
+        let mut seat = Self {
+            id,
+            life,
+            free,
+            used: 0.0,
+            filled: 0.0,
+            takes_fill: view.is_some_and(|v| v.pacer.has_room()),
+            stress: view.map_or(0.0, |v| v.pacer.worst()),
+            spread: BTreeMap::new(),
+            probation: view.is_some_and(|v| v.health.on_probation()),
+        };
+        for (task, step) in runs_on(state, life) {
+            seat.count(task, step);
+        }
+        seat
+    }
+
+    fn count(&mut self, task: TaskId, step: &Step) {
+        let cpu = f64::from(step.demand.cpu_millis);
+        match step {
+            Step { fills: true, .. } => self.filled += cpu,
+            Step { lasting: true, .. } => self.used += cpu * LASTING_USE,
+            _ => self.used += cpu,
+        }
+        *self.spread.entry((task.submission, task.occurrence, task.step)).or_default() += 1;
+    }
+
+    fn capacity(&self) -> f64 {
+        f64::from(self.life.worker.capacity.cpu_millis.max(1))
+    }
+
+    fn of_step(&self, task: TaskId) -> u16 {
+        self.spread.get(&(task.submission, task.occurrence, task.step)).copied().unwrap_or(0)
+    }
+
+    fn fits(&self, step: &Step, task: TaskId) -> bool {
+        let apart = step.max_per_worker == 0 || self.of_step(task) < step.max_per_worker;
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.life.worker.labels.iter().any(|l| l == label));
+        let filled = !step.fills || (self.takes_fill && self.has_fill_room(step));
+        let probed = !self.probation || self.life.runs.is_empty();
+        apart && labelled && filled && probed && step.reserved().fits_in(&self.free)
+    }
+
+    fn has_fill_room(&self, step: &Step) -> bool {
+        let left = self.capacity() - self.used;
+        self.filled == 0.0 || self.filled + f64::from(step.demand.cpu_millis) <= left * FILL_DEPTH
+    }
+
+    /// How well the task would be placed here; the lowest wins.
+    fn score(&self, step: &Step, task: TaskId) -> f64 {
+        let far = step.rack.as_ref().is_some_and(|rack| *rack != self.life.worker.rack);
+        let far = if far { 4.0 } else { 0.0 };
+        let cpu = f64::from(step.demand.cpu_millis);
+        let base = if step.fills {
+            (self.filled + cpu) / (self.capacity() - self.used).max(1.0) + self.stress
+        } else if step.lasting {
+            let busy = (self.used + cpu * LASTING_USE + self.filled * 0.5) / self.capacity();
+            busy + f64::from(self.of_step(task)) + self.stress * 0.5
+        } else {
+            // A short task takes the tightest room, so that wide room stays for
+            // lasting tasks.
+            f64::from(self.free.cpu_millis) / self.capacity()
+        };
+        base + far
+    }
+
+    fn take(&mut self, step: &Step, task: TaskId) {
+        self.free = self.free.checked_sub(&step.reserved()).unwrap_or(Resources::ZERO);
+        self.count(task, step);
+    }
+}
+
+/// The runs to place now, in the order of their importance.
+#[must_use]
+pub fn plan(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
+    let mut seats: Vec<Seat<'_>> = state
+        .lives()
+        .filter(|(id, life)| {
+            !life.worker.draining && fleet.view(*id).is_some_and(|v| v.is_usable(now))
+        })
+        .map(|(id, life)| Seat::new(state, fleet, id, life))
+        .collect();
+    let mut records: Vec<&Record> = state.open().collect();
+    records.sort_by_key(|r| (r.policy.priority, objective_ms(r), r.seq));
+    let mut placed = Vec::new();
+    for record in records {
+        place_record(record, &mut seats, wall_ms, &mut placed);
+        if placed.len() >= MAX_PLACED {
+            break;
+        }
+    }
+    placed.truncate(MAX_PLACED);
+    placed
+}
+
+/// When the submission's answer stops being worth its full payoff, by the
+/// client's own estimates; milliseconds since 1970.
+#[must_use]
+pub fn objective_ms(record: &Record) -> u64 {
+    let mut chain: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
+    for step in &record.spec.steps {
+        let before = step.depends_on.iter().filter_map(|d| chain.get(usize::from(*d))).max();
+        chain.push(before.copied().unwrap_or(0) + u64::from(step.estimate_ms));
+    }
+    let longest = chain.into_iter().max().unwrap_or(0);
+    let stretched = longest.saturating_mul(u64::from(record.policy.slack_millis)) / 1000;
+    record.at_ms + stretched + u64::from(record.policy.target_ms)
+}
+
+fn place_record(record: &Record, seats: &mut [Seat<'_>], wall_ms: u64, placed: &mut Vec<Placed>) {
+    for (k, steps) in record.tasks.iter().enumerate() {
+        let occurrence = u32::try_from(k).unwrap_or(u32::MAX);
+        if record.spec.first_due_ms > 0 && wall_ms < record.spec.due_ms(occurrence) {
+            break;
+        }
+        for (s, tasks) in steps.iter().enumerate() {
+            if record.left[k][s] == 0 || !record.is_due(k, s) {
+                continue;
+            }
+            let step = &record.spec.steps[s];
+            for (i, task) in tasks.iter().enumerate() {
+                if task.done || !task.runs.is_empty() {
+                    continue;
+                }
+                let id = TaskId {
+                    submission: record.spec.id,
+                    occurrence,
+                    step: u16::try_from(s).unwrap_or(u16::MAX),
+                    index: u16::try_from(i).unwrap_or(u16::MAX),
+                };
+                let Some(seat) = best_seat(record, step, id, seats) else {
+                    // No other task of the step fits either.
+                    break;
+                };
+                seat.take(step, id);
+                placed.push(Placed { task: id, attempt: task.attempt + 1, life: seat.id });
+            }
+        }
+    }
+}
+
+fn best_seat<'s, 'a>(
+    record: &Record,
+    step: &Step,
+    task: TaskId,
+    seats: &'s mut [Seat<'a>],
+) -> Option<&'s mut Seat<'a>> {
+    let mut best: Option<(f64, usize)> = None;
+    for (i, seat) in seats.iter().enumerate() {
+        if seat.life.worker.service != record.policy.service || !seat.fits(step, task) {
+            continue;
+        }
+        let score = seat.score(step, task);
+        if best.is_none_or(|(lowest, _)| score < lowest) {
+            best = Some((score, i));
+        }
+    }
+    best.map(|(_, i)| &mut seats[i])
+}
--- /dev/null
+++ b/crates/placement/src/submission/state.rs
@@ -0,0 +1,413 @@
+//! The state that the group agrees on. Every change is checked here, where all
+//! replicas come to the same verdict.
+
+use super::{
+    command::{Change, EndHow, Outcome, Placed, RunEnd, WorkerLife},
+    routes::{QueuePolicy, RouteTable},
+    spec::{Submission, SubmissionId, TaskId},
+};
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::{AttemptNumber, Error, ErrorKind, LogIndex, Resources, Result, WorkerId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Number of a worker's life in the group's state.
+pub type LifeId = u32;
+
+/// Copies of one task that may run at once.
+pub const MAX_COPIES: usize = 2;
+
+/// How far a submission is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Accepted; it ends when its tasks have, or when it is cancelled.
+    Open,
+    /// All tasks are done.
+    Complete,
+    /// A task failed too often.
+    Failed,
+    /// A client cancelled it.
+    Cancelled,
+}
+
+/// One run of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Where it runs.
+    pub life: LifeId,
+    /// Number of the start.
+    pub attempt: AttemptNumber,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// Number of the last start; 0 before the first.
+    pub attempt: AttemptNumber,
+    /// Runs that ended as failed.
+    pub failures: u16,
+    /// The task's work is done.
+    pub done: bool,
+    /// Newest checkpoint; empty where there is none.
+    pub checkpoint: Box<str>,
+    /// Runs that may be going on.
+    pub runs: Vec<Run>,
+}
+
+/// A submission as the group knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// What was submitted.
+    pub spec: Submission,
+    /// Policy of its queue, as last configured.
+    pub policy: QueuePolicy,
+    /// How far it is.
+    pub phase: Phase,
+    /// When it was accepted, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// Order of acceptance.
+    pub seq: LogIndex,
+    /// A task of it has been started.
+    pub begun: bool,
+    /// Tasks by occurrence, step and index.
+    pub tasks: Vec<Vec<Vec<Task>>>,
+    /// Tasks of each occurrence and step that are not done.
+    pub left: Vec<Vec<u16>>,
+}
+
+impl Record {
+    /// The task with this id, which must be of this submission.
+    #[must_use]
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.tasks
+            .get(id.occurrence as usize)?
+            .get(usize::from(id.step))?
+            .get(usize::from(id.index))
+    }
+
+    fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.tasks
+            .get_mut(id.occurrence as usize)?
+            .get_mut(usize::from(id.step))?
+            .get_mut(usize::from(id.index))
+    }
+
+    /// Whether all steps that `step` depends on are done in this occurrence.
+    #[must_use]
+    pub fn is_due(&self, occurrence: usize, step: usize) -> bool {
+        let left = &self.left[occurrence];
+        self.spec.steps[step].depends_on.iter().all(|d| left[usize::from(*d)] == 0)
+    }
+}
+
+/// A worker's life as the group knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// What the worker says of itself.
+    pub worker: WorkerLife,
+    /// Runs that may be going on there.
+    pub runs: BTreeSet<TaskId>,
+    /// What these runs reserve.
+    pub reserved: Resources,
+}
+
+/// Queues, submissions and workers of one placement group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmissionState {
+    routes: RouteTable,
+    records: BTreeMap<SubmissionId, Record>,
+    open: BTreeSet<SubmissionId>,
+    lives: BTreeMap<LifeId, Life>,
+    newest: BTreeMap<WorkerId, (LifeId, u64)>,
+    next_life: LifeId,
+}
+
+impl SubmissionState {
+    /// The configuration in force.
+    #[must_use]
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// The submission with this id.
+    #[must_use]
+    pub fn record(&self, id: SubmissionId) -> Option<&Record> {
+        self.records.get(&id)
+    }
+
+    /// All submissions that are remembered.
+    pub fn records(&self) -> impl Iterator<Item = (&SubmissionId, &Record)> {
+        self.records.iter()
+    }
+
+    /// Submissions that are not over.
+    pub fn open(&self) -> impl Iterator<Item = &Record> {
+        self.open.iter().filter_map(|id| self.records.get(id))
+    }
+
+    /// The lives that may run tasks.
+    pub fn lives(&self) -> impl Iterator<Item = (LifeId, &Life)> {
+        self.lives.iter().map(|(id, life)| (*id, life))
+    }
+
+    /// The life with this number.
+    #[must_use]
+    pub fn life(&self, id: LifeId) -> Option<&Life> {
+        self.lives.get(&id)
+    }
+
+    /// The newest life of the worker, where it is known.
+    #[must_use]
+    pub fn newest_life(&self, id: &str) -> Option<(LifeId, &Life)> {
+        let (life, _) = self.newest.get(id)?;
+        self.lives.get(life).map(|l| (*life, l))
+    }
+
+    /// Whether a life of the worker that began at `born_ms` is outdated by one
+    /// that is known.
+    #[must_use]
+    pub fn is_outdated(&self, id: &str, born_ms: u64) -> bool {
+        self.newest.get(id).is_some_and(|(_, newest)| *newest > born_ms)
+    }
+
+    /// Accepted submissions of a queue of which no task has been started. One
+    /// that is due later is left out.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |r: &&Record| *r.spec.queue == *queue && !r.begun && r.spec.first_due_ms == 0;
+        self.open().filter(waits).count()
+    }
+
+    fn configure(&mut self, routes: &RouteTable) -> Outcome {
+        if routes.number <= self.routes.number {
+            return Outcome::Done;
+        }
+        self.routes = routes.clone();
+        for id in &self.open {
+            let Some(record) = self.records.get_mut(id) else { continue };
+            if let Some(queue) = self.routes.queue(&record.spec.queue) {
+                record.policy = queue.policy.clone();
+            }
+        }
+        Outcome::Done
+    }
+
+    fn submit(
+        &mut self,
+        seq: LogIndex,
+        spec: &Submission,
+        policy: &QueuePolicy,
+        at_ms: u64,
+    ) -> Outcome {
+        if let Some(known) = self.records.get(&spec.id) {
+            return if known.spec == *spec { Outcome::Done } else { Outcome::Taken };
+        }
+        let steps = || spec.steps.iter().map(|s| vec![Task::default(); usize::from(s.count)]);
+        let left: Vec<u16> = spec.steps.iter().map(|s| s.count).collect();
+        let occurrences = spec.occurrences as usize;
+        let record = Record {
+            spec: spec.clone(),
+            policy: policy.clone(),
+            phase: Phase::Open,
+            at_ms,
+            seq,
+            begun: false,
+            tasks: (0..occurrences).map(|_| steps().collect()).collect(),
+            left: vec![left; occurrences],
+        };
+        self.records.insert(spec.id, record);
+        self.open.insert(spec.id);
+        Outcome::Done
+    }
+
+    fn cancel(&mut self, ids: &[SubmissionId]) -> Outcome {
+        let mut outcome = Outcome::Done;
+        for id in ids {
+            match self.records.get_mut(id) {
+                Some(record) if record.phase == Phase::Open => {
+                    record.phase = Phase::Cancelled;
+                    self.open.remove(id);
+                }
+                Some(_) => {}
+                None => outcome = Outcome::Unknown,
+            }
+        }
+        outcome
+    }
+
+    fn register(&mut self, worker: &WorkerLife) -> Outcome {
+        if self.is_outdated(&worker.id, worker.born_ms) {
+            return Outcome::Done;
+        }
+        if let Some((id, _)) = self.newest.get(&worker.id).copied()
+            && let Some(life) = self.lives.get_mut(&id)
+            && life.worker.born_ms == worker.born_ms
+        {
+            let draining = life.worker.draining || worker.draining;
+            life.worker = WorkerLife { draining, ..worker.clone() };
+            return Outcome::Done;
+        }
+        let replaced = |l: &Life| {
+            let w = &l.worker;
+            let same_machine = w.machine.is_some() && w.machine == worker.machine;
+            w.born_ms < worker.born_ms
+                && (w.id == worker.id || w.addr == worker.addr || same_machine)
+        };
+        let over: Vec<LifeId> =
+            self.lives.iter().filter(|(_, l)| replaced(l)).map(|(id, _)| *id).collect();
+        for id in over {
+            self.end_life(id, &[]);
+        }
+        self.next_life += 1;
+        let life =
+            Life { worker: worker.clone(), runs: BTreeSet::new(), reserved: Resources::ZERO };
+        self.lives.insert(self.next_life, life);
+        self.newest.insert(worker.id.clone(), (self.next_life, worker.born_ms));
+        Outcome::Done
+    }
+
+    fn end_life(&mut self, id: LifeId, checkpoints: &[(TaskId, Box<str>)]) {
+        let Some(life) = self.lives.remove(&id) else { return };
+        for task in life.runs {
+            let Some(record) = self.records.get_mut(&task.submission) else { continue };
+            let Some(t) = record.task_mut(task) else { continue };
+            t.runs.retain(|run| run.life != id);
+            if let Some((_, saved)) = checkpoints.iter().find(|(seen, _)| *seen == task) {
+                t.checkpoint = saved.clone();
+            }
+        }
+    }
+
+    fn place(&mut self, wanted: &[Placed]) -> Outcome {
+        Outcome::Placed(wanted.iter().copied().filter(|p| self.place_one(*p)).collect())
+    }
+
+    fn place_one(&mut self, p: Placed) -> bool {
+        let Some(record) = self.records.get_mut(&p.task.submission) else { return false };
+        if record.phase != Phase::Open
+            || !record.is_due(p.task.occurrence as usize, usize::from(p.task.step))
+        {
+            return false;
+        }
+        let step = &record.spec.steps[usize::from(p.task.step)];
+        let (most, reserved) = (if step.copies { MAX_COPIES } else { 1 }, step.reserved());
+        let Some(task) = record.task_mut(p.task) else { return false };
+        let Some(life) = self.lives.get_mut(&p.life) else { return false };
+        let elsewhere = task.runs.iter().all(|run| run.life != p.life);
+        let free = !task.done && task.runs.len() < most && elsewhere;
+        if !free || p.attempt != task.attempt + 1 || life.worker.draining {
+            return false;
+        }
+        let Some(sum) = life.reserved.checked_add(&reserved) else { return false };
+        if !sum.fits_in(&life.worker.capacity) {
+            return false;
+        }
+        task.attempt = p.attempt;
+        task.runs.push(Run { life: p.life, attempt: p.attempt });
+        life.reserved = sum;
+        life.runs.insert(p.task);
+        record.begun = true;
+        true
+    }
+
+    fn ended(&mut self, life: LifeId, ends: &[RunEnd]) -> Outcome {
+        let mut over = Vec::new();
+        for end in ends {
+            if let Some(id) = self.end_run(life, end) {
+                over.push(id);
+            }
+        }
+        Outcome::Over(over)
+    }
+
+    /// Ends a run; gives the submission if it is over with that.
+    fn end_run(&mut self, life: LifeId, end: &RunEnd) -> Option<SubmissionId> {
+        let record = self.records.get_mut(&end.task.submission)?;
+        let lasting = record.spec.steps.get(usize::from(end.task.step))?.lasting;
+        let max_attempts = record.policy.max_attempts.max(1);
+        let (k, step) = (end.task.occurrence as usize, usize::from(end.task.step));
+        let reserved = record.spec.steps[step].reserved();
+        let task = record.task_mut(end.task)?;
+        let at = task.runs.iter().position(|r| r.life == life && r.attempt == end.attempt)?;
+        task.runs.swap_remove(at);
+        if !end.checkpoint.is_empty() {
+            task.checkpoint = end.checkpoint.clone();
+        }
+        let finished = end.how == EndHow::Done && !task.done && !lasting;
+        task.done |= finished;
+        if end.how == EndHow::Failed {
+            task.failures = task.failures.saturating_add(1);
+        }
+        let exhausted = !lasting && !task.done && task.failures >= max_attempts;
+        if finished {
+            record.left[k][step] -= 1;
+        }
+        if let Some(l) = self.lives.get_mut(&life) {
+            l.runs.remove(&end.task);
+            l.reserved = l.reserved.checked_sub(&reserved).unwrap_or(Resources::ZERO);
+        }
+        if record.phase != Phase::Open {
+            return None;
+        }
+        if exhausted {
+            record.phase = Phase::Failed;
+        } else if record.left.iter().flatten().all(|left| *left == 0) {
+            record.phase = Phase::Complete;
+        } else {
+            return None;
+        }
+        self.open.remove(&end.task.submission);
+        Some(end.task.submission)
+    }
+
+    fn forget(&mut self, ids: &[SubmissionId]) {
+        for id in ids {
+            let idle = |r: &Record| {
+                r.phase != Phase::Open
+                    && r.tasks.iter().flatten().flatten().all(|t| t.runs.is_empty())
+            };
+            if self.records.get(id).is_some_and(idle) {
+                self.records.remove(id);
+            }
+        }
+    }
+}
+
+impl StateMachine for SubmissionState {
+    type Command = Change;
+    type Answer = Outcome;
+
+    fn apply(&mut self, index: LogIndex, change: &Change) -> Outcome {
+        match change {
+            Change::Barrier => Outcome::Done,
+            Change::Configure(routes) => self.configure(routes),
+            Change::Submit { submission, policy, at_ms } => {
+                self.submit(index, submission, policy, *at_ms)
+            }
+            Change::Cancel(ids) => self.cancel(ids),
+            Change::Register(worker) => self.register(worker),
+            Change::Lost { life, checkpoints } => {
+                self.end_life(*life, checkpoints);
+                Outcome::Done
+            }
+            Change::Place(wanted) => self.place(wanted),
+            Change::Ended { life, ends } => self.ended(*life, ends),
+            Change::Forget(ids) => {
+                self.forget(ids);
+                Outcome::Done
+            }
+        }
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_else(|e| {
+            tracing::error!(error = %e, "snapshot of submissions was not encoded");
+            Vec::new()
+        })
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self> {
+        postcard::from_bytes(bytes)
+            .map_err(|e| Error::new(ErrorKind::Corrupt, format!("snapshot of submissions: {e}")))
+    }
+}
--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -37,6 +37,7 @@
     pub(crate) early_visibility: bool,
     pub(crate) snapshot_entries: u64,
     pub(crate) segment_bytes: u64,
+    pub(crate) may_form: bool,
 }
 
 /// Size past which a segment of the log takes no more entries, in bytes.
@@ -61,6 +62,7 @@
             early_visibility: false,
             snapshot_entries: 10_000,
             segment_bytes: SEGMENT_BYTES,
+            may_form: true,
         }
     }
 
@@ -101,6 +103,15 @@
         self
     }
 
+    /// Sets whether this replica may form the group with the initial members.
+    /// One that may not, such as a replacement of a lost host, waits until a
+    /// leader admits it, and need not be an initial member.
+    #[must_use]
+    pub fn may_form(mut self, allowed: bool) -> Self {
+        self.may_form = allowed;
+        self
+    }
+
     /// How long a heartbeat that a majority answered lets the leader be sure
     /// that it leads. Followers refuse votes for an election timeout after
     /// they heard the leader; the rest is the margin for clocks that run at
@@ -116,7 +127,7 @@
     /// [`ErrorKind::BadSetting`] naming the setting.
     pub fn check(&self) -> Result<()> {
         let bad = |what: String| Err(Error::new(ErrorKind::BadSetting, what));
-        if !self.initial_members.iter().any(|m| m.id == self.id) {
+        if self.may_form && !self.initial_members.iter().any(|m| m.id == self.id) {
             return bad(format!("group {}: replica {} is not a member", self.group, self.id));
         }
         let members = &self.initial_members;
@@ -124,7 +135,7 @@
         if let Some(m) = members.iter().find(|m| is_repeated(m)) {
             return bad(format!("group {}: replica {} is listed twice", self.group, m.id));
         }
-        if !members.iter().any(|m| m.kind == MemberKind::Voter) {
+        if self.may_form && !members.iter().any(|m| m.kind == MemberKind::Voter) {
             return bad(format!("group {}: expected at least one voter", self.group));
         }
         if self.election_timeout < self.heartbeat * 3 {
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -32,7 +32,8 @@
         let coordinator =
             members.iter().filter(|m| m.kind == MemberKind::Voter).map(|m| m.id).min();
         let others = members.iter().filter(|m| m.kind != MemberKind::Learner).map(|m| m.id);
-        (coordinator == Some(self.me.id)).then(|| others.filter(|id| *id != self.me.id).collect())
+        (self.cfg.may_form && coordinator == Some(self.me.id))
+            .then(|| others.filter(|id| *id != self.me.id).collect())
     }
 
     /// Writes down the first membership; gives the number of the write.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -298,6 +298,9 @@
         if self.membership().is_some() {
             return self.is_only_voter();
         }
+        if !self.cfg.may_form {
+            return false;
+        }
         let mut voters = self.cfg.initial_members.iter().filter(|m| m.kind != MemberKind::Learner);
         let own = |m: &Member| m.id == self.me.id && m.kind == MemberKind::Voter;
         voters.next().is_some_and(own) && voters.next().is_none()
--- a/src/board.rs
+++ b/src/board.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at this process: the highest number seen so far.
 
-use crate::notify::Notify;
+use cyclamenloft_dispatch::notify::Notify;
 use cyclamenloft_operator::{Checked, InForce, Offered, Update, messages::ShowAnswer};
 use cyclamenloft_peer::calls::WaitConfigParams;
 use cyclamenloft_types::ConfigNumber;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,9 +10,9 @@
 use crate::{
     board::ConfigBoard,
     metrics::{self, Metrics},
-    notify::Notify,
     settings::{ControlSettings, raw::ReplicaAddr},
 };
+use cyclamenloft_dispatch::notify::Notify;
 use cyclamenloft_http::{JsonClient, Limits, StopSignal, bind, serve};
 use cyclamenloft_operator::ConfigState;
 use cyclamenloft_peer::{LogTransport, PeerClient, RpcService};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod local;
 pub mod logging;
 pub mod metrics;
-pub mod notify;
 pub mod process;
 pub mod settings;
 pub mod standin;
