Learn interference by pairs of images and group lasting tasks by image

Change: a decayed regression for each serving image; fill tasks are placed where the tails bear them and paced by what each adds; lasting tasks join their image. Ruled out: sizes of short tasks and of other lasting tasks (weights near 0).

--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -65,6 +65,7 @@
         node.metrics.count("submit", "busy");
         return Reply::Busy { retry_after_s };
     }
+    tracing::debug!(event = "submission", submission = %format_args!("{id:016x}"), steps = ?submission.steps);
     let tasks: u32 = submission.steps.iter().map(|s| u32::from(s.count)).sum();
     let steps = submission.steps.len();
     let version = node.state(|s| s.routes().number);
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -127,7 +127,7 @@
         let mut fleet = leadership.fleet.borrow_mut();
         let idle = cx.node.state(|s| s.life(cx.life).is_none_or(|l| l.runs.is_empty()));
         let view = fleet.view_mut(cx.life, sent);
-        let wait = match (view.synced, idle, view.pacer.is_tense()) {
+        let wait = match (view.synced, idle, view.is_tense()) {
             (false, ..) => Duration::ZERO,
             (_, true, _) => IDLE_WAIT,
             (_, _, true) => TENSE_WAIT,
@@ -161,6 +161,10 @@
     sent: Instant,
 ) -> Result<()> {
     let now = Instant::now();
+    tracing::debug!(
+        event = "listed", worker = %cx.worker, clock_ms = seen.clock_ms,
+        running = ?seen.running.iter().map(|l| (l.task.to_string(), l.percent, l.figure)).collect::<Vec<_>>()
+    );
     let (ends, was_synced) = cx.node.state(|s| {
         let mut fleet = leadership.fleet.borrow_mut();
         let was_synced = fleet.view_mut(cx.life, now).synced;
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -4,8 +4,9 @@
 use super::{
     command::{EndHow, RunEnd},
     health::Health,
+    interference::{Interference, Use},
     lease::WorkerLease,
-    pacing::Pacer,
+    pacing::{self, Pace, Victim},
     spec::{Step, TaskId},
     state::{Life, LifeId, Phase, Record, Run, SubmissionState},
 };
@@ -27,6 +28,13 @@
 const STUCK_AFTER: Duration = Duration::from_millis(1500);
 /// The same for tasks that fill, which may be starved for a while.
 const FILL_STUCK_AFTER: Duration = Duration::from_millis(4000);
+/// Part of the target that the tail of a serving task is taken for before it was
+/// seen.
+const UNKNOWN_BASE: f64 = 0.45;
+/// Part of a rise of an undisturbed tail that is believed at once.
+const BASE_RISE: f64 = 0.7;
+/// Part of a fall of an undisturbed tail that is believed at once.
+const BASE_FALL: f64 = 0.4;
 /// Time beyond the expected answer after which a worker counts as out of reach.
 const HOLD_LATE: Duration = Duration::from_millis(500);
 
@@ -125,6 +133,12 @@
     checkpoint: Box<str>,
     /// Share that the worker was told.
     pace: u8,
+    /// Share that it should work at.
+    wanted_pace: Pace,
+    /// Logarithm of the tail without tasks that fill, of a serving task.
+    base_ln: Option<f64>,
+    /// Since when the tail is over its target.
+    over_since: Option<Instant>,
     not_before: Instant,
 }
 
@@ -142,6 +156,9 @@
             figure: 0,
             checkpoint: "".into(),
             pace: 100,
+            wanted_pace: Pace::default(),
+            base_ln: None,
+            over_since: None,
             not_before: now,
         }
     }
@@ -158,8 +175,6 @@
     reachable_until: Instant,
     /// What is held against the worker.
     pub health: Health,
-    /// The share at which its fill tasks work.
-    pub pacer: Pacer,
     runs: BTreeMap<TaskId, RunView>,
     strays: BTreeSet<(TaskId, AttemptNumber)>,
 }
@@ -178,6 +193,8 @@
     longest_lease: Duration,
     since: Instant,
     views: BTreeMap<LifeId, WorkerView>,
+    /// What is known of how images disturb each other.
+    pub interference: Interference,
 }
 
 impl Fleet {
@@ -185,7 +202,7 @@
     /// `since`.
     #[must_use]
     pub fn new(longest_lease: Duration, since: Instant) -> Self {
-        Self { longest_lease, since, views: BTreeMap::new() }
+        Self { longest_lease, since, views: BTreeMap::new(), interference: Interference::default() }
     }
 
     /// The view of a life, made where there is none.
@@ -196,7 +213,6 @@
             synced: false,
             reachable_until: now,
             health: Health::default(),
-            pacer: Pacer::default(),
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
         })
@@ -260,7 +276,9 @@
                 ends.push(end);
             }
         }
-        view.note_tails(state, now);
+        if let Some(view) = self.views.get_mut(&id) {
+            view.note_tails(state, &mut self.interference, now);
+        }
         ends
     }
 
@@ -279,12 +297,11 @@
         if let Some((task, attempt)) = view.strays.pop_first() {
             return Some(Order { task, attempt, kind: OrderKind::Stop });
         }
-        let pace = view.pacer.percent();
         let mut next: Option<Order> = None;
         for task in &life.runs {
             let Some((record, run)) = record_run(state, id, *task) else { continue };
             let run_view = view.run_view(*task, run.attempt, now);
-            let Some(kind) = run_view.wanted_order(record, *task, pace, now) else { continue };
+            let Some(kind) = run_view.wanted_order(record, *task, now) else { continue };
             // Stops free room that starts may need.
             if kind == OrderKind::Stop || next.is_none() {
                 next = Some(Order { task: *task, attempt: run.attempt, kind });
@@ -382,11 +399,10 @@
             if !view.is_usable(now) && !view.health.on_probation() {
                 continue;
             }
-            let pace = view.pacer.percent();
             let mut found = false;
             for (task, run) in &mut view.runs {
                 let Some(step) = step_of(state, *task) else { continue };
-                if run.is_stuck(step, pace, now) {
+                if run.is_stuck(step, now) {
                     run.withdrawn = true;
                     found = true;
                     stuck.push((*id, *task));
@@ -471,15 +487,88 @@
         Some(RunEnd { task, attempt, how, checkpoint: run.checkpoint.clone() })
     }
 
-    fn note_tails(&mut self, state: &SubmissionState, now: Instant) {
-        let mut worst: f64 = 0.0;
+    fn note_tails(
+        &mut self,
+        state: &SubmissionState,
+        interference: &mut Interference,
+        now: Instant,
+    ) {
+        let mut used: BTreeMap<usize, f64> = BTreeMap::new();
         for (task, run) in &self.runs {
-            let Some(target) = step_of(state, *task).and_then(|s| s.target_ms) else { continue };
-            if run.listed && run.percent == 100 && target > 0 {
-                worst = worst.max(f64::from(run.figure) / f64::from(target));
+            let Some(step) = step_of(state, *task).filter(|s| s.fills && run.listed) else {
+                continue;
+            };
+            let index = interference.index(step.image.as_deref());
+            *used.entry(index).or_default() += f64::from(run.figure) / 1000.0;
+        }
+        let used = used.into_iter().collect();
+        for (task, run) in &mut self.runs {
+            let Some(step) = step_of(state, *task) else { continue };
+            if let Some(target) = step.target_ms
+                && run.is_serving()
+            {
+                let serving = step.image.as_deref().unwrap_or_default();
+                interference.note(serving, &used, f64::from(run.figure), now);
+                run.note_tail(serving, target, &used, interference, now);
             }
         }
-        self.pacer.note(worst, now);
+        self.pace_fill(state, interference, now);
+    }
+
+    /// Decides at which share each task that fills may work.
+    fn pace_fill(&mut self, state: &SubmissionState, interference: &Interference, now: Instant) {
+        let victims = self.victims(state, now);
+        let fill: Vec<(TaskId, Option<usize>, f64)> = self
+            .runs
+            .keys()
+            .filter_map(|task| {
+                let step = step_of(state, *task).filter(|s| s.fills)?;
+                let cores = f64::from(step.demand.cpu_millis) / 1000.0;
+                Some((*task, interference.known(step.image.as_deref()), cores))
+            })
+            .collect();
+        let pressure = |image: &str, index, cores| interference.weight(image, index) * cores;
+        let all: Vec<f64> = victims
+            .iter()
+            .map(|(image, _)| fill.iter().map(|(_, i, c)| pressure(image, *i, *c)).sum())
+            .collect();
+        for (task, index, cores) in &fill {
+            let pressures = victims
+                .iter()
+                .zip(&all)
+                .map(|((image, victim), all)| (*victim, pressure(image, *index, *cores), *all));
+            let share = pacing::share(pressures);
+            if let Some(run) = self.runs.get_mut(task) {
+                run.wanted_pace.note(share, now);
+            }
+        }
+    }
+
+    /// The serving tasks at work here, with their images.
+    pub(super) fn victims<'a>(
+        &self,
+        state: &'a SubmissionState,
+        now: Instant,
+    ) -> Vec<(&'a str, Victim)> {
+        let victim = |(task, run): (&TaskId, &RunView)| {
+            let step = step_of(state, *task)?;
+            let target_ln = f64::from(step.target_ms?).ln();
+            let over_for =
+                run.over_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let base_ln = run.base_ln.unwrap_or(target_ln + UNKNOWN_BASE.ln());
+            Some((
+                step.image.as_deref().unwrap_or_default(),
+                Victim { base_ln, target_ln, over_for },
+            ))
+        };
+        self.runs.iter().filter_map(victim).collect()
+    }
+
+    /// Whether tails here have to be watched closely.
+    #[must_use]
+    pub fn is_tense(&self) -> bool {
+        let slowed = |r: &RunView| r.pace < 100 || r.wanted_pace.percent() < 100;
+        self.runs.values().any(|r| r.over_since.is_some() || slowed(r))
     }
 
     fn checkpoints(&self) -> Vec<(TaskId, Box<str>)> {
@@ -489,13 +578,7 @@
 }
 
 impl RunView {
-    fn wanted_order(
-        &mut self,
-        record: &Record,
-        task: TaskId,
-        pace: u8,
-        now: Instant,
-    ) -> Option<OrderKind> {
+    fn wanted_order(&mut self, record: &Record, task: TaskId, now: Instant) -> Option<OrderKind> {
         if now < self.not_before {
             return None;
         }
@@ -509,12 +592,40 @@
             return Some(OrderKind::Start);
         }
         let fills = record.spec.steps[usize::from(task.step)].fills;
+        let pace = self.wanted_pace.percent();
         (fills && self.listed && self.pace != pace).then_some(OrderKind::Pace(pace))
     }
 
-    fn is_stuck(&self, step: &Step, pace: u8, now: Instant) -> bool {
+    /// Whether the run serves its users, so that its tail means something.
+    fn is_serving(&self) -> bool {
+        self.listed && self.percent == 100 && self.figure > 0
+    }
+
+    fn note_tail(
+        &mut self,
+        image: &str,
+        target_ms: u32,
+        used: &Use,
+        interference: &Interference,
+        now: Instant,
+    ) {
+        let disturbed: f64 =
+            used.iter().map(|(i, cores)| interference.weight(image, Some(*i)) * cores).sum();
+        let base = f64::from(self.figure).ln() - disturbed;
+        let known = self.base_ln.unwrap_or(base);
+        // A base that rises is believed faster than one that falls.
+        let gain = if base > known { BASE_RISE } else { BASE_FALL };
+        self.base_ln = Some(known + gain * (base - known));
+        if self.figure > target_ms {
+            self.over_since.get_or_insert(now);
+        } else {
+            self.over_since = None;
+        }
+    }
+
+    fn is_stuck(&self, step: &Step, now: Instant) -> bool {
         let after = if step.fills { FILL_STUCK_AFTER } else { STUCK_AFTER };
-        let paced = step.fills && (pace < 100 || self.pace < 100);
+        let paced = self.pace < 100 || self.wanted_pace.percent() < 100;
         self.listed && !self.withdrawn && !paced && now >= self.progress_at + after
     }
 }
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -9,6 +9,7 @@
 pub mod command;
 pub mod fleet;
 pub mod health;
+pub mod interference;
 pub mod lease;
 pub mod pacing;
 pub mod planner;
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -1,75 +1,92 @@
-//! Pacing of tasks that fill a worker, so that the lasting tasks beside them
-//! keep their latency target. The tail is measured over half a second, so each
-//! step waits until the figure shows the last one.
+//! Pacing of tasks that fill a worker, so that the serving tasks beside them
+//! keep their latency target: each fill task is slowed by what it adds to the
+//! tail that is nearest to its target, and not at all where it adds nothing.
 
 use std::time::{Duration, Instant};
 
+/// Share of the target up to which fill tasks may push a tail.
+pub const TAIL_SHARE: f64 = 0.82;
+/// Growth of a tail's logarithm that counts as nothing: two hundredths.
+pub const NEGLIGIBLE: f64 = 0.02;
+/// Time over the target after which everything that may disturb is held: well
+/// before the users' limit of some seconds.
+const HOLD_AFTER: Duration = Duration::from_millis(1_800);
 /// Time until a reported tail shows the effect of a change: the worker averages
 /// over half a second, and a pace takes a tenth of a second to act.
 const SETTLE: Duration = Duration::from_millis(650);
-/// Time below the target before more is allowed.
-const RAISE_AFTER: Duration = Duration::from_millis(1200);
-/// Share of the target above which the fill tasks are slowed.
-const SLOW_ABOVE: f64 = 0.92;
-/// Share of the target below which the fill tasks may speed up.
-const RAISE_BELOW: f64 = 0.7;
-/// First cut, in percent.
-const FIRST_CUT: u8 = 35;
-/// Step up, in percent.
-const RAISE_STEP: u8 = 25;
+/// Least step of a pace, in percent.
+const LEAST_STEP: u8 = 10;
 
-/// The share at which a worker's fill tasks work.
+/// A serving task beside tasks that fill.
 #[derive(Clone, Copy, Debug)]
-pub struct Pacer {
-    percent: u8,
-    changed: Option<Instant>,
-    worst: f64,
+pub struct Victim {
+    /// Logarithm of the tail without the tasks that fill.
+    pub base_ln: f64,
+    /// Logarithm of the target.
+    pub target_ln: f64,
+    /// How long the tail has been over its target.
+    pub over_for: Duration,
 }
 
-impl Default for Pacer {
-    fn default() -> Self {
-        Self { percent: 100, changed: None, worst: 0.0 }
+impl Victim {
+    /// By how much the tasks that fill may let the logarithm of the tail grow.
+    #[must_use]
+    pub fn budget(&self) -> f64 {
+        (self.target_ln + TAIL_SHARE.ln() - self.base_ln).max(0.0)
     }
 }
 
-impl Pacer {
-    /// The share at which fill tasks may work now, in percent.
-    #[must_use]
-    pub fn percent(&self) -> u8 {
-        self.percent
+/// The share at which a fill task may work, in percent. `pressures` has, for
+/// each victim, what this task adds to the logarithm of the tail at full pace,
+/// and what all fill tasks together add.
+#[must_use]
+pub fn share(pressures: impl Iterator<Item = (Victim, f64, f64)>) -> u8 {
+    let mut share: f64 = 1.0;
+    for (victim, own, all) in pressures {
+        if own < NEGLIGIBLE {
+            continue;
+        }
+        let fits = if all > 0.0 { victim.budget() / all } else { 1.0 };
+        let held = victim.over_for >= HOLD_AFTER;
+        share = share.min(if held { 0.0 } else { fits });
     }
+    percent(share)
+}
 
-    /// The worst reported tail beside its target.
-    #[must_use]
-    pub fn worst(&self) -> f64 {
-        self.worst
-    }
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn percent(share: f64) -> u8 {
+    // In steps, so that small changes cost no call.
+    ((share.clamp(0.0, 1.0) * 10.0).floor() * 10.0) as u8
+}
 
-    /// Whether the worker has to be watched closely.
-    #[must_use]
-    pub fn is_tense(&self) -> bool {
-        self.percent < 100 || self.worst > RAISE_BELOW
+/// The pace of one run and when it changed.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    percent: u8,
+    changed: Option<Instant>,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { percent: 100, changed: None }
     }
+}
 
-    /// Whether fill tasks may be added.
+impl Pace {
+    /// The pace that the run should have, in percent.
     #[must_use]
-    pub fn has_room(&self) -> bool {
-        self.percent == 100 && self.worst < SLOW_ABOVE
+    pub fn percent(&self) -> u8 {
+        self.percent
     }
 
-    /// Notes the worst tail on the worker, as a share of its target.
-    pub fn note(&mut self, worst: f64, now: Instant) {
-        self.worst = worst;
-        let since = self.changed.map(|at| now.saturating_duration_since(at));
-        let settled = since.is_none_or(|s| s >= SETTLE);
-        if worst > SLOW_ABOVE && settled && self.percent > 0 {
-            self.percent = if worst <= 1.0 && self.percent > FIRST_CUT { FIRST_CUT } else { 0 };
-            self.changed = Some(now);
-        } else if worst < RAISE_BELOW
-            && self.percent < 100
-            && since.is_none_or(|s| s >= RAISE_AFTER)
-        {
-            self.percent = (self.percent + RAISE_STEP).min(100);
+    /// Takes the share that may be allowed now. It slows at once and speeds up
+    /// only once the last change shows.
+    pub fn note(&mut self, share: u8, now: Instant) {
+        let settled = self.changed.is_none_or(|at| now >= at + SETTLE);
+        let slower = share + LEAST_STEP <= self.percent;
+        let faster = settled && (share >= self.percent + 2 * LEAST_STEP || share == 100);
+        if share != self.percent && (slower || faster) {
+            self.percent = share;
             self.changed = Some(now);
         }
     }
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -4,6 +4,8 @@
 use super::{
     command::Placed,
     fleet::{Fleet, runs_on},
+    interference::Interference,
+    pacing::NEGLIGIBLE,
     spec::{Step, TaskId},
     state::{Life, LifeId, Record, SubmissionState},
 };
@@ -19,6 +21,12 @@
 /// worker: a little more than there is, since tasks wait for one another.
 const FILL_DEPTH: f64 = 1.15;
 
+/// What a lasting task of another image weighs in a placement, beside a
+/// worker's busy share.
+const STRANGER: f64 = 1.0;
+/// What company of the same image weighs.
+const FAMILIAR: f64 = 0.8;
+
 /// A worker as the planner fills it during one round.
 struct Seat<'a> {
     id: LifeId,
@@ -28,15 +36,24 @@
     used: f64,
     /// Processor time that tasks which fill ask for.
     filled: f64,
-    takes_fill: bool,
-    stress: f64,
+    /// Serving tasks: image, what is left of the budget for tasks that fill, and
+    /// the whole budget.
+    victims: Vec<(&'a str, f64)>,
+    /// Lasting tasks by image.
+    lasting: BTreeMap<&'a str, u16>,
     /// Runs of each occurrence and step.
     spread: BTreeMap<(u64, u32, u16), u16>,
     probation: bool,
 }
 
 impl<'a> Seat<'a> {
-    fn new(state: &'a SubmissionState, fleet: &Fleet, id: LifeId, life: &'a Life) -> Self {
+    fn new(
+        state: &'a SubmissionState,
+        fleet: &Fleet,
+        id: LifeId,
+        life: &'a Life,
+        now: Instant,
+    ) -> Self {
         let free = life.worker.capacity.checked_sub(&life.reserved).unwrap_or(Resources::ZERO);
         let view = fleet.view(id);
         let mut seat = Self {
@@ -45,24 +62,36 @@
             free,
             used: 0.0,
             filled: 0.0,
-            takes_fill: view.is_some_and(|v| v.pacer.has_room()),
-            stress: view.map_or(0.0, |v| v.pacer.worst()),
+            victims: view.map_or_else(Vec::new, |v| {
+                let victims = v.victims(state, now);
+                victims.into_iter().map(|(image, victim)| (image, victim.budget())).collect()
+            }),
+            lasting: BTreeMap::new(),
             spread: BTreeMap::new(),
             probation: view.is_some_and(|v| v.health.on_probation()),
         };
         for (task, step) in runs_on(state, life) {
-            seat.count(task, step);
+            seat.count(task, step, &fleet.interference);
         }
         seat
     }
 
-    fn count(&mut self, task: TaskId, step: &Step) {
+    fn count(&mut self, task: TaskId, step: &'a Step, known: &Interference) {
         let cpu = f64::from(step.demand.cpu_millis);
         match step {
             Step { fills: true, .. } => self.filled += cpu,
             Step { lasting: true, .. } => self.used += cpu * LASTING_USE,
             _ => self.used += cpu,
         }
+        if step.lasting {
+            *self.lasting.entry(step.image.as_deref().unwrap_or_default()).or_default() += 1;
+        }
+        if step.fills {
+            let index = known.known(step.image.as_deref());
+            for (image, left) in &mut self.victims {
+                *left -= known.weight(image, index) * cpu / 1000.0;
+            }
+        }
         *self.spread.entry((task.submission, task.occurrence, task.step)).or_default() += 1;
     }
 
@@ -74,13 +103,38 @@
         self.spread.get(&(task.submission, task.occurrence, task.step)).copied().unwrap_or(0)
     }
 
-    fn fits(&self, step: &Step, task: TaskId) -> bool {
+    /// How strange a lasting task would be among those that are here. Where all
+    /// are of one image, the images that disturb it are few, and the others may
+    /// fill the worker without harm.
+    fn strangeness(&self, step: &Step) -> f64 {
+        let image = step.image.as_deref().unwrap_or_default();
+        let same = self.lasting.get(image).copied().unwrap_or(0);
+        let all: u16 = self.lasting.values().sum();
+        f64::from(all - same) * STRANGER - f64::from(same.min(1)) * FAMILIAR
+    }
+
+    /// What the task would add to the tails here, and whether they bear it.
+    fn pressure(&self, step: &Step, known: &Interference) -> (f64, bool) {
+        let index = known.known(step.image.as_deref());
+        let cores = f64::from(step.demand.cpu_millis) / 1000.0;
+        let (mut sum, mut borne) = (0.0, true);
+        for (image, left) in &self.victims {
+            let add = known.weight(image, index) * cores;
+            if add >= NEGLIGIBLE {
+                borne &= add <= *left;
+                sum += add / left.max(0.1);
+            }
+        }
+        (sum, borne)
+    }
+
+    fn fits(&self, step: &Step, task: TaskId, known: &Interference) -> bool {
         let apart = step.max_per_worker == 0 || self.of_step(task) < step.max_per_worker;
         let labelled = step
             .label
             .as_ref()
             .is_none_or(|label| self.life.worker.labels.iter().any(|l| l == label));
-        let filled = !step.fills || (self.takes_fill && self.has_fill_room(step));
+        let filled = !step.fills || (self.has_fill_room(step) && self.pressure(step, known).1);
         let probed = !self.probation || self.life.runs.is_empty();
         apart && labelled && filled && probed && step.reserved().fits_in(&self.free)
     }
@@ -91,15 +145,16 @@
     }
 
     /// How well the task would be placed here; the lowest wins.
-    fn score(&self, step: &Step, task: TaskId) -> f64 {
+    fn score(&self, step: &Step, task: TaskId, known: &Interference) -> f64 {
         let far = step.rack.as_ref().is_some_and(|rack| *rack != self.life.worker.rack);
         let far = if far { 4.0 } else { 0.0 };
         let cpu = f64::from(step.demand.cpu_millis);
         let base = if step.fills {
-            (self.filled + cpu) / (self.capacity() - self.used).max(1.0) + self.stress
+            let busy = (self.filled + cpu) / (self.capacity() - self.used).max(1.0);
+            busy + self.pressure(step, known).0
         } else if step.lasting {
             let busy = (self.used + cpu * LASTING_USE + self.filled * 0.5) / self.capacity();
-            busy + f64::from(self.of_step(task)) + self.stress * 0.5
+            busy + f64::from(self.of_step(task)) * 0.5 + self.strangeness(step)
         } else {
             // A short task takes the tightest room, so that wide room stays for
             // lasting tasks.
@@ -108,9 +163,9 @@
         base + far
     }
 
-    fn take(&mut self, step: &Step, task: TaskId) {
+    fn take(&mut self, step: &'a Step, task: TaskId, known: &Interference) {
         self.free = self.free.checked_sub(&step.reserved()).unwrap_or(Resources::ZERO);
-        self.count(task, step);
+        self.count(task, step, known);
     }
 }
 
@@ -122,13 +177,13 @@
         .filter(|(id, life)| {
             !life.worker.draining && fleet.view(*id).is_some_and(|v| v.is_usable(now))
         })
-        .map(|(id, life)| Seat::new(state, fleet, id, life))
+        .map(|(id, life)| Seat::new(state, fleet, id, life, now))
         .collect();
     let mut records: Vec<&Record> = state.open().collect();
     records.sort_by_key(|r| (r.policy.priority, objective_ms(r), r.seq));
     let mut placed = Vec::new();
     for record in records {
-        place_record(record, &mut seats, wall_ms, &mut placed);
+        place_record(record, &mut seats, &fleet.interference, wall_ms, &mut placed);
         if placed.len() >= MAX_PLACED {
             break;
         }
@@ -151,7 +206,13 @@
     record.at_ms + stretched + u64::from(record.policy.target_ms)
 }
 
-fn place_record(record: &Record, seats: &mut [Seat<'_>], wall_ms: u64, placed: &mut Vec<Placed>) {
+fn place_record<'a>(
+    record: &'a Record,
+    seats: &mut [Seat<'a>],
+    known: &Interference,
+    wall_ms: u64,
+    placed: &mut Vec<Placed>,
+) {
     for (k, steps) in record.tasks.iter().enumerate() {
         let occurrence = u32::try_from(k).unwrap_or(u32::MAX);
         if record.spec.first_due_ms > 0 && wall_ms < record.spec.due_ms(occurrence) {
@@ -172,11 +233,11 @@
                     step: u16::try_from(s).unwrap_or(u16::MAX),
                     index: u16::try_from(i).unwrap_or(u16::MAX),
                 };
-                let Some(seat) = best_seat(record, step, id, seats) else {
+                let Some(seat) = best_seat(record, step, id, seats, known) else {
                     // No other task of the step fits either.
                     break;
                 };
-                seat.take(step, id);
+                seat.take(step, id, known);
                 placed.push(Placed { task: id, attempt: task.attempt + 1, life: seat.id });
             }
         }
@@ -188,13 +249,14 @@
     step: &Step,
     task: TaskId,
     seats: &'s mut [Seat<'a>],
+    known: &Interference,
 ) -> Option<&'s mut Seat<'a>> {
     let mut best: Option<(f64, usize)> = None;
     for (i, seat) in seats.iter().enumerate() {
-        if seat.life.worker.service != record.policy.service || !seat.fits(step, task) {
+        if seat.life.worker.service != record.policy.service || !seat.fits(step, task, known) {
             continue;
         }
-        let score = seat.score(step, task);
+        let score = seat.score(step, task, known);
         if best.is_none_or(|(lowest, _)| score < lowest) {
             best = Some((score, i));
         }
