Grant no longer lease to a worker that is out of reach

Each look that got no answer granted a lease that ended six seconds later, so the old one was never surely over. Change: orders to a worker out of reach repeat the end that was granted; no orders go to it until it answers a look. Ruled out: want of room (the planner had room, nothing was lost in the log).

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -184,13 +184,9 @@
     Ok(())
 }
 
-/// Notes and returns the end of the longest lease that may be granted now.
+/// The end of the lease that goes with the next order.
 fn grant(leadership: &Leadership, life: LifeId, now: Instant) -> Option<u64> {
-    let mut fleet = leadership.fleet.borrow_mut();
-    let lease = &mut fleet.view_mut(life, now).lease;
-    let end_ms = lease.next_end_ms(now)?;
-    lease.note_granted(end_ms);
-    Some(end_ms)
+    leadership.fleet.borrow_mut().view_mut(life, now).grant(now)
 }
 
 /// Sends orders for as long as this replica leads and the life lasts.
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -183,7 +183,25 @@
     /// Whether the worker may get work now.
     #[must_use]
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.synced && now < self.reachable_until && self.health.may_start(now)
+        self.synced && self.is_reachable(now) && self.health.may_start(now)
+    }
+
+    /// Whether the worker has answered lately.
+    #[must_use]
+    pub fn is_reachable(&self, now: Instant) -> bool {
+        now < self.reachable_until
+    }
+
+    /// Notes and returns the end of the lease that goes with the next order. A
+    /// worker that is out of reach gets no more time: what runs there has to be
+    /// over some day, so that it can run elsewhere.
+    pub fn grant(&mut self, now: Instant) -> Option<u64> {
+        if !self.is_reachable(now) {
+            return self.lease.granted_end_ms();
+        }
+        let end_ms = self.lease.next_end_ms(now)?;
+        self.lease.note_granted(end_ms);
+        Some(end_ms)
     }
 }
 
@@ -291,7 +309,7 @@
     ) -> Option<Order> {
         let life = state.life(id)?;
         let view = self.view_mut(id, now);
-        if !view.synced {
+        if !view.synced || !view.is_reachable(now) {
             return None;
         }
         if let Some((task, attempt)) = view.strays.pop_first() {
@@ -423,7 +441,7 @@
         now: Instant,
     ) -> Vec<(LifeId, Vec<(TaskId, Box<str>)>)> {
         let over = |(id, view): (&LifeId, &WorkerView)| {
-            let silent = now >= view.reachable_until && now >= view.lease.surely_over_at();
+            let silent = !view.is_reachable(now) && now >= view.lease.surely_over_at();
             (silent && state.life(*id).is_some()).then(|| (*id, view.checkpoints()))
         };
         self.views.iter().filter_map(over).collect()
--- a/crates/placement/src/submission/lease.rs
+++ b/crates/placement/src/submission/lease.rs
@@ -46,6 +46,13 @@
         Some(clock_ms + millis(passed) + millis(self.longest))
     }
 
+    /// The end that was granted already, which another order may repeat without
+    /// making the wait longer for a worker that is out of reach.
+    #[must_use]
+    pub fn granted_end_ms(&self) -> Option<u64> {
+        self.reading.map(|_| self.granted_ms)
+    }
+
     /// Notes that an order with a lease until `end_ms` is about to be sent.
     pub fn note_granted(&mut self, end_ms: u64) {
         self.granted_ms = self.granted_ms.max(end_ms);
