Move fill work that is held back, place hopeful submissions first, leases of 7 s

Change: runs at 30% or less for 1.2 s go where they are borne; the objective that can't be met comes after those that can; tails may reach 0.95 of the target; leases of at most 7 s. A task nobody bears waits 6 s, then goes where nothing else fills.

--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -136,15 +136,26 @@
         }
         node.metrics.count("worker", "lost");
     }
-    let stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, Instant::now()));
-    for (life, task) in stuck {
-        tracing::info!(decision = "withdraw", %task, life, outcome = "stuck");
-        node.metrics.count("withdraw", "stuck");
-        leadership.wake(life);
-    }
+    withdraw(node, leadership);
     place(node, leadership).await
 }
 
+/// Gives up runs that stand still, and those that get on better elsewhere.
+fn withdraw<P: WorkerPort>(node: &Node<P>, leadership: &Leadership) {
+    let now = Instant::now();
+    let stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, now));
+    let moved = node.state(|s| planner::moves(s, &leadership.fleet.borrow(), now));
+    for (life, task) in &moved {
+        leadership.fleet.borrow_mut().withdraw(*life, *task, now);
+    }
+    let withdrawn = stuck.iter().map(|w| (w, "stuck"));
+    for ((life, task), outcome) in withdrawn.chain(moved.iter().map(|w| (w, "moved"))) {
+        tracing::info!(decision = "withdraw", %task, life, outcome);
+        node.metrics.count("withdraw", outcome);
+        leadership.wake(*life);
+    }
+}
+
 async fn place<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
     let began = Instant::now();
     let wanted =
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -40,6 +40,11 @@
 /// Size of a segment of the log: the disks hold 128 MB.
 const SEGMENT_BYTES: u64 = 4 << 20;
 
+/// Longest lease that is granted. A lasting task of a worker that has crashed
+/// runs elsewhere only once its lease is over, for which the users give nine
+/// seconds; cuts of six seconds should cost no run.
+const LONGEST_LEASE: Duration = Duration::from_millis(7_000);
+
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -82,7 +87,12 @@
     /// # Errors
     ///
     /// A wrong setting, or a folder that is damaged or in use.
-    pub async fn open(settings: NodeSettings, port: P, metrics: Rc<Metrics>) -> Result<Rc<Self>> {
+    pub async fn open(
+        mut settings: NodeSettings,
+        port: P,
+        metrics: Rc<Metrics>,
+    ) -> Result<Rc<Self>> {
+        settings.longest_lease = settings.longest_lease.min(LONGEST_LEASE);
         let me = replica_id(settings.ip);
         let seeds = settings.seeds.iter().map(|ip| replica_id(*ip));
         let initial: Vec<Member> = seeds.map(|id| Member { id, kind: MemberKind::Voter }).collect();
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -582,6 +582,14 @@
         self.runs.iter().filter_map(victim).collect()
     }
 
+    /// Runs of tasks that fill which hardly get on here.
+    pub(super) fn held_back(&self, now: Instant) -> impl Iterator<Item = TaskId> {
+        let slow = move |(_, run): &(&TaskId, &RunView)| {
+            run.listed && !run.withdrawn && run.wanted_pace.is_held_back(now)
+        };
+        self.runs.iter().filter(slow).map(|(task, _)| *task)
+    }
+
     /// Whether tails here have to be watched closely.
     #[must_use]
     pub fn is_tense(&self) -> bool {
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 /// Share of the target up to which fill tasks may push a tail.
-pub const TAIL_SHARE: f64 = 0.82;
+pub const TAIL_SHARE: f64 = 0.95;
 /// Growth of a tail's logarithm that counts as nothing: two hundredths.
 pub const NEGLIGIBLE: f64 = 0.02;
 /// Time over the target after which everything that may disturb is held: well
@@ -14,6 +14,11 @@
 /// Time until a reported tail shows the effect of a change: the worker averages
 /// over half a second, and a pace takes a tenth of a second to act.
 const SETTLE: Duration = Duration::from_millis(650);
+/// Pace up to which a run hardly gets on, in percent.
+const LOW: u8 = 30;
+/// Time at a low pace after which a run is moved where it disturbs less: longer
+/// than a stop and a start from a checkpoint take.
+const MOVE_AFTER: Duration = Duration::from_millis(1_200);
 /// Least step of a pace, in percent.
 const LEAST_STEP: u8 = 10;
 
@@ -64,11 +69,12 @@
 pub struct Pace {
     percent: u8,
     changed: Option<Instant>,
+    low_since: Option<Instant>,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { percent: 100, changed: None }
+        Self { percent: 100, changed: None, low_since: None }
     }
 }
 
@@ -79,6 +85,13 @@
         self.percent
     }
 
+    /// Whether the run has got on so slowly for so long that it should go
+    /// elsewhere.
+    #[must_use]
+    pub fn is_held_back(&self, now: Instant) -> bool {
+        self.low_since.is_some_and(|at| now >= at + MOVE_AFTER)
+    }
+
     /// Takes the share that may be allowed now. It slows at once and speeds up
     /// only once the last change shows.
     pub fn note(&mut self, share: u8, now: Instant) {
@@ -89,5 +102,10 @@
             self.percent = share;
             self.changed = Some(now);
         }
+        if self.percent > LOW {
+            self.low_since = None;
+        } else {
+            self.low_since.get_or_insert(now);
+        }
     }
 }
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -21,6 +21,15 @@
 /// worker: a little more than there is, since tasks wait for one another.
 const FILL_DEPTH: f64 = 1.15;
 
+/// Part of the estimated work that has to fit before the objective for a
+/// submission to count as hopeful; estimates are off by half and more.
+const HOPE_PERCENT: u64 = 70;
+/// Time after which a task that fills is placed where it is borne worst, so that
+/// it is at least slowed there rather than never started.
+const PATIENCE_MS: u64 = 6_000;
+/// Most runs that are moved in one round.
+const MAX_MOVES: usize = 8;
+
 /// What a lasting task of another image weighs in a placement, beside a
 /// worker's busy share.
 const STRANGER: f64 = 1.0;
@@ -128,13 +137,15 @@
         (sum, borne)
     }
 
-    fn fits(&self, step: &Step, task: TaskId, known: &Interference) -> bool {
+    fn fits(&self, step: &Step, task: TaskId, known: &Interference, patient: bool) -> bool {
         let apart = step.max_per_worker == 0 || self.of_step(task) < step.max_per_worker;
         let labelled = step
             .label
             .as_ref()
             .is_none_or(|label| self.life.worker.labels.iter().any(|l| l == label));
-        let filled = !step.fills || (self.has_fill_room(step) && self.pressure(step, known).1);
+        let filled = !step.fills
+            || self.has_fill_room(step)
+                && (self.pressure(step, known).1 || (!patient && self.filled == 0.0));
         let probed = !self.probation || self.life.runs.is_empty();
         apart && labelled && filled && probed && step.reserved().fits_in(&self.free)
     }
@@ -172,15 +183,10 @@
 /// The runs to place now, in the order of their importance.
 #[must_use]
 pub fn plan(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
-    let mut seats: Vec<Seat<'_>> = state
-        .lives()
-        .filter(|(id, life)| {
-            !life.worker.draining && fleet.view(*id).is_some_and(|v| v.is_usable(now))
-        })
-        .map(|(id, life)| Seat::new(state, fleet, id, life, now))
-        .collect();
+    let mut seats = seats(state, fleet, now);
     let mut records: Vec<&Record> = state.open().collect();
-    records.sort_by_key(|r| (r.policy.priority, objective_ms(r), r.seq));
+    records
+        .sort_by_cached_key(|r| (r.policy.priority, prospect(r, wall_ms), objective_ms(r), r.seq));
     let mut placed = Vec::new();
     for record in records {
         place_record(record, &mut seats, &fleet.interference, wall_ms, &mut placed);
@@ -192,18 +198,78 @@
     placed
 }
 
+fn seats<'a>(state: &'a SubmissionState, fleet: &Fleet, now: Instant) -> Vec<Seat<'a>> {
+    let usable = |(id, life): &(LifeId, &Life)| {
+        !life.worker.draining && fleet.view(*id).is_some_and(|v| v.is_usable(now))
+    };
+    let seat = |(id, life)| Seat::new(state, fleet, id, life, now);
+    state.lives().filter(usable).map(seat).collect()
+}
+
+/// Runs that hardly get on where they are and would disturb nobody elsewhere.
+#[must_use]
+pub fn moves(state: &SubmissionState, fleet: &Fleet, now: Instant) -> Vec<(LifeId, TaskId)> {
+    let held = |(id, _): &(LifeId, &Life)| {
+        fleet.view(*id).is_some_and(|v| v.held_back(now).next().is_some())
+    };
+    if !state.lives().any(|l| held(&l)) {
+        return Vec::new();
+    }
+    let mut seats = seats(state, fleet, now);
+    let mut moved = Vec::new();
+    for (life, view) in state.lives().filter_map(|(id, _)| Some((id, fleet.view(id)?))) {
+        for task in view.held_back(now) {
+            let Some(record) = state.record(task.submission) else { continue };
+            let step = &record.spec.steps[usize::from(task.step)];
+            let found = best_seat_of(record, step, task, &seats, &fleet.interference, true);
+            if let Some(seat) = found.filter(|i| seats[*i].id != life) {
+                seats[seat].take(step, task, &fleet.interference);
+                moved.push((life, task));
+            }
+            if moved.len() >= MAX_MOVES {
+                return moved;
+            }
+        }
+    }
+    moved
+}
+
+/// What an open submission can still earn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Prospect {
+    /// Its full payoff, by the client's own estimates.
+    Full,
+    /// Less, as it will be late.
+    Late,
+}
+
 /// When the submission's answer stops being worth its full payoff, by the
 /// client's own estimates; milliseconds since 1970.
 #[must_use]
 pub fn objective_ms(record: &Record) -> u64 {
+    let stretched = longest_chain_ms(record, |_| true)
+        .saturating_mul(u64::from(record.policy.slack_millis))
+        / 1000;
+    record.at_ms + stretched + u64::from(record.policy.target_ms)
+}
+
+/// What the submission can still earn at `wall_ms`.
+#[must_use]
+pub fn prospect(record: &Record, wall_ms: u64) -> Prospect {
+    let left = longest_chain_ms(record, |step| record.left[0][step] > 0);
+    let needed = left.saturating_mul(HOPE_PERCENT) / 100;
+    if wall_ms + needed <= objective_ms(record) { Prospect::Full } else { Prospect::Late }
+}
+
+/// The longest chain of estimates over the steps that count.
+fn longest_chain_ms(record: &Record, counts: impl Fn(usize) -> bool) -> u64 {
     let mut chain: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
-    for step in &record.spec.steps {
+    for (i, step) in record.spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().filter_map(|d| chain.get(usize::from(*d))).max();
-        chain.push(before.copied().unwrap_or(0) + u64::from(step.estimate_ms));
+        let own = if counts(i) { u64::from(step.estimate_ms) } else { 0 };
+        chain.push(before.copied().unwrap_or(0) + own);
     }
-    let longest = chain.into_iter().max().unwrap_or(0);
-    let stretched = longest.saturating_mul(u64::from(record.policy.slack_millis)) / 1000;
-    record.at_ms + stretched + u64::from(record.policy.target_ms)
+    chain.into_iter().max().unwrap_or(0)
 }
 
 fn place_record<'a>(
@@ -233,7 +299,7 @@
                     step: u16::try_from(s).unwrap_or(u16::MAX),
                     index: u16::try_from(i).unwrap_or(u16::MAX),
                 };
-                let Some(seat) = best_seat(record, step, id, seats, known) else {
+                let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
                     // No other task of the step fits either.
                     break;
                 };
@@ -250,10 +316,27 @@
     task: TaskId,
     seats: &'s mut [Seat<'a>],
     known: &Interference,
+    wall_ms: u64,
 ) -> Option<&'s mut Seat<'a>> {
+    let patient = wall_ms < record.at_ms + PATIENCE_MS;
+    best_seat_of(record, step, task, seats, known, true)
+        .or_else(|| (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?)
+        .map(|i| &mut seats[i])
+}
+
+fn best_seat_of(
+    record: &Record,
+    step: &Step,
+    task: TaskId,
+    seats: &[Seat<'_>],
+    known: &Interference,
+    patient: bool,
+) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
     for (i, seat) in seats.iter().enumerate() {
-        if seat.life.worker.service != record.policy.service || !seat.fits(step, task, known) {
+        if seat.life.worker.service != record.policy.service
+            || !seat.fits(step, task, known, patient)
+        {
             continue;
         }
         let score = seat.score(step, task, known);
@@ -261,5 +344,5 @@
             best = Some((score, i));
         }
     }
-    best.map(|(_, i)| &mut seats[i])
+    best.map(|(_, i)| i)
 }
