Empty leaving workers of lasting tasks, and hold room for lasting tasks that wait

Change: evacuation, farewell as evidence of an end, lasting tasks first with room held, probation by one unproven task at a time; a line a second on what waits.

--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -32,6 +32,9 @@
 /// Time between two looks at members and at what can be forgotten.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 
+/// Most lines on waiting tasks a second.
+const WAITING_LINES: usize = 3;
+
 /// The calls to one life of a worker.
 pub(crate) struct LineTasks {
     /// Tells that there may be an order.
@@ -101,6 +104,7 @@
         if now >= housekeeping {
             housekeeping = now + HOUSEKEEPING;
             watch.maintain(&node, now).await;
+            log_waiting(&node);
             forget(&node).await;
         }
         compio::time::sleep(GATHER).await;
@@ -108,6 +112,21 @@
     }
 }
 
+/// Tells of the tasks that wait, the most important first.
+fn log_waiting<P: WorkerPort>(node: &Node<P>) {
+    let Some(leadership) = node.leadership.borrow().clone() else { return };
+    let waiting =
+        node.state(|s| planner::waiting(s, &leadership.fleet.borrow(), Instant::now(), wall_ms()));
+    node.metrics.level("waiting", waiting.len());
+    for w in waiting.iter().take(WAITING_LINES) {
+        tracing::info!(
+            decision = "wait", task = %w.task, waited_ms = w.waited_ms, need = %w.need,
+            widest_free = %w.widest_free, fills = w.fills, waiting = waiting.len(),
+            outcome = "no-room"
+        );
+    }
+}
+
 /// What this replica knows as the leader of the present term.
 async fn lead_now<P: WorkerPort>(node: &Rc<Node<P>>) -> Result<Rc<Leadership>> {
     let term = node.replica.status().term;
@@ -148,7 +167,9 @@
     for (life, task) in &moved {
         leadership.fleet.borrow_mut().withdraw(*life, *task, now);
     }
-    let withdrawn = stuck.iter().map(|w| (w, "stuck"));
+    let leaving = node.state(|s| leadership.fleet.borrow_mut().evacuate(s));
+    let withdrawn = leaving.iter().map(|w| (w, "leaving"));
+    let withdrawn = withdrawn.chain(stuck.iter().map(|w| (w, "stuck")));
     for ((life, task), outcome) in withdrawn.chain(moved.iter().map(|w| (w, "moved"))) {
         tracing::info!(decision = "withdraw", %task, life, outcome);
         node.metrics.count("withdraw", outcome);
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -190,8 +190,7 @@
         let (outdated, known) = self.state(|s| {
             let known = s.newest_life(&worker.id).map(|(_, life)| {
                 let w = &life.worker;
-                let draining = w.draining || worker.draining;
-                w.born_ms == worker.born_ms && *w == WorkerLife { draining, ..worker.clone() }
+                w.born_ms == worker.born_ms && *w == w.updated(&worker)
             });
             (s.is_outdated(&worker.id, worker.born_ms), known == Some(true))
         });
@@ -219,7 +218,9 @@
     pub async fn farewell(&self, id: &str) -> Result<()> {
         let life = self.state(|s| s.newest_life(id).map(|(_, life)| life.worker.clone()));
         match life {
-            Some(worker) => self.report(WorkerLife { draining: true, ..worker }).await,
+            Some(worker) => {
+                self.report(WorkerLife { draining: true, leaving: true, ..worker }).await
+            }
             None => Ok(()),
         }
     }
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -32,6 +32,21 @@
     pub machine: Option<Box<str>>,
     /// The worker leaves and takes no new work.
     pub draining: bool,
+    /// The worker has said farewell: it ends now.
+    pub leaving: bool,
+}
+
+impl WorkerLife {
+    /// This life after it has reported `newer`. What it said of its end stands,
+    /// as reports may overtake each other.
+    #[must_use]
+    pub fn updated(&self, newer: &Self) -> Self {
+        Self {
+            draining: self.draining || newer.draining,
+            leaving: self.leaving || newer.leaving,
+            ..newer.clone()
+        }
+    }
 }
 
 /// How a run ended.
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -35,6 +35,9 @@
 const BASE_RISE: f64 = 0.7;
 /// Part of a fall of an undisturbed tail that is believed at once.
 const BASE_FALL: f64 = 0.4;
+/// Time for which a worker that has said farewell must be out of reach before
+/// its runs count as ended.
+const FAREWELL: Duration = Duration::from_millis(400);
 /// Time beyond the expected answer after which a worker counts as out of reach.
 const HOLD_LATE: Duration = Duration::from_millis(500);
 
@@ -433,6 +436,23 @@
         stuck
     }
 
+    /// Gives up lasting tasks on workers that leave, so that they are at work
+    /// elsewhere before the worker has gone.
+    pub fn evacuate(&mut self, state: &SubmissionState) -> Vec<(LifeId, TaskId)> {
+        let mut moved = Vec::new();
+        for (id, life) in state.lives().filter(|(_, life)| life.worker.draining) {
+            let Some(view) = self.views.get_mut(&id) else { continue };
+            for (task, run) in &mut view.runs {
+                let lasts = step_of(state, *task).is_some_and(|s| s.lasting);
+                if lasts && !run.withdrawn && life.runs.contains(task) {
+                    run.withdrawn = true;
+                    moved.push((id, *task));
+                }
+            }
+        }
+        moved
+    }
+
     /// Lives whose runs have surely ended, with the checkpoints that were seen.
     #[must_use]
     pub fn lost(
@@ -441,8 +461,12 @@
         now: Instant,
     ) -> Vec<(LifeId, Vec<(TaskId, Box<str>)>)> {
         let over = |(id, view): (&LifeId, &WorkerView)| {
-            let silent = !view.is_reachable(now) && now >= view.lease.surely_over_at();
-            (silent && state.life(*id).is_some()).then(|| (*id, view.checkpoints()))
+            let life = state.life(*id)?;
+            let silent = !view.is_reachable(now);
+            // A worker that has said farewell ends with all that it runs.
+            let ended = life.worker.leaving && now >= view.reachable_until + FAREWELL;
+            let lapsed = now >= view.lease.surely_over_at();
+            (silent && (ended || lapsed)).then(|| (*id, view.checkpoints()))
         };
         self.views.iter().filter_map(over).collect()
     }
@@ -468,17 +492,29 @@
         run.started.get_or_insert(now);
         run.listed = true;
         let progressed = seen.percent != run.percent || seen.checkpoint != run.checkpoint;
+        let at_work = lasting && seen.percent == 100 && run.percent < 100;
         if progressed || (lasting && seen.percent == 100) {
             run.progress_at = now;
             run.percent = seen.percent;
         }
         run.checkpoint = seen.checkpoint.clone();
         run.figure = seen.figure;
+        if at_work {
+            self.health.note_success(now);
+        }
+    }
+
+    /// Whether a run here has yet to show that the worker works.
+    pub(super) fn is_probed(&self, state: &SubmissionState) -> bool {
+        self.runs.iter().any(|(task, run)| {
+            let lasting = step_of(state, *task).is_some_and(|s| s.lasting);
+            !(lasting && run.percent == 100)
+        })
     }
 
     fn note_end(&mut self, end: &RunEnd, now: Instant) {
         match end.how {
-            EndHow::Done => self.health.note_success(),
+            EndHow::Done => self.health.note_success(now),
             EndHow::Failed => self.health.note_failure(end.task.submission, now),
             _ => {}
         }
--- a/crates/placement/src/submission/health.rs
+++ b/crates/placement/src/submission/health.rs
@@ -41,9 +41,12 @@
         !self.pause.is_zero()
     }
 
-    /// A task did its work, or made progress.
-    pub fn note_success(&mut self) {
-        *self = Self::default();
+    /// A task did its work. What ends during a pause was started before it and
+    /// says little.
+    pub fn note_success(&mut self, now: Instant) {
+        if self.may_start(now) {
+            *self = Self::default();
+        }
     }
 
     /// A task of `submission` failed.
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -52,7 +52,13 @@
     lasting: BTreeMap<&'a str, u16>,
     /// Runs of each occurrence and step.
     spread: BTreeMap<(u64, u32, u16), u16>,
+    /// One task at a time tells whether the worker works.
     probation: bool,
+    probed: bool,
+    /// What short tasks reserve.
+    short: Resources,
+    /// Room here is kept for a lasting task.
+    held: bool,
 }
 
 impl<'a> Seat<'a> {
@@ -78,6 +84,9 @@
             lasting: BTreeMap::new(),
             spread: BTreeMap::new(),
             probation: view.is_some_and(|v| v.health.on_probation()),
+            probed: view.is_some_and(|v| v.is_probed(state)),
+            short: Resources::ZERO,
+            held: false,
         };
         for (task, step) in runs_on(state, life) {
             seat.count(task, step, &fleet.interference);
@@ -90,7 +99,10 @@
         match step {
             Step { fills: true, .. } => self.filled += cpu,
             Step { lasting: true, .. } => self.used += cpu * LASTING_USE,
-            _ => self.used += cpu,
+            _ => {
+                self.used += cpu;
+                self.short = self.short.checked_add(&step.demand).unwrap_or(self.short);
+            }
         }
         if step.lasting {
             *self.lasting.entry(step.image.as_deref().unwrap_or_default()).or_default() += 1;
@@ -146,8 +158,9 @@
         let filled = !step.fills
             || self.has_fill_room(step)
                 && (self.pressure(step, known).1 || (!patient && self.filled == 0.0));
-        let probed = !self.probation || self.life.runs.is_empty();
-        apart && labelled && filled && probed && step.reserved().fits_in(&self.free)
+        let proven = !self.probation || !self.probed;
+        let kept = self.held && !step.fills;
+        !kept && apart && labelled && filled && proven && step.reserved().fits_in(&self.free)
     }
 
     fn has_fill_room(&self, step: &Step) -> bool {
@@ -177,6 +190,7 @@
     fn take(&mut self, step: &'a Step, task: TaskId, known: &Interference) {
         self.free = self.free.checked_sub(&step.reserved()).unwrap_or(Resources::ZERO);
         self.count(task, step, known);
+        self.probed = true;
     }
 }
 
@@ -234,6 +248,84 @@
     moved
 }
 
+/// Order of submissions: by priority, lasting ones first, then those that can
+/// meet their objective, by the objective.
+fn rank(record: &Record, wall_ms: u64) -> (u8, bool, Prospect, u64, u64) {
+    let lasts = record.spec.steps.iter().any(|s| s.lasting);
+    let objective = objective_ms(record);
+    (record.policy.priority, !lasts, prospect(record, wall_ms), objective, record.seq)
+}
+
+/// A task that is due and has no worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// The task.
+    pub task: TaskId,
+    /// Time since its submission was accepted, in milliseconds.
+    pub waited_ms: u64,
+    /// What it reserves.
+    pub need: Resources,
+    /// Most room on one usable worker.
+    pub widest_free: Resources,
+    /// It takes what others leave unused.
+    pub fills: bool,
+}
+
+/// The tasks that are due and have no worker, the most important first.
+#[must_use]
+pub fn waiting(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Waiting> {
+    let widest = seats(state, fleet, now).iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
+    let widest_free = widest.unwrap_or(Resources::ZERO);
+    let mut records: Vec<&Record> = state.open().collect();
+    records.sort_by_cached_key(|r| rank(r, wall_ms));
+    let mut waiting = Vec::new();
+    for record in records {
+        for_each_due(record, wall_ms, |task, step| {
+            waiting.push(Waiting {
+                task,
+                waited_ms: wall_ms.saturating_sub(record.at_ms),
+                need: step.reserved(),
+                widest_free,
+                fills: step.fills,
+            });
+            true
+        });
+    }
+    waiting
+}
+
+/// Calls `take` for each task that is due and doesn't run; where it is false,
+/// the rest of the step is passed over.
+fn for_each_due<'a>(
+    record: &'a Record,
+    wall_ms: u64,
+    mut take: impl FnMut(TaskId, &'a Step) -> bool,
+) {
+    for (k, steps) in record.tasks.iter().enumerate() {
+        let occurrence = u32::try_from(k).unwrap_or(u32::MAX);
+        if record.spec.first_due_ms > 0 && wall_ms < record.spec.due_ms(occurrence) {
+            break;
+        }
+        for (s, tasks) in steps.iter().enumerate() {
+            if record.left[k][s] == 0 || !record.is_due(k, s) {
+                continue;
+            }
+            let waits = tasks.iter().enumerate().filter(|(_, t)| !t.done && t.runs.is_empty());
+            for (i, _) in waits {
+                let id = TaskId {
+                    submission: record.spec.id,
+                    occurrence,
+                    step: u16::try_from(s).unwrap_or(u16::MAX),
+                    index: u16::try_from(i).unwrap_or(u16::MAX),
+                };
+                if !take(id, &record.spec.steps[s]) {
+                    break;
+                }
+            }
+        }
+    }
+}
+
 /// What an open submission can still earn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Prospect {
@@ -279,34 +371,33 @@
     wall_ms: u64,
     placed: &mut Vec<Placed>,
 ) {
-    for (k, steps) in record.tasks.iter().enumerate() {
-        let occurrence = u32::try_from(k).unwrap_or(u32::MAX);
-        if record.spec.first_due_ms > 0 && wall_ms < record.spec.due_ms(occurrence) {
-            break;
-        }
-        for (s, tasks) in steps.iter().enumerate() {
-            if record.left[k][s] == 0 || !record.is_due(k, s) {
-                continue;
+    for_each_due(record, wall_ms, |id, step| {
+        let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
+            if step.lasting {
+                hold_room(record, step, id, seats);
             }
-            let step = &record.spec.steps[s];
-            for (i, task) in tasks.iter().enumerate() {
-                if task.done || !task.runs.is_empty() {
-                    continue;
-                }
-                let id = TaskId {
-                    submission: record.spec.id,
-                    occurrence,
-                    step: u16::try_from(s).unwrap_or(u16::MAX),
-                    index: u16::try_from(i).unwrap_or(u16::MAX),
-                };
-                let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
-                    // No other task of the step fits either.
-                    break;
-                };
-                seat.take(step, id, known);
-                placed.push(Placed { task: id, attempt: task.attempt + 1, life: seat.id });
-            }
-        }
+            // No other task of the step fits either.
+            return false;
+        };
+        seat.take(step, id, known);
+        let attempt = record.task(id).map_or(0, |t| t.attempt) + 1;
+        placed.push(Placed { task: id, attempt, life: seat.id });
+        true
+    });
+}
+
+/// Keeps short tasks off the worker that will soonest have room for a lasting
+/// one; else they would take each bit of room as it comes free.
+fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>]) {
+    let need = step.reserved();
+    let fits_later = |seat: &&mut Seat<'_>| {
+        let apart = step.max_per_worker == 0 || seat.of_step(task) < step.max_per_worker;
+        let service = seat.life.worker.service == record.policy.service;
+        let room = seat.free.checked_add(&seat.short).unwrap_or(seat.free);
+        apart && service && !seat.held && need.fits_in(&room)
+    };
+    if let Some(seat) = seats.iter_mut().filter(fits_later).max_by_key(|s| s.free.cpu_millis) {
+        seat.held = true;
     }
 }
 
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -243,8 +243,7 @@
             && let Some(life) = self.lives.get_mut(&id)
             && life.worker.born_ms == worker.born_ms
         {
-            let draining = life.worker.draining || worker.draining;
-            life.worker = WorkerLife { draining, ..worker.clone() };
+            life.worker = life.worker.updated(worker);
             return Outcome::Done;
         }
         let replaced = |l: &Life| {
