Learn disturbance by the share of a worker

Cause: with weights a core, the prior was four times too high on workers of 64 cores; after an election 200 fill tasks waited beside idle workers. Ruled out: cores as the cause (regressions by core and by share leave the same residue on one site, but only shares agree between the sites: 3 to 6 where a pair disturbs).

--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -202,8 +202,9 @@
             return Ok(());
         }
         let (id, born_ms, draining) = (worker.id.clone(), worker.born_ms, worker.draining);
+        let capacity = worker.capacity;
         self.propose(Change::Register(worker)).await?;
-        tracing::info!(decision = "worker", worker = %id, born_ms, draining, outcome = "registered");
+        tracing::info!(decision = "worker", worker = %id, born_ms, draining, capacity = %capacity, outcome = "registered");
         self.metrics.count("worker", if draining { "draining" } else { "registered" });
         self.due.notify();
         Ok(())
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -298,7 +298,7 @@
             }
         }
         if let Some(view) = self.views.get_mut(&id) {
-            view.note_tails(state, &mut self.interference, now);
+            view.note_tails(state, life, &mut self.interference, now);
         }
         ends
     }
@@ -544,16 +544,18 @@
     fn note_tails(
         &mut self,
         state: &SubmissionState,
+        life: &Life,
         interference: &mut Interference,
         now: Instant,
     ) {
+        let capacity = f64::from(life.worker.capacity.cpu_millis.max(1));
         let mut used: BTreeMap<usize, f64> = BTreeMap::new();
         for (task, run) in &self.runs {
             let Some(step) = step_of(state, *task).filter(|s| s.fills && run.listed) else {
                 continue;
             };
             let index = interference.index(step.image.as_deref());
-            *used.entry(index).or_default() += f64::from(run.figure) / 1000.0;
+            *used.entry(index).or_default() += f64::from(run.figure) / capacity;
         }
         let used = used.into_iter().collect();
         for (task, run) in &mut self.runs {
@@ -566,31 +568,37 @@
                 run.note_tail(serving, target, &used, interference, now);
             }
         }
-        self.pace_fill(state, interference, now);
+        self.pace_fill(state, capacity, interference, now);
     }
 
     /// Decides at which share each task that fills may work.
-    fn pace_fill(&mut self, state: &SubmissionState, interference: &Interference, now: Instant) {
+    fn pace_fill(
+        &mut self,
+        state: &SubmissionState,
+        capacity: f64,
+        interference: &Interference,
+        now: Instant,
+    ) {
         let victims = self.victims(state, now);
         let fill: Vec<(TaskId, Option<usize>, f64)> = self
             .runs
             .keys()
             .filter_map(|task| {
                 let step = step_of(state, *task).filter(|s| s.fills)?;
-                let cores = f64::from(step.demand.cpu_millis) / 1000.0;
-                Some((*task, interference.known(step.image.as_deref()), cores))
+                let part = f64::from(step.demand.cpu_millis) / capacity;
+                Some((*task, interference.known(step.image.as_deref()), part))
             })
             .collect();
-        let pressure = |image: &str, index, cores| interference.weight(image, index) * cores;
+        let pressure = |image: &str, index, part| interference.weight(image, index) * part;
         let all: Vec<f64> = victims
             .iter()
             .map(|(image, _)| fill.iter().map(|(_, i, c)| pressure(image, *i, *c)).sum())
             .collect();
-        for (task, index, cores) in &fill {
+        for (task, index, part) in &fill {
             let pressures = victims
                 .iter()
                 .zip(&all)
-                .map(|((image, victim), all)| (*victim, pressure(image, *index, *cores), *all));
+                .map(|((image, victim), all)| (*victim, pressure(image, *index, *part), *all));
             let share = pacing::share(pressures);
             if let Some(run) = self.runs.get_mut(task) {
                 run.wanted_pace.note(share, now);
@@ -672,7 +680,7 @@
         now: Instant,
     ) {
         let disturbed: f64 =
-            used.iter().map(|(i, cores)| interference.weight(image, Some(*i)) * cores).sum();
+            used.iter().map(|(i, part)| interference.weight(image, Some(*i)) * part).sum();
         let base = f64::from(self.figure).ln() - disturbed;
         let known = self.base_ln.unwrap_or(base);
         // A base that rises is believed faster than one that falls.
--- a/crates/placement/src/submission/interference.rs
+++ b/crates/placement/src/submission/interference.rs
@@ -1,5 +1,5 @@
 //! How much tasks that fill disturb tasks that serve, learned by pairs of
-//! images. The logarithm of a tail grows with the processor time that each
+//! images. The logarithm of a tail grows with the share of the worker that each
 //! image uses beside it, so one linear regression for each serving image finds
 //! all of its pairs at once, with a memory of some seconds.
 
@@ -13,11 +13,13 @@
 const MAX_IMAGES: usize = 32;
 /// Dimensions of a regression: the images and the tail without any.
 const DIMENSIONS: usize = MAX_IMAGES + 1;
-/// Growth of a tail's logarithm for each core that an image uses, before the
-/// pair was seen together: the mean over pairs on the sites.
-const PRIOR: f64 = 0.12;
-/// Weight of the prior, in squared cores: a second of one task beside another.
-const PRIOR_WEIGHT: f64 = 3.0;
+/// Growth of a tail's logarithm if an image used the whole worker, before the
+/// pair was seen together: the mean over pairs on the sites, of which a third
+/// grow by some 4 and the others not at all.
+const PRIOR: f64 = 1.5;
+/// Weight of the prior, in squared shares of a worker: a few looks at one task
+/// beside another.
+const PRIOR_WEIGHT: f64 = 0.012;
 /// Time between two solutions of a regression.
 const SOLVE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after which an observation counts for a third: disturbance changes
@@ -27,7 +29,7 @@
 /// Number of an image among the tasks that fill.
 pub type ImageIndex = usize;
 
-/// Processor time in use by images, in cores.
+/// Processor time in use by images, in shares of the worker.
 pub type Use = Vec<(ImageIndex, f64)>;
 
 #[derive(Clone, Debug)]
@@ -72,7 +74,7 @@
         self.products.iter_mut().flatten().for_each(|p| *p *= keep);
         let solution = self.solution(images);
         for (weight, solved) in self.weights.iter_mut().zip(solution) {
-            *weight = solved.clamp(0.0, 3.0);
+            *weight = solved.clamp(0.0, 40.0);
         }
     }
 
@@ -144,8 +146,8 @@
         }
     }
 
-    /// By how much the logarithm of the serving image's tail grows for each
-    /// core that the other image uses beside it.
+    /// By how much the logarithm of the serving image's tail would grow if the
+    /// other image used the whole worker.
     #[must_use]
     pub fn weight(&self, serving: &str, filling: Option<ImageIndex>) -> f64 {
         match (self.models.get(serving), filling) {
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -109,8 +109,9 @@
         }
         if step.fills {
             let index = known.known(step.image.as_deref());
+            let part = cpu / self.capacity();
             for (image, left) in &mut self.victims {
-                *left -= known.weight(image, index) * cpu / 1000.0;
+                *left -= known.weight(image, index) * part;
             }
         }
         *self.spread.entry((task.submission, task.occurrence, task.step)).or_default() += 1;
@@ -137,10 +138,10 @@
     /// What the task would add to the tails here, and whether they bear it.
     fn pressure(&self, step: &Step, known: &Interference) -> (f64, bool) {
         let index = known.known(step.image.as_deref());
-        let cores = f64::from(step.demand.cpu_millis) / 1000.0;
+        let part = f64::from(step.demand.cpu_millis) / self.capacity();
         let (mut sum, mut borne) = (0.0, true);
         for (image, left) in &self.victims {
-            let add = known.weight(image, index) * cores;
+            let add = known.weight(image, index) * part;
             if add >= NEGLIGIBLE {
                 borne &= add <= *left;
                 sum += add / left.max(0.1);
