--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -146,7 +146,7 @@
 async fn round<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
     tend_lines(node, leadership);
     let now = Instant::now();
-    let lost = node.state(|s| leadership.fleet.borrow().lost(s, now));
+    let lost = node.state(|s| leadership.fleet.borrow_mut().condemn(s, now));
     for (life, checkpoints) in lost {
         let worker = node.state(|s| s.life(life).map(|l| (l.worker.id.clone(), l.runs.len())));
         node.propose(Change::Lost { life, checkpoints }).await?;
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -28,7 +28,7 @@
 /// First pause after a look without an answer; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries: a worker that is back is wanted soon.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest sleep of an order task without a wake-up.
 const ORDER_IDLE: Duration = Duration::from_millis(2_000);
 
@@ -127,7 +127,9 @@
         let mut fleet = leadership.fleet.borrow_mut();
         let idle = cx.node.state(|s| s.life(cx.life).is_none_or(|l| l.runs.is_empty()));
         let view = fleet.view_mut(cx.life, sent);
-        let wait = match (view.synced, idle, view.is_tense()) {
+        let tense = cx.node.state(|s| view.is_tense(s));
+        let answers = view.synced && view.is_reachable(sent);
+        let wait = match (answers, idle, tense) {
             (false, ..) => Duration::ZERO,
             (_, true, _) => IDLE_WAIT,
             (_, _, true) => TENSE_WAIT,
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -178,6 +178,9 @@
     reachable_until: Instant,
     /// What is held against the worker.
     pub health: Health,
+    /// The life is being declared over: no order goes there any more, or a run
+    /// could begin there while its successor is placed.
+    condemned: bool,
     runs: BTreeMap<TaskId, RunView>,
     strays: BTreeSet<(TaskId, AttemptNumber)>,
 }
@@ -186,7 +189,7 @@
     /// Whether the worker may get work now.
     #[must_use]
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.synced && self.is_reachable(now) && self.health.may_start(now)
+        self.synced && !self.condemned && self.is_reachable(now) && self.health.may_start(now)
     }
 
     /// Whether the worker has answered lately.
@@ -234,6 +237,7 @@
             synced: false,
             reachable_until: now,
             health: Health::default(),
+            condemned: false,
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
         })
@@ -312,7 +316,7 @@
     ) -> Option<Order> {
         let life = state.life(id)?;
         let view = self.view_mut(id, now);
-        if !view.synced || !view.is_reachable(now) {
+        if !view.synced || view.condemned || !view.is_reachable(now) {
             return None;
         }
         if let Some((task, attempt)) = view.strays.pop_first() {
@@ -417,7 +421,7 @@
     ) -> Vec<(LifeId, TaskId)> {
         let mut stuck = Vec::new();
         for (id, view) in &mut self.views {
-            if !view.is_usable(now) && !view.health.on_probation() {
+            if !view.synced || !view.is_reachable(now) {
                 continue;
             }
             let mut found = false;
@@ -454,21 +458,25 @@
     }
 
     /// Lives whose runs have surely ended, with the checkpoints that were seen.
-    #[must_use]
-    pub fn lost(
-        &self,
+    /// They get no more orders.
+    pub fn condemn(
+        &mut self,
         state: &SubmissionState,
         now: Instant,
     ) -> Vec<(LifeId, Vec<(TaskId, Box<str>)>)> {
-        let over = |(id, view): (&LifeId, &WorkerView)| {
-            let life = state.life(*id)?;
+        let mut over = Vec::new();
+        for (id, view) in &mut self.views {
+            let Some(life) = state.life(*id) else { continue };
             let silent = !view.is_reachable(now);
             // A worker that has said farewell ends with all that it runs.
             let ended = life.worker.leaving && now >= view.reachable_until + FAREWELL;
             let lapsed = now >= view.lease.surely_over_at();
-            (silent && (ended || lapsed)).then(|| (*id, view.checkpoints()))
-        };
-        self.views.iter().filter_map(over).collect()
+            if view.condemned || (silent && (ended || lapsed)) {
+                view.condemned = true;
+                over.push((*id, view.checkpoints()));
+            }
+        }
+        over
     }
 }
 
@@ -634,11 +642,14 @@
         self.runs.iter().filter(slow).map(|(task, _)| *task)
     }
 
-    /// Whether tails here have to be watched closely.
+    /// Whether tails here have to be watched closely: one is over its target,
+    /// or fill tasks are slowed or work beside serving ones.
     #[must_use]
-    pub fn is_tense(&self) -> bool {
+    pub fn is_tense(&self, state: &SubmissionState) -> bool {
         let slowed = |r: &RunView| r.pace < 100 || r.wanted_pace.percent() < 100;
-        self.runs.values().any(|r| r.over_since.is_some() || slowed(r))
+        let serves = self.runs.values().any(|r| r.base_ln.is_some());
+        let fills = || self.runs.keys().any(|t| step_of(state, *t).is_some_and(|s| s.fills));
+        self.runs.values().any(|r| r.over_since.is_some() || slowed(r)) || (serves && fills())
     }
 
     fn checkpoints(&self) -> Vec<(TaskId, Box<str>)> {
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 /// Share of the target up to which fill tasks may push a tail.
-pub const TAIL_SHARE: f64 = 0.95;
+pub const TAIL_SHARE: f64 = 0.8;
 /// Growth of a tail's logarithm that counts as nothing: two hundredths.
 pub const NEGLIGIBLE: f64 = 0.02;
 /// Time over the target after which everything that may disturb is held: well
