--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -121,7 +121,7 @@
     for w in waiting.iter().take(WAITING_LINES) {
         tracing::info!(
             decision = "wait", task = %w.task, waited_ms = w.waited_ms, need = %w.need,
-            widest_free = %w.widest_free, fills = w.fills, waiting = waiting.len(),
+            widest_free = %w.widest_free, usable = w.usable, roomy = w.roomy, fills = w.fills, waiting = waiting.len(),
             outcome = "no-room"
         );
     }
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -160,7 +160,7 @@
             || self.has_fill_room(step)
                 && (self.pressure(step, known).1 || (!patient && self.filled == 0.0));
         let proven = !self.probation || !self.probed;
-        let kept = self.held && !step.fills;
+        let kept = self.held && !step.fills && !step.lasting;
         !kept && apart && labelled && filled && proven && step.reserved().fits_in(&self.free)
     }
 
@@ -268,6 +268,10 @@
     pub need: Resources,
     /// Most room on one usable worker.
     pub widest_free: Resources,
+    /// Workers that may get work.
+    pub usable: usize,
+    /// Usable workers with room, whatever else keeps the task off them.
+    pub roomy: usize,
     /// It takes what others leave unused.
     pub fills: bool,
 }
@@ -275,7 +279,8 @@
 /// The tasks that are due and have no worker, the most important first.
 #[must_use]
 pub fn waiting(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Waiting> {
-    let widest = seats(state, fleet, now).iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
+    let seats = seats(state, fleet, now);
+    let widest = seats.iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
     let widest_free = widest.unwrap_or(Resources::ZERO);
     let mut records: Vec<&Record> = state.open().collect();
     records.sort_by_cached_key(|r| rank(r, wall_ms));
@@ -287,6 +292,8 @@
                 waited_ms: wall_ms.saturating_sub(record.at_ms),
                 need: step.reserved(),
                 widest_free,
+                usable: seats.len(),
+                roomy: seats.iter().filter(|s| step.reserved().fits_in(&s.free)).count(),
                 fills: step.fills,
             });
             true
@@ -387,9 +394,16 @@
     });
 }
 
+/// Most workers that are kept for lasting tasks in one round: they serve nothing
+/// else meanwhile.
+const MAX_HELD: usize = 6;
+
 /// Keeps short tasks off the worker that will soonest have room for a lasting
 /// one; else they would take each bit of room as it comes free.
 fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>]) {
+    if seats.iter().filter(|s| s.held).count() >= MAX_HELD {
+        return;
+    }
     let need = step.reserved();
     let fits_later = |seat: &&mut Seat<'_>| {
         let apart = step.max_per_worker == 0 || seat.of_step(task) < step.max_per_worker;
