--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod placing;
 mod scheduler;
 mod state;
+mod submission;
 mod traces;
--- /dev/null
+++ b/crates/placement/tests/all/submission/lease.rs
@@ -0,0 +1,45 @@
+//! Leases on a worker's own clock.
+
+use cyclamenloft_placement::submission::lease::WorkerLease;
+use std::time::{Duration, Instant};
+
+const LONGEST: Duration = Duration::from_secs(6);
+
+#[test]
+fn before_the_clock_is_known_nothing_is_granted() {
+    let now = Instant::now();
+    let lease = WorkerLease::new(LONGEST, now);
+    assert_eq!(lease.next_end_ms(now), None);
+    assert_eq!(lease.granted_end_ms(), None);
+}
+
+#[test]
+fn a_former_leaders_grant_is_waited_out() {
+    let now = Instant::now();
+    let lease = WorkerLease::new(LONGEST, now);
+    assert!(lease.surely_over_at() > now + LONGEST.mul_f64(1.02));
+}
+
+#[test]
+fn a_slow_clock_is_allowed_for() {
+    let now = Instant::now();
+    let mut lease = WorkerLease::new(LONGEST, now);
+    lease.note_clock(1_000, now);
+    let end = lease.next_end_ms(now).unwrap();
+    assert_eq!(end, 7_000);
+    lease.note_granted(end);
+    // A clock that runs 2% slow shows 7,000 after 6.122 s.
+    assert!(lease.surely_over_at() >= now + LONGEST.div_f64(0.98));
+    assert!(lease.surely_over_at() <= now + LONGEST.mul_f64(1.1));
+}
+
+#[test]
+fn a_repeated_grant_does_not_make_the_wait_longer() {
+    let now = Instant::now();
+    let mut lease = WorkerLease::new(LONGEST, now - Duration::from_secs(60));
+    lease.note_clock(1_000, now);
+    lease.note_granted(lease.next_end_ms(now).unwrap());
+    let over = lease.surely_over_at();
+    lease.note_granted(lease.granted_end_ms().unwrap());
+    assert_eq!(lease.surely_over_at(), over);
+}
--- /dev/null
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -0,0 +1,158 @@
+//! Loads that the policy answers, each named after its pattern.
+
+use super::world::{Path, World, policy, step, submission, worker};
+use cyclamenloft_placement::submission::{
+    Change, Phase, Step, TaskId, WorkerLife,
+    planner::{Prospect, objective_ms, prospect},
+    routes::QueuePolicy,
+};
+use cyclamenloft_types::Resources;
+
+fn lasting(count: u16, cores: u32, image: &str) -> Step {
+    Step {
+        lasting: true,
+        demand: Resources::new(cores * 1000, 1000, 0),
+        image: Some(image.into()),
+        target_ms: Some(18),
+        ..step(count)
+    }
+}
+
+fn of(submission: u64, index: u16) -> TaskId {
+    TaskId { submission, occurrence: 0, step: 0, index }
+}
+
+/// Workers that fail all that they start get no second submission's attempt.
+#[test]
+fn worker_that_fails_all() {
+    let mut w = World::new(["wa", "wb"].map(|n| worker(n, 8)));
+    w.worker("wa").fails = true;
+    for id in 1..30 {
+        w.submit(submission(id, vec![step(1)]));
+        w.run(150);
+    }
+    w.run(6_000);
+    let on_a = w.starts.iter().filter(|s| &*s.1 == "wa").count();
+    assert!(on_a <= 10, "{on_a} of {} starts went to it", w.starts.len());
+    assert!((1..30).all(|id| w.phase(id) == Phase::Complete));
+}
+
+/// Tasks on a worker that stands still go on elsewhere, and nothing goes there.
+#[test]
+fn worker_that_stands_still() {
+    let mut w = World::new(["wa", "wb"].map(|n| worker(n, 8)));
+    w.worker("wa").stalls = true;
+    for id in 1..20 {
+        w.submit(submission(id, vec![step(1)]));
+        w.run(100);
+    }
+    w.run(6_000);
+    assert!((1..20).all(|id| w.phase(id) == Phase::Complete));
+}
+
+/// Lasting tasks leave a draining worker at once.
+#[test]
+fn releases_in_turn() {
+    let mut w = World::new(["wa", "wb"].map(|n| worker(n, 8)));
+    w.submit(submission(1, vec![lasting(4, 1, "web")]));
+    w.run(300);
+    w.apply(Change::Register(WorkerLife { draining: true, ..worker("wa", 8) }));
+    w.run(600);
+    assert!((0..4).all(|i| w.running(of(1, i)) == ["wb".into()]));
+}
+
+/// Lasting tasks of one image share workers, so that other images may fill the
+/// rest without harm.
+#[test]
+fn images_keep_together() {
+    let mut w = World::new(["wa", "wb"].map(|n| worker(n, 8)));
+    w.submit(submission(1, vec![lasting(2, 1, "web")]));
+    w.run(200);
+    w.submit(submission(2, vec![lasting(2, 1, "feed")]));
+    w.run(200);
+    w.submit(submission(3, vec![lasting(2, 1, "web")]));
+    w.run(200);
+    assert_eq!(w.running(of(1, 0)), w.running(of(3, 0)));
+    assert_ne!(w.running(of(1, 0)), w.running(of(2, 0)));
+}
+
+/// A stream of short tasks doesn't keep a wide lasting task waiting.
+#[test]
+fn burst_of_short_tasks_beside_a_wide_lasting_one() {
+    let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
+    for id in 10..14 {
+        w.submit(submission(id, vec![step(2)]));
+    }
+    w.run(100);
+    w.submit(submission(1, vec![lasting(1, 4, "web")]));
+    for id in 20..60 {
+        w.submit(submission(id, vec![step(1)]));
+        w.run(50);
+    }
+    assert!(w.starts.iter().any(|s| s.0 == of(1, 0)), "it was never started");
+}
+
+/// Tasks of one step are kept apart where the client asks for it.
+#[test]
+fn at_most_so_many_on_one_worker() {
+    let mut w = World::new(["wa", "wb", "wc"].map(|n| worker(n, 8)));
+    w.submit(submission(1, vec![Step { max_per_worker: 1, ..lasting(4, 1, "web") }]));
+    w.run(300);
+    let mut on: Vec<_> = w.starts.iter().map(|s| s.1.clone()).collect();
+    on.sort();
+    on.dedup();
+    assert_eq!(on.len(), 3, "one on each worker, and one that waits");
+}
+
+/// A step that needs a label goes only where the label is.
+#[test]
+fn only_where_the_label_is() {
+    let labelled = WorkerLife { labels: vec!["fast".into(), "r1".into()], ..worker("wb", 8) };
+    let mut w = World::new([worker("wa", 8), labelled]);
+    w.submit(submission(1, vec![Step { label: Some("fast".into()), ..step(4) }]));
+    w.run(2_000);
+    assert!(w.starts.iter().all(|s| &*s.1 == "wb") && w.starts.len() == 4);
+}
+
+/// What is cut off is given nothing more, and nothing of it is doubled.
+#[test]
+fn workers_cut_off_and_running_on() {
+    let mut w = World::new(["wa", "wb", "wc"].map(|n| worker(n, 4)));
+    w.submit(submission(1, vec![lasting(6, 1, "web")]));
+    w.run(300);
+    w.worker("wa").path = Path::Cut;
+    w.run(1_000);
+    let before = w.starts.len();
+    w.submit(submission(2, vec![step(2)]));
+    w.run(1_000);
+    assert!(w.starts[before..].iter().all(|s| &*s.1 != "wa"));
+}
+
+/// What can still meet its objective comes before what can't.
+#[test]
+fn hopeful_before_hopeless() {
+    let mut w = World::new([worker("wa", 1)]);
+    w.submit(submission(1, vec![step(1)]));
+    let record = w.state.record(1).unwrap();
+    // An estimate of 500 ms, twice that and 500 ms more.
+    assert_eq!(objective_ms(record), 1_500);
+    assert_eq!(prospect(record, 1_000), Prospect::Full);
+    assert_eq!(prospect(record, 1_400), Prospect::Late);
+}
+
+/// Queues that come first are served first.
+#[test]
+fn queues_by_priority() {
+    let mut w = World::new([worker("wa", 1)]);
+    w.run(50);
+    for (id, priority) in [(1, 2), (2, 0)] {
+        let change = Change::Submit {
+            submission: submission(id, vec![step(1)]),
+            policy: QueuePolicy { priority, ..policy() },
+            at_ms: 0,
+        };
+        w.apply(change);
+    }
+    w.run(200);
+    assert_eq!(w.starts[0].0, of(2, 0));
+}
--- /dev/null
+++ b/crates/placement/tests/all/submission/safety.rs
@@ -0,0 +1,255 @@
+//! What must hold whatever fails: no task runs twice at once, none is done
+//! twice, no worker is over its room. The world checks this at each step; here
+//! are the failures.
+
+use super::world::{Path, World, step, submission, worker};
+use cyclamenloft_placement::submission::{Change, Phase, Step, TaskId, WorkerLife};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn fleet_of(n: usize) -> World {
+    let names = ["wa", "wb", "wc", "wd", "we"];
+    World::new(names[..n].iter().map(|name| worker(name, 4)))
+}
+
+fn task(submission: u64, index: u16) -> TaskId {
+    TaskId { submission, occurrence: 0, step: 0, index }
+}
+
+macro_rules! case {
+    ($name:ident, $world:expr, |$w:ident| $body:block) => {
+        #[test]
+        fn $name() {
+            let mut $w = $world;
+            $body
+        }
+    };
+}
+
+case!(a_calm_day_completes, fleet_of(3), |w| {
+    w.submit(submission(1, vec![step(8), Step { depends_on: vec![0], ..step(4) }]));
+    w.run(3_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+    assert_eq!(w.starts.len(), 12);
+});
+
+case!(a_step_waits_for_those_it_depends_on, fleet_of(3), |w| {
+    w.submit(submission(1, vec![step(2), Step { depends_on: vec![0], ..step(1) }]));
+    w.run(400);
+    assert!(w.starts.iter().all(|(t, ..)| t.step == 0), "{:?}", w.starts);
+    w.run(2_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+});
+
+case!(a_task_of_a_crashed_worker_runs_again_after_its_lease, fleet_of(2), |w| {
+    w.submit(submission(1, vec![step(6)]));
+    w.run(150);
+    let on_a: Vec<_> = w.starts.iter().filter(|s| &*s.1 == "wa").map(|s| s.0).collect();
+    assert!(!on_a.is_empty());
+    w.worker("wa").crash();
+    w.run(2_500);
+    assert_eq!(w.phase(1), Phase::Open, "the lease may not be over yet");
+    w.run(4_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+});
+
+case!(looks_without_an_answer_do_not_lengthen_a_lease, fleet_of(1), |w| {
+    w.submit(submission(1, vec![step(1)]));
+    w.run(150);
+    w.worker("wa").crash();
+    w.run(4_500);
+    assert_eq!(w.state.lives().count(), 0, "the life is still believed in");
+});
+
+case!(a_cut_worker_that_runs_on_is_not_doubled, fleet_of(2), |w| {
+    w.submit(submission(1, vec![Step { lasting: true, ..step(2) }]));
+    w.run(200);
+    w.worker("wa").path = Path::Cut;
+    w.worker("wb").path = Path::Cut;
+    w.run(8_000);
+    w.worker("wa").path = Path::Open;
+    w.worker("wb").path = Path::Open;
+    w.run(3_000);
+});
+
+case!(a_start_that_is_carried_out_late_is_not_doubled, fleet_of(2), |w| {
+    for name in ["wa", "wb"] {
+        w.worker(name).path = Path::Open;
+    }
+    w.run(100);
+    for name in ["wa", "wb"] {
+        w.worker(name).path = Path::Late(2_000);
+    }
+    w.submit(submission(1, vec![step(4)]));
+    w.run(150);
+    for name in ["wa", "wb"] {
+        w.worker(name).path = Path::Open;
+    }
+    w.run(6_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+});
+
+case!(a_worker_back_while_its_end_is_agreed_on_gets_no_order, fleet_of(2), |w| {
+    w.run(100);
+    w.worker("wa").path = Path::Cut;
+    w.worker("wb").path = Path::Cut;
+    w.submit(submission(1, vec![step(6)]));
+    // The window is one commit wide, so each moment around the end of the lease
+    // is tried.
+    for _ in 0..60 {
+        w.run(50);
+        w.worker("wa").path = Path::Open;
+        w.run(15);
+        w.worker("wa").path = Path::Cut;
+    }
+});
+
+case!(a_new_life_ends_the_runs_of_the_old_one_at_once, fleet_of(1), |w| {
+    w.submit(submission(1, vec![step(1)]));
+    w.run(150);
+    w.worker("wa").crash();
+    w.join(WorkerLife { born_ms: 2, ..worker("wa", 4) });
+    w.run(1_500);
+    assert_eq!(w.phase(1), Phase::Complete, "no lease has to be waited for");
+});
+
+case!(a_report_of_an_old_life_changes_nothing, fleet_of(1), |w| {
+    w.join(WorkerLife { born_ms: 5, ..worker("wa", 4) });
+    w.apply(Change::Register(WorkerLife { born_ms: 3, ..worker("wa", 64) }));
+    let (_, life) = w.state.newest_life("wa").unwrap();
+    assert_eq!((life.worker.born_ms, life.worker.capacity.cpu_millis), (5, 4_000));
+});
+
+case!(a_new_leader_goes_on_with_what_runs, fleet_of(2), |w| {
+    w.submit(submission(1, vec![step(6)]));
+    w.run(200);
+    w.elect();
+    w.run(2_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+    assert_eq!(w.starts.len(), 6, "nothing was started again");
+});
+
+case!(an_order_of_a_former_leader_is_fenced, fleet_of(1), |w| {
+    w.run(100);
+    w.worker("wa").path = Path::Late(1_000);
+    w.submit(submission(1, vec![step(1)]));
+    w.run(100);
+    w.worker("wa").path = Path::Open;
+    w.elect();
+    w.run(3_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+    assert_eq!(w.starts.len(), 1);
+});
+
+case!(nothing_starts_after_a_cancel, fleet_of(1), |w| {
+    w.submit(submission(1, vec![step(12)]));
+    w.run(100);
+    w.apply(Change::Cancel(vec![1]));
+    let before = w.starts.len();
+    w.run(100);
+    w.run(2_000);
+    assert_eq!(w.starts.len(), before);
+    assert!((0..12).all(|i| w.running(task(1, i)).is_empty()), "all are stopped");
+});
+
+case!(a_task_that_fails_too_often_fails_its_submission, fleet_of(1), |w| {
+    w.worker("wa").fails = true;
+    w.submit(submission(1, vec![step(1)]));
+    w.run(20_000);
+    assert_eq!(w.phase(1), Phase::Failed);
+    assert_eq!(w.starts.len(), 3, "max_attempts runs and no more");
+});
+
+case!(a_lasting_task_is_started_again_however_it_ends, fleet_of(2), |w| {
+    w.worker("wa").fails = true;
+    w.worker("wb").fails = true;
+    w.submit(submission(1, vec![Step { lasting: true, ..step(1) }]));
+    w.run(12_000);
+    assert!(w.starts.len() > 4, "also after max_attempts failures: {:?}", w.starts);
+    assert_eq!(w.phase(1), Phase::Open);
+});
+
+/// Something that goes wrong, or right again.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Cut(usize),
+    Late(usize, u64),
+    Heal(usize),
+    Crash(usize),
+    Rebirth(usize),
+    Elect,
+    Drain(usize),
+    Cancel(u64),
+    Fail(usize, bool),
+    Stall(usize, bool),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let w = 0..4usize;
+    prop_oneof![
+        w.clone().prop_map(Trouble::Cut),
+        (w.clone(), 500..9_000u64).prop_map(|(w, ms)| Trouble::Late(w, ms)),
+        w.clone().prop_map(Trouble::Heal),
+        w.clone().prop_map(Trouble::Heal),
+        w.clone().prop_map(Trouble::Crash),
+        w.clone().prop_map(Trouble::Rebirth),
+        Just(Trouble::Elect),
+        w.clone().prop_map(Trouble::Drain),
+        (1..5u64).prop_map(Trouble::Cancel),
+        (w.clone(), any::<bool>()).prop_map(|(w, on)| Trouble::Fail(w, on)),
+        (w, any::<bool>()).prop_map(|(w, on)| Trouble::Stall(w, on)),
+    ]
+}
+
+fn bring_about(w: &mut World, trouble: Trouble, born_ms: u64) {
+    let name = |n: usize| ["wa", "wb", "wc", "wd"][n];
+    match trouble {
+        Trouble::Cut(n) => w.worker(name(n)).path = Path::Cut,
+        Trouble::Late(n, ms) => w.worker(name(n)).path = Path::Late(ms),
+        Trouble::Heal(n) => w.worker(name(n)).path = Path::Open,
+        Trouble::Crash(n) => w.worker(name(n)).crash(),
+        Trouble::Rebirth(n) => {
+            w.worker(name(n)).crash();
+            w.join(WorkerLife { born_ms, ..worker(name(n), 4) });
+        }
+        Trouble::Elect => w.elect(),
+        Trouble::Drain(n) => {
+            let life = w.worker(name(n)).life.clone();
+            w.apply(Change::Register(WorkerLife { draining: true, ..life }));
+        }
+        Trouble::Cancel(id) => drop(w.apply(Change::Cancel(vec![id]))),
+        Trouble::Fail(n, on) => w.worker(name(n)).fails = on,
+        Trouble::Stall(n, on) => w.worker(name(n)).stalls = on,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The world checks at each step; in the end, what is healed completes.
+    #[test]
+    fn any_mix_of_troubles_is_safe(
+        troubles in proptest::collection::vec((trouble(), 10..1_500u64), 1..25)
+    ) {
+        let mut w = fleet_of(4);
+        for id in 1..4 {
+            w.submit(submission(id, vec![step(5), Step { depends_on: vec![0], ..step(3) }]));
+        }
+        w.submit(submission(4, vec![Step { lasting: true, ..step(3) }]));
+        for (i, (trouble, millis)) in troubles.into_iter().enumerate() {
+            bring_about(&mut w, trouble, 10 + i as u64);
+            w.run(millis);
+        }
+        for n in 0..4 {
+            bring_about(&mut w, Trouble::Rebirth(n), 1_000);
+        }
+        w.run(15_000);
+        for id in 1..4 {
+            prop_assert_ne!(w.phase(id), Phase::Open, "submission {} is stuck", id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/all/submission/state.rs
@@ -0,0 +1,206 @@
+//! The state that the group agrees on.
+
+use super::world::{policy, step, submission, worker};
+use cyclamenloft_placement::submission::{
+    Change, EndHow, Outcome, Phase, Placed, Queue, RouteTable, RunEnd, Step, SubmissionState,
+    TaskId, WorkerLife, routes::QueuePolicy,
+};
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::ErrorKind;
+
+struct Group {
+    state: SubmissionState,
+    index: u64,
+}
+
+impl Group {
+    fn new() -> Self {
+        let mut group = Self { state: SubmissionState::default(), index: 0 };
+        group.apply(Change::Register(worker("wa", 4)));
+        group
+    }
+
+    fn apply(&mut self, change: Change) -> Outcome {
+        self.index += 1;
+        self.state.apply(self.index, &change)
+    }
+
+    fn submit(&mut self, id: u64, steps: Vec<Step>) -> Outcome {
+        let submission = submission(id, steps);
+        self.apply(Change::Submit { submission, policy: policy(), at_ms: 0 })
+    }
+
+    fn place(&mut self, task: TaskId, attempt: u32) -> bool {
+        let placed = Placed { task, attempt, life: 1 };
+        self.apply(Change::Place(vec![placed])) == Outcome::Placed(vec![placed])
+    }
+
+    fn end(&mut self, task: TaskId, attempt: u32, how: EndHow) -> Outcome {
+        let end = RunEnd { task, attempt, how, checkpoint: "c1".into() };
+        self.apply(Change::Ended { life: 1, ends: vec![end] })
+    }
+}
+
+fn task(step: u16, index: u16) -> TaskId {
+    TaskId { submission: 1, occurrence: 0, step, index }
+}
+
+fn table(number: u64, service: &str) -> RouteTable {
+    let policy = QueuePolicy { service: service.into(), max_attempts: 9, ..policy() };
+    let queue =
+        Queue { host: "host".into(), prefix: "/queue/".into(), service: service.into(), policy };
+    RouteTable { number, queues: vec![queue], services: vec![], text: "{}".into() }
+}
+
+#[test]
+fn a_repeated_submission_is_one() {
+    let mut g = Group::new();
+    assert_eq!(g.submit(1, vec![step(1)]), Outcome::Done);
+    assert_eq!(g.submit(1, vec![step(1)]), Outcome::Done);
+    assert_eq!(g.state.open().count(), 1);
+}
+
+#[test]
+fn an_id_is_not_given_to_other_content() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    assert_eq!(g.submit(1, vec![step(2)]), Outcome::Taken);
+}
+
+#[test]
+fn a_cancelled_submission_stays_cancelled_when_it_is_sent_again() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    g.apply(Change::Cancel(vec![1]));
+    g.submit(1, vec![step(1)]);
+    assert_eq!(g.state.record(1).unwrap().phase, Phase::Cancelled);
+    assert!(!g.place(task(0, 0), 1));
+}
+
+#[test]
+fn a_task_is_placed_once() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    assert!(g.place(task(0, 0), 1));
+    assert!(!g.place(task(0, 0), 1));
+    assert!(!g.place(task(0, 0), 2), "the first run may still go on");
+}
+
+#[test]
+fn an_end_frees_the_room_and_keeps_the_checkpoint() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(4)]);
+    for i in 0..4 {
+        assert!(g.place(task(0, i), 1));
+    }
+    g.submit(2, vec![step(1)]);
+    let other = TaskId { submission: 2, ..task(0, 0) };
+    assert!(!g.place(other, 1), "there is no room");
+    g.end(task(0, 0), 1, EndHow::Stopped);
+    assert!(g.place(other, 1));
+    let record = g.state.record(1).unwrap();
+    assert_eq!(&*record.task(task(0, 0)).unwrap().checkpoint, "c1");
+}
+
+#[test]
+fn an_end_that_is_told_twice_counts_once() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(2)]);
+    g.place(task(0, 0), 1);
+    g.end(task(0, 0), 1, EndHow::Failed);
+    g.end(task(0, 0), 1, EndHow::Failed);
+    assert_eq!(g.state.record(1).unwrap().task(task(0, 0)).unwrap().failures, 1);
+    assert_eq!(g.state.life(1).unwrap().reserved.cpu_millis, 0);
+}
+
+#[test]
+fn a_task_that_was_refused_has_not_failed() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    for attempt in 1..6 {
+        assert!(g.place(task(0, 0), attempt));
+        g.end(task(0, 0), attempt, EndHow::NeverRan);
+    }
+    assert_eq!(g.state.record(1).unwrap().phase, Phase::Open);
+}
+
+#[test]
+fn a_step_is_not_placed_before_those_it_depends_on() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1), Step { depends_on: vec![0], ..step(1) }]);
+    assert!(!g.place(task(1, 0), 1));
+    g.place(task(0, 0), 1);
+    assert!(!g.place(task(1, 0), 1));
+    g.end(task(0, 0), 1, EndHow::Done);
+    assert!(g.place(task(1, 0), 1));
+    assert_eq!(g.end(task(1, 0), 1, EndHow::Done), Outcome::Over(vec![1]));
+}
+
+#[test]
+fn a_worker_that_leaves_gets_nothing() {
+    let mut g = Group::new();
+    g.apply(Change::Register(WorkerLife { draining: true, ..worker("wa", 4) }));
+    // A report that was sent before and arrives after changes nothing.
+    g.apply(Change::Register(worker("wa", 4)));
+    g.submit(1, vec![step(1)]);
+    assert!(!g.place(task(0, 0), 1));
+}
+
+#[test]
+fn the_highest_configuration_stands() {
+    let mut g = Group::new();
+    g.apply(Change::Configure(table(7, "new")));
+    g.apply(Change::Configure(table(5, "old")));
+    g.apply(Change::Configure(table(7, "other")));
+    assert_eq!(g.state.routes().number, 7);
+    assert_eq!(&*g.state.routes().queues[0].service, "new");
+}
+
+#[test]
+fn a_configuration_changes_the_policy_of_open_submissions() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    g.apply(Change::Configure(table(2, "other")));
+    let record = g.state.record(1).unwrap();
+    assert_eq!((&*record.policy.service, record.policy.max_attempts), ("other", 9));
+}
+
+#[test]
+fn a_submission_is_forgotten_only_once_nothing_of_it_runs() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    g.place(task(0, 0), 1);
+    g.apply(Change::Cancel(vec![1]));
+    g.apply(Change::Forget(vec![1]));
+    assert!(g.state.record(1).is_some());
+    g.end(task(0, 0), 1, EndHow::Stopped);
+    g.apply(Change::Forget(vec![1]));
+    assert!(g.state.record(1).is_none());
+}
+
+#[test]
+fn a_snapshot_reads_back() {
+    let mut g = Group::new();
+    g.apply(Change::Configure(table(2, "pool")));
+    g.submit(1, vec![step(2)]);
+    g.place(task(0, 0), 1);
+    assert_eq!(SubmissionState::decode(&g.state.encode()).unwrap(), g.state);
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused() {
+    assert_eq!(SubmissionState::decode(&[0xff; 9]).unwrap_err().kind, ErrorKind::Corrupt);
+}
+
+#[test]
+fn the_longest_prefix_selects_the_queue() {
+    let mut routes = table(1, "pool");
+    let mut longer = routes.queues[0].clone();
+    longer.prefix = "/queue/inner/".into();
+    routes.queues.push(longer);
+    let prefix = |path| routes.route("host", path).map(|q| &*q.prefix);
+    assert_eq!(prefix("/queue/1"), Some("/queue/"));
+    assert_eq!(prefix("/queue/inner/1"), Some("/queue/inner/"));
+    assert_eq!(prefix("/elsewhere/1"), None);
+    assert!(routes.route("another", "/queue/1").is_none());
+}
--- /dev/null
+++ b/crates/placement/tests/all/submission/world.rs
@@ -0,0 +1,526 @@
+//! A small world in virtual time: stand-ins of workers that keep leases, fences
+//! and attempts as the users' interface states, and a leader that decides on
+//! agreed changes, which take a while to be agreed on.
+
+use cyclamenloft_placement::submission::{
+    Change, EndHow, Fleet, LifeId, Listed, Observation, OrderKind, Outcome, Phase, QueueKey,
+    RunEnd, Step, Submission, SubmissionState, TaskId, WorkerLife,
+    fleet::{Order, OrderAnswer},
+    planner,
+    routes::QueuePolicy,
+};
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::Resources;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Longest lease of the stand-ins.
+pub const LEASE: Duration = Duration::from_millis(3_000);
+/// Time until a change is agreed on.
+const COMMIT: u64 = 20;
+/// Time until an order arrives, and until its answer does.
+const WIRE: u64 = 5;
+/// Time after which an order without an answer is given up.
+const GIVE_UP: u64 = 700;
+/// Time between two looks at a worker.
+const LOOK: u64 = 200;
+/// Time that a step of the world takes.
+const STEP: u64 = 5;
+
+/// What happens to the calls to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// They are answered.
+    Open,
+    /// They get no answer and are never carried out.
+    Cut,
+    /// They get no answer and are carried out after this many milliseconds.
+    Late(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    attempt: u32,
+    left_ms: u64,
+    work_ms: u64,
+    fails: bool,
+    pace: u64,
+    /// It serves until it is stopped.
+    lasts: bool,
+}
+
+/// A stand-in of a worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// What it says of itself.
+    pub life: WorkerLife,
+    /// Whether its process runs.
+    pub up: bool,
+    /// What happens to calls to it.
+    pub path: Path,
+    /// Its tasks fail.
+    pub fails: bool,
+    /// Its tasks stand still.
+    pub stalls: bool,
+    token: u64,
+    lease_end: u64,
+    runs: BTreeMap<TaskId, Running>,
+    ended: Vec<(u64, RunEnd)>,
+    numbered: u64,
+    highest: BTreeMap<TaskId, u32>,
+    late: Vec<(u64, u64, Order, u64)>,
+}
+
+struct InFlight {
+    life: LifeId,
+    order: Order,
+    answer: OrderAnswer,
+    at: u64,
+}
+
+/// The world.
+pub struct World {
+    /// The agreed state.
+    pub state: SubmissionState,
+    /// What the leader knows.
+    pub fleet: Fleet,
+    /// The workers by name.
+    pub workers: BTreeMap<Box<str>, Worker>,
+    /// Starts that workers carried out: task, worker, time.
+    pub starts: Vec<(TaskId, Box<str>, u64)>,
+    base: Instant,
+    now: u64,
+    token: u64,
+    commits: Vec<(u64, Change)>,
+    orders: Vec<InFlight>,
+    looked: BTreeMap<LifeId, u64>,
+    acknowledged: BTreeMap<LifeId, u64>,
+    index: u64,
+}
+
+/// A worker with this many cores.
+pub fn worker(name: &str, cores: u32) -> WorkerLife {
+    WorkerLife {
+        id: name.into(),
+        born_ms: 1,
+        service: "pool".into(),
+        addr: format!(
+            "10.0.0.{}:80",
+            1 + name.len() + usize::from(name.as_bytes()[name.len() - 1])
+        )
+        .parse()
+        .unwrap(),
+        domain: "d1".into(),
+        rack: "r1".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Resources::new(cores * 1000, 64_000, 0),
+        machine: None,
+        draining: false,
+        leaving: false,
+    }
+}
+
+/// A step of this many tasks of one core each.
+pub fn step(count: u16) -> Step {
+    Step { count, demand: Resources::new(1000, 1000, 0), estimate_ms: 500, ..Step::default() }
+}
+
+/// A submission of these steps.
+pub fn submission(id: u64, steps: Vec<Step>) -> Submission {
+    let queue: QueueKey = "host/queue/".into();
+    Submission {
+        id,
+        queue,
+        payload: "text".into(),
+        steps,
+        first_due_ms: 0,
+        interval_ms: 0,
+        occurrences: 1,
+    }
+}
+
+/// The policy of the world's queue.
+pub fn policy() -> QueuePolicy {
+    QueuePolicy {
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 3,
+        slack_millis: 2000,
+        target_ms: 500,
+        advised: false,
+    }
+}
+
+impl World {
+    /// A world with these workers.
+    pub fn new(workers: impl IntoIterator<Item = WorkerLife>) -> Self {
+        let base = Instant::now();
+        let mut world = Self {
+            state: SubmissionState::default(),
+            fleet: Fleet::new(LEASE, base),
+            workers: BTreeMap::new(),
+            starts: Vec::new(),
+            base,
+            now: 0,
+            token: 1,
+            commits: Vec::new(),
+            orders: Vec::new(),
+            looked: BTreeMap::new(),
+            acknowledged: BTreeMap::new(),
+            index: 0,
+        };
+        for life in workers {
+            world.join(life);
+        }
+        world
+    }
+
+    /// A worker begins a life.
+    pub fn join(&mut self, life: WorkerLife) {
+        self.apply(Change::Register(life.clone()));
+        let worker = Worker {
+            up: true,
+            path: Path::Open,
+            fails: false,
+            stalls: false,
+            token: 0,
+            lease_end: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            numbered: 0,
+            highest: BTreeMap::new(),
+            late: Vec::new(),
+            life,
+        };
+        self.workers.insert(worker.life.id.clone(), worker);
+    }
+
+    /// Another replica takes over: it knows the agreed state alone.
+    pub fn elect(&mut self) {
+        self.token += 1;
+        self.fleet = Fleet::new(LEASE, self.instant());
+        self.commits.clear();
+        self.orders.clear();
+        self.looked.clear();
+        self.acknowledged.clear();
+    }
+
+    /// Accepts a submission at once.
+    pub fn submit(&mut self, submission: Submission) {
+        let at_ms = self.now;
+        self.apply(Change::Submit { submission, policy: policy(), at_ms });
+    }
+
+    /// Agrees on a change at once.
+    pub fn apply(&mut self, change: Change) -> Outcome {
+        self.index += 1;
+        self.state.apply(self.index, &change)
+    }
+
+    /// The stand-in with this name.
+    pub fn worker(&mut self, name: &str) -> &mut Worker {
+        self.workers.get_mut(name).unwrap()
+    }
+
+    /// How far a submission is.
+    pub fn phase(&self, id: u64) -> Phase {
+        self.state.record(id).unwrap().phase
+    }
+
+    /// The present time.
+    pub fn instant(&self) -> Instant {
+        self.base + Duration::from_millis(self.now)
+    }
+
+    /// Runs the world for `millis`, and checks it at each step.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP;
+            self.work();
+            self.agree();
+            self.receive();
+            self.look();
+            self.decide();
+            self.order();
+            self.check();
+        }
+    }
+
+    /// Workers on which the task runs now.
+    pub fn running(&self, task: TaskId) -> Vec<Box<str>> {
+        let runs = |w: &&Worker| w.up && w.runs.contains_key(&task);
+        self.workers.values().filter(runs).map(|w| w.life.id.clone()).collect()
+    }
+
+    /// No task runs twice, no worker is over its room.
+    fn check(&self) {
+        let mut seen = BTreeSet::new();
+        for worker in self.workers.values().filter(|w| w.up) {
+            let mut used = Resources::ZERO;
+            for task in worker.runs.keys() {
+                let step =
+                    &self.state.record(task.submission).unwrap().spec.steps[usize::from(task.step)];
+                assert!(seen.insert(*task) || step.copies, "{task} runs twice at {}", self.now);
+                used = used.checked_add(&step.reserved()).unwrap();
+            }
+            let (id, room) = (&worker.life.id, &worker.life.capacity);
+            assert!(used.fits_in(room), "{id} is over its room at {}", self.now);
+        }
+    }
+
+    /// A worker has carried out a start: the task may not be known as done.
+    fn started(&mut self, task: TaskId, worker: &str) {
+        let known = self.state.record(task.submission).unwrap().task(task).unwrap();
+        assert!(!known.done, "{task} starts at {} though it is done", self.now);
+        self.starts.push((task, worker.into(), self.now));
+    }
+
+    fn lasts(&self, task: TaskId) -> bool {
+        self.state.record(task.submission).unwrap().spec.steps[usize::from(task.step)].lasting
+    }
+
+    fn work(&mut self) {
+        let up = self.workers.iter().filter(|(_, w)| w.up);
+        let names: Vec<Box<str>> = up.map(|(name, _)| name.clone()).collect();
+        for name in &names {
+            let now = self.now;
+            let worker = self.workers.get_mut(name).unwrap();
+            let (due, later) =
+                std::mem::take(&mut worker.late).into_iter().partition(|l| l.0 <= now);
+            worker.late = later;
+            for (_, token, order, lease_end) in due as Vec<(u64, u64, Order, u64)> {
+                self.carry_out(name, token, order, lease_end);
+            }
+            self.workers.get_mut(name).unwrap().progress(now);
+        }
+    }
+
+    fn carry_out(&mut self, name: &str, token: u64, order: Order, lease_end: u64) -> OrderAnswer {
+        let (now, lasts) = (self.now, self.lasts(order.task));
+        let worker = self.workers.get_mut(name).unwrap();
+        let before = worker.runs.len();
+        let answer = worker.take(now, token, order, lease_end, lasts);
+        if worker.runs.len() > before {
+            self.started(order.task, name);
+        }
+        answer
+    }
+
+    fn agree(&mut self) {
+        let (due, later) =
+            std::mem::take(&mut self.commits).into_iter().partition(|(at, _)| *at <= self.now);
+        self.commits = later;
+        for (_, change) in due as Vec<(u64, Change)> {
+            self.apply(change);
+        }
+    }
+
+    fn propose(&mut self, change: Change) {
+        self.commits.push((self.now + COMMIT, change));
+    }
+
+    fn receive(&mut self) {
+        let now = self.instant();
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.orders).into_iter().partition(|o| o.at <= self.now);
+        self.orders = later;
+        for o in due {
+            if let Some(end) = self.fleet.answered(o.life, o.order, o.answer, now) {
+                self.propose(Change::Ended { life: o.life, ends: vec![end] });
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.instant();
+        let lives: Vec<(LifeId, WorkerLife)> =
+            self.state.lives().map(|(id, l)| (id, l.worker.clone())).collect();
+        for (id, life) in lives {
+            let ending = |c: &Change| matches!(c, Change::Ended { life, .. } if *life == id);
+            let due = self.looked.get(&id).is_none_or(|at| self.now >= at + LOOK);
+            if !due || self.commits.iter().any(|(_, c)| ending(c)) {
+                continue;
+            }
+            self.looked.insert(id, self.now);
+            self.fleet.looked(id, Duration::ZERO, now);
+            let lease_end = self.fleet.view_mut(id, now).grant(now);
+            let acknowledged = self.acknowledged.get(&id).copied().unwrap_or(0);
+            let worker = self.workers.get_mut(&life.id).unwrap();
+            let answers = worker.up
+                && worker.path == Path::Open
+                && worker.life.born_ms == life.born_ms
+                && worker.token <= self.token;
+            if !answers {
+                self.fleet.unreachable(id, now);
+                continue;
+            }
+            worker.token = self.token;
+            worker.extend(self.now, lease_end.unwrap_or(0));
+            worker.ended.retain(|(n, _)| *n > acknowledged);
+            let seen = worker.observation(self.now);
+            self.acknowledged.insert(id, worker.numbered);
+            let sent = now - Duration::from_millis(1);
+            let ends = self.fleet.observe(&self.state, id, &seen, sent, now);
+            if !ends.is_empty() {
+                self.propose(Change::Ended { life: id, ends });
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.instant();
+        self.fleet.retain(&self.state);
+        for (life, checkpoints) in self.fleet.condemn(&self.state, now) {
+            let going = |c: &Change| matches!(c, Change::Lost { life: l, .. } if *l == life);
+            if !self.commits.iter().any(|(_, c)| going(c)) {
+                self.propose(Change::Lost { life, checkpoints });
+            }
+        }
+        self.fleet.withdraw_stuck(&self.state, now);
+        self.fleet.evacuate(&self.state);
+        for (life, task) in planner::moves(&self.state, &self.fleet, now) {
+            self.fleet.withdraw(life, task, now);
+        }
+        if self.commits.iter().any(|(_, c)| matches!(c, Change::Place(_))) {
+            return;
+        }
+        let placed = planner::plan(&self.state, &self.fleet, now, self.now);
+        if !placed.is_empty() {
+            self.propose(Change::Place(placed));
+        }
+    }
+
+    fn order(&mut self) {
+        let now = self.instant();
+        let lives: Vec<(LifeId, WorkerLife)> =
+            self.state.lives().map(|(id, l)| (id, l.worker.clone())).collect();
+        for (id, life) in lives {
+            if self.orders.iter().any(|o| o.life == id) {
+                continue;
+            }
+            let Some(order) = self.fleet.next_order(&self.state, id, now) else { continue };
+            let Some(lease_end) = self.fleet.view_mut(id, now).grant(now) else { continue };
+            let (answer, at) = self.send(&life, order, lease_end);
+            self.orders.push(InFlight { life: id, order, answer, at });
+        }
+    }
+
+    fn send(&mut self, life: &WorkerLife, order: Order, lease_end: u64) -> (OrderAnswer, u64) {
+        let worker = self.workers.get_mut(&life.id).unwrap();
+        match worker.path {
+            _ if !worker.up => (OrderAnswer::Unanswered, self.now + GIVE_UP),
+            Path::Cut => (OrderAnswer::Unanswered, self.now + GIVE_UP),
+            Path::Late(after) => {
+                worker.late.push((self.now + after, self.token, order, lease_end));
+                (OrderAnswer::Unanswered, self.now + GIVE_UP)
+            }
+            Path::Open => {
+                let answer = self.carry_out(&life.id, self.token, order, lease_end);
+                (answer, self.now + 2 * WIRE)
+            }
+        }
+    }
+}
+
+impl Worker {
+    /// The process dies; it runs nothing any more.
+    pub fn crash(&mut self) {
+        self.up = false;
+        self.runs.clear();
+        self.late.clear();
+    }
+
+    fn extend(&mut self, now: u64, end: u64) {
+        let longest = now + u64::try_from(LEASE.as_millis()).unwrap();
+        self.lease_end = self.lease_end.max(end.min(longest));
+    }
+
+    fn take(
+        &mut self,
+        now: u64,
+        token: u64,
+        order: Order,
+        lease_end: u64,
+        lasts: bool,
+    ) -> OrderAnswer {
+        if token < self.token {
+            return OrderAnswer::Fenced;
+        }
+        self.token = token;
+        let Order { task, attempt, kind } = order;
+        let running = self.runs.get(&task).is_some_and(|r| r.attempt == attempt);
+        let outdated = self.highest.get(&task).is_some_and(|h| attempt <= *h);
+        match kind {
+            OrderKind::Start if running => OrderAnswer::Taken,
+            OrderKind::Start if outdated => OrderAnswer::Outdated,
+            OrderKind::Start if lease_end <= now => OrderAnswer::Late,
+            OrderKind::Start => {
+                self.extend(now, lease_end);
+                let (left_ms, work_ms, fails) = (500, 500, self.fails);
+                let run = Running { attempt, left_ms, work_ms, fails, pace: 100, lasts };
+                self.runs.insert(task, run);
+                OrderAnswer::Taken
+            }
+            OrderKind::Stop => {
+                self.highest.entry(task).and_modify(|h| *h = attempt.max(*h)).or_insert(attempt);
+                if running {
+                    self.end(task, attempt, EndHow::Stopped);
+                }
+                OrderAnswer::Taken
+            }
+            OrderKind::Pace(percent) => {
+                if let Some(run) = self.runs.get_mut(&task) {
+                    run.pace = u64::from(percent);
+                }
+                OrderAnswer::Taken
+            }
+        }
+    }
+
+    fn end(&mut self, task: TaskId, attempt: u32, how: EndHow) {
+        self.runs.remove(&task);
+        self.highest.entry(task).and_modify(|h| *h = attempt.max(*h)).or_insert(attempt);
+        self.numbered += 1;
+        let end = RunEnd { task, attempt, how, checkpoint: "".into() };
+        self.ended.push((self.numbered, end));
+    }
+
+    /// Lets tasks work.
+    fn progress(&mut self, now: u64) {
+        let lapsed = now > self.lease_end;
+        let mut ended = Vec::new();
+        for (task, run) in &mut self.runs {
+            if lapsed {
+                ended.push((*task, run.attempt, EndHow::Lapsed));
+            } else if !self.stalls {
+                run.left_ms = run.left_ms.saturating_sub(STEP * run.pace / 100);
+                if run.left_ms == 0 && (!run.lasts || run.fails) {
+                    let how = if run.fails { EndHow::Failed } else { EndHow::Done };
+                    ended.push((*task, run.attempt, how));
+                }
+            }
+        }
+        for (task, attempt, how) in ended {
+            self.end(task, attempt, how);
+        }
+    }
+
+    fn observation(&self, now: u64) -> Observation {
+        let listed = |(task, run): (&TaskId, &Running)| Listed {
+            task: *task,
+            attempt: run.attempt,
+            checkpoint: "".into(),
+            percent: u8::try_from(100 - 100 * run.left_ms / run.work_ms).unwrap(),
+            figure: if run.lasts { 5 } else { 1000 },
+        };
+        Observation {
+            born_ms: self.life.born_ms,
+            clock_ms: now,
+            running: self.runs.iter().map(listed).collect(),
+            ended: self.ended.iter().map(|(_, end)| end.clone()).collect(),
+        }
+    }
+}
