--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -253,8 +253,12 @@
 /// meet their objective, by the objective.
 fn rank(record: &Record, wall_ms: u64) -> (u8, bool, Prospect, u64, u64) {
     let lasts = record.spec.steps.iter().any(|s| s.lasting);
+    if lasts {
+        // It earns for as long as it runs, so the one that waits longest is next.
+        return (record.policy.priority, false, Prospect::Full, record.at_ms, record.seq);
+    }
     let objective = objective_ms(record);
-    (record.policy.priority, !lasts, prospect(record, wall_ms), objective, record.seq)
+    (record.policy.priority, true, prospect(record, wall_ms), objective, record.seq)
 }
 
 /// A task that is due and has no worker.
@@ -394,14 +398,14 @@
     });
 }
 
-/// Most workers that are kept for lasting tasks in one round: they serve nothing
-/// else meanwhile.
-const MAX_HELD: usize = 6;
+/// One worker in this many is kept for lasting tasks at most in one round: those
+/// serve no short task meanwhile.
+const HELD_ONE_IN: usize = 12;
 
 /// Keeps short tasks off the worker that will soonest have room for a lasting
 /// one; else they would take each bit of room as it comes free.
 fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>]) {
-    if seats.iter().filter(|s| s.held).count() >= MAX_HELD {
+    if seats.iter().filter(|s| s.held).count() > seats.len() / HELD_ONE_IN {
         return;
     }
     let need = step.reserved();
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -92,6 +92,21 @@
     assert!(w.starts.iter().any(|s| s.0 == of(1, 0)), "it was never started");
 }
 
+/// Of the lasting tasks that wait for room, the oldest gets it.
+#[test]
+fn lasting_tasks_wait_in_their_order() {
+    let mut w = World::new([worker("wa", 4)]);
+    w.submit(submission(9, vec![lasting(1, 4, "web")]));
+    w.run(10_000);
+    w.submit(submission(1, vec![lasting(1, 4, "web")]));
+    w.run(20_000);
+    w.submit(submission(2, vec![lasting(1, 4, "web")]));
+    w.run(100);
+    w.apply(Change::Cancel(vec![9]));
+    w.run(1_000);
+    assert_eq!(w.running(of(1, 0)).len(), 1);
+}
+
 /// Tasks of one step are kept apart where the client asks for it.
 #[test]
 fn at_most_so_many_on_one_worker() {
