Lasting tasks come first, in their order; room for starving ones is kept from all

Cause: LOST on the grown sites: lasting tasks that had waited 20 to 40 s came after younger ones, and smaller ones took the room that was held for them.

--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -179,8 +179,8 @@
 
 async fn place<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
     let began = Instant::now();
-    let wanted =
-        node.state(|s| planner::plan(s, &leadership.fleet.borrow(), Instant::now(), wall_ms()));
+    let wanted = node
+        .state(|s| planner::plan(s, &mut leadership.fleet.borrow_mut(), Instant::now(), wall_ms()));
     node.metrics.time("plan", began.elapsed());
     if wanted.is_empty() {
         return Ok(());
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -11,7 +11,7 @@
     Change, LifeId, Observation, Outcome, RunEnd,
     fleet::{Order, OrderAnswer},
 };
-use cyclamenloft_types::{Result, WorkerId};
+use cyclamenloft_types::{ErrorKind, Result, WorkerId};
 use std::{
     cell::Cell,
     rc::{Rc, Weak},
@@ -105,6 +105,11 @@
                 }
                 failures = 0;
             }
+            // The group could not agree on what the worker said.
+            Err(e) if matches!(e.kind, ErrorKind::ChangeUnknown | ErrorKind::NoQuorum) => {
+                tracing::debug!(event = "ends-not-agreed", worker = %cx.worker, error = %e);
+                compio::time::sleep(FIRST_PAUSE).await;
+            }
             Err(e) => {
                 if failures == 0 {
                     tracing::info!(event = "worker-silent", worker = %cx.worker, error = %e);
--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -219,6 +219,8 @@
     views: BTreeMap<LifeId, WorkerView>,
     /// What is known of how images disturb each other.
     pub interference: Interference,
+    /// Since when lasting tasks have waited for room.
+    waiting: BTreeMap<TaskId, Instant>,
 }
 
 impl Fleet {
@@ -226,7 +228,13 @@
     /// `since`.
     #[must_use]
     pub fn new(longest_lease: Duration, since: Instant) -> Self {
-        Self { longest_lease, since, views: BTreeMap::new(), interference: Interference::default() }
+        Self {
+            longest_lease,
+            since,
+            views: BTreeMap::new(),
+            interference: Interference::default(),
+            waiting: BTreeMap::new(),
+        }
     }
 
     /// The view of a life, made where there is none.
@@ -254,6 +262,19 @@
         self.views.retain(|id, _| state.life(*id).is_some());
     }
 
+    /// Notes which lasting tasks found no room in a round.
+    pub(super) fn note_waiting(&mut self, tasks: &[TaskId], now: Instant) {
+        let known = std::mem::take(&mut self.waiting);
+        let since = |task: &TaskId| known.get(task).copied().unwrap_or(now);
+        self.waiting = tasks.iter().map(|task| (*task, since(task))).collect();
+    }
+
+    /// How long a lasting task has waited for room.
+    pub(super) fn waited(&self, task: TaskId, now: Instant) -> Duration {
+        let since = self.waiting.get(&task);
+        since.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at))
+    }
+
     /// Notes that a look was sent which is answered within `wait`.
     pub fn looked(&mut self, life: LifeId, wait: Duration, now: Instant) {
         let view = self.view_mut(life, now);
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -10,7 +10,10 @@
     state::{Life, LifeId, Record, SubmissionState},
 };
 use cyclamenloft_types::Resources;
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// Most runs that one round places, so that one entry of the log stays small.
 pub const MAX_PLACED: usize = 256;
@@ -36,6 +39,19 @@
 /// What company of the same image weighs.
 const FAMILIAR: f64 = 0.8;
 
+/// Time after which the room that a lasting task waits for is kept from other
+/// lasting tasks too: half of what the users allow for a restart.
+const STARVING: Duration = Duration::from_millis(1_500);
+
+/// From whom room is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    /// From short tasks, which would take each bit as it comes free.
+    Short,
+    /// From other lasting tasks too.
+    All,
+}
+
 /// A worker as the planner fills it during one round.
 struct Seat<'a> {
     id: LifeId,
@@ -58,7 +74,7 @@
     /// What short tasks reserve.
     short: Resources,
     /// Room here is kept for a lasting task.
-    held: bool,
+    held: Option<Held>,
 }
 
 impl<'a> Seat<'a> {
@@ -86,7 +102,7 @@
             probation: view.is_some_and(|v| v.health.on_probation()),
             probed: view.is_some_and(|v| v.is_probed(state)),
             short: Resources::ZERO,
-            held: false,
+            held: None,
         };
         for (task, step) in runs_on(state, life) {
             seat.count(task, step, &fleet.interference);
@@ -160,7 +176,11 @@
             || self.has_fill_room(step)
                 && (self.pressure(step, known).1 || (!patient && self.filled == 0.0));
         let proven = !self.probation || !self.probed;
-        let kept = self.held && !step.fills && !step.lasting;
+        let kept = match self.held {
+            Some(Held::All) => !step.fills,
+            Some(Held::Short) => !step.fills && !step.lasting,
+            None => false,
+        };
         !kept && apart && labelled && filled && proven && step.reserved().fits_in(&self.free)
     }
 
@@ -197,19 +217,20 @@
 
 /// The runs to place now, in the order of their importance.
 #[must_use]
-pub fn plan(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
+pub fn plan(state: &SubmissionState, fleet: &mut Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
     let mut seats = seats(state, fleet, now);
+    let mut waiting = Vec::new();
     let mut records: Vec<&Record> = state.open().collect();
-    records
-        .sort_by_cached_key(|r| (r.policy.priority, prospect(r, wall_ms), objective_ms(r), r.seq));
+    records.sort_by_cached_key(|r| rank(r, wall_ms));
     let mut placed = Vec::new();
     for record in records {
-        place_record(record, &mut seats, &fleet.interference, wall_ms, &mut placed);
+        place_record(record, &mut seats, fleet, (now, wall_ms), &mut placed, &mut waiting);
         if placed.len() >= MAX_PLACED {
             break;
         }
     }
     placed.truncate(MAX_PLACED);
+    fleet.note_waiting(&waiting, now);
     placed
 }
 
@@ -379,14 +400,18 @@
 fn place_record<'a>(
     record: &'a Record,
     seats: &mut [Seat<'a>],
-    known: &Interference,
-    wall_ms: u64,
+    fleet: &Fleet,
+    (now, wall_ms): (Instant, u64),
     placed: &mut Vec<Placed>,
+    waiting: &mut Vec<TaskId>,
 ) {
+    let known = &fleet.interference;
     for_each_due(record, wall_ms, |id, step| {
         let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
             if step.lasting {
-                hold_room(record, step, id, seats);
+                let held = if fleet.waited(id, now) >= STARVING { Held::All } else { Held::Short };
+                hold_room(record, step, id, seats, held);
+                waiting.push(id);
             }
             // No other task of the step fits either.
             return false;
@@ -404,8 +429,8 @@
 
 /// Keeps short tasks off the worker that will soonest have room for a lasting
 /// one; else they would take each bit of room as it comes free.
-fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>]) {
-    if seats.iter().filter(|s| s.held).count() > seats.len() / HELD_ONE_IN {
+fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>], held: Held) {
+    if seats.iter().filter(|s| s.held.is_some()).count() > seats.len() / HELD_ONE_IN {
         return;
     }
     let need = step.reserved();
@@ -413,10 +438,10 @@
         let apart = step.max_per_worker == 0 || seat.of_step(task) < step.max_per_worker;
         let service = seat.life.worker.service == record.policy.service;
         let room = seat.free.checked_add(&seat.short).unwrap_or(seat.free);
-        apart && service && !seat.held && need.fits_in(&room)
+        apart && service && seat.held.is_none() && need.fits_in(&room)
     };
     if let Some(seat) = seats.iter_mut().filter(fits_later).max_by_key(|s| s.free.cpu_millis) {
-        seat.held = true;
+        seat.held = Some(held);
     }
 }
 
--- a/crates/placement/tests/all/submission/world.rs
+++ b/crates/placement/tests/all/submission/world.rs
@@ -387,7 +387,7 @@
         if self.commits.iter().any(|(_, c)| matches!(c, Change::Place(_))) {
             return;
         }
-        let placed = planner::plan(&self.state, &self.fleet, now, self.now);
+        let placed = planner::plan(&self.state, &mut self.fleet, now, self.now);
         if !placed.is_empty() {
             self.propose(Change::Place(placed));
         }
