--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -7,7 +7,7 @@
     interference::{Interference, Use},
     lease::WorkerLease,
     pacing::{self, Pace, Victim},
-    spec::{Step, TaskId},
+    spec::{Step, SubmissionId, TaskId},
     state::{Life, LifeId, Phase, Record, Run, SubmissionState},
 };
 use cyclamenloft_types::AttemptNumber;
@@ -275,6 +275,12 @@
         since.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at))
     }
 
+    /// Submissions with a lasting task that has waited this long for room.
+    pub(super) fn starving(&self, least: Duration, now: Instant) -> BTreeSet<SubmissionId> {
+        let long = |at: &Instant| now.saturating_duration_since(*at) >= least;
+        self.waiting.iter().filter(|(_, at)| long(at)).map(|(task, _)| task.submission).collect()
+    }
+
     /// Notes that a look was sent which is answered within `wait`.
     pub fn looked(&mut self, life: LifeId, wait: Duration, now: Instant) {
         let view = self.view_mut(life, now);
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -6,12 +6,12 @@
     fleet::{Fleet, runs_on},
     interference::Interference,
     pacing::NEGLIGIBLE,
-    spec::{Step, TaskId},
+    spec::{Step, SubmissionId, TaskId},
     state::{Life, LifeId, Record, SubmissionState},
 };
 use cyclamenloft_types::Resources;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -39,8 +39,8 @@
 /// What company of the same image weighs.
 const FAMILIAR: f64 = 0.8;
 
-/// Time after which the room that a lasting task waits for is kept from other
-/// lasting tasks too: half of what the users allow for a restart.
+/// Time after which a lasting task that waits comes first, and room is kept for it
+/// from other lasting tasks too: less than what the users allow for a restart.
 const STARVING: Duration = Duration::from_millis(1_500);
 
 /// From whom room is kept.
@@ -220,8 +220,9 @@
 pub fn plan(state: &SubmissionState, fleet: &mut Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
     let mut seats = seats(state, fleet, now);
     let mut waiting = Vec::new();
+    let starving = fleet.starving(STARVING, now);
     let mut records: Vec<&Record> = state.open().collect();
-    records.sort_by_cached_key(|r| rank(r, wall_ms));
+    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
     let mut placed = Vec::new();
     for record in records {
         place_record(record, &mut seats, fleet, (now, wall_ms), &mut placed, &mut waiting);
@@ -270,16 +271,22 @@
     moved
 }
 
-/// Order of submissions: by priority, lasting ones first, then those that can
-/// meet their objective, by the objective.
-fn rank(record: &Record, wall_ms: u64) -> (u8, bool, Prospect, u64, u64) {
-    let lasts = record.spec.steps.iter().any(|s| s.lasting);
-    if lasts {
-        // It earns for as long as it runs, so the one that waits longest is next.
-        return (record.policy.priority, false, Prospect::Full, record.at_ms, record.seq);
+/// Order of submissions: by priority; lasting ones that starve, the oldest first;
+/// those that can meet their objective, by the objective; the others.
+fn rank(
+    record: &Record,
+    starving: &BTreeSet<SubmissionId>,
+    wall_ms: u64,
+) -> (u8, bool, Prospect, u64, u64) {
+    let (priority, seq) = (record.policy.priority, record.seq);
+    if starving.contains(&record.spec.id) {
+        return (priority, false, Prospect::Full, record.at_ms, seq);
+    }
+    if record.spec.steps.iter().any(|s| s.lasting) {
+        // It earns for as long as it runs, and has no objective to miss.
+        return (priority, true, Prospect::Late, record.at_ms, seq);
     }
-    let objective = objective_ms(record);
-    (record.policy.priority, true, prospect(record, wall_ms), objective, record.seq)
+    (priority, true, prospect(record, wall_ms), objective_ms(record), seq)
 }
 
 /// A task that is due and has no worker.
@@ -307,8 +314,9 @@
     let seats = seats(state, fleet, now);
     let widest = seats.iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
     let widest_free = widest.unwrap_or(Resources::ZERO);
+    let starving = fleet.starving(STARVING, now);
     let mut records: Vec<&Record> = state.open().collect();
-    records.sort_by_cached_key(|r| rank(r, wall_ms));
+    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
     let mut waiting = Vec::new();
     for record in records {
         for_each_due(record, wall_ms, |task, step| {
