After 2.3 s over its target nothing beside a serving task is believed harmless

What fits: a pair whose learned weight was near nothing was left to work on. Change: the hold at 1.8 s keeps to pairs that disturb; at 2.3 s it takes all.

--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -11,6 +11,9 @@
 /// Time over the target after which everything that may disturb is held: well
 /// before the users' limit of some seconds.
 const HOLD_AFTER: Duration = Duration::from_millis(1_800);
+/// Time over the target after which even what seems harmless is held: with a look
+/// and half a second's mean, that is seen before the users' four seconds.
+const HOLD_ALL_AFTER: Duration = Duration::from_millis(2_300);
 /// Time until a reported tail shows the effect of a change: the worker averages
 /// over half a second, and a pace takes a tenth of a second to act.
 const SETTLE: Duration = Duration::from_millis(650);
@@ -48,6 +51,10 @@
 pub fn share(pressures: impl Iterator<Item = (Victim, f64, f64)>) -> u8 {
     let mut share: f64 = 1.0;
     for (victim, own, all) in pressures {
+        if victim.over_for >= HOLD_ALL_AFTER {
+            // What is known of the pair may be wrong.
+            return 0;
+        }
         if own < NEGLIGIBLE {
             continue;
         }
