Place gangs whole, and stop members that are left

A gang's tasks are placed in one entry with one number or not at all, on one rack where that is wanted and possible; one member's end holds for all; where a member has no run, the others are stopped and all start again from any checkpoint.

--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -691,7 +691,8 @@
             return None;
         }
         let done = record.task(task).is_none_or(|t| t.done);
-        let wanted = record.phase == Phase::Open && !done && !self.withdrawn;
+        let wanted =
+            record.phase == Phase::Open && !done && !self.withdrawn && !record.is_broken(task);
         if !wanted {
             let again = self.stopped.is_none_or(|at| self.listed && now >= at + STOP_AGAIN);
             return again.then_some(OrderKind::Stop);
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -92,6 +92,37 @@
             .get_mut(usize::from(id.index))
     }
 
+    /// The end of one member is the end of its gang: done, failed, and the newest
+    /// checkpoint hold for all.
+    fn share_end(&mut self, end: &RunEnd, finished: bool) {
+        let (k, step) = (end.task.occurrence as usize, usize::from(end.task.step));
+        for (i, task) in self.tasks[k][step].iter_mut().enumerate() {
+            if i == usize::from(end.task.index) {
+                continue;
+            }
+            if finished && !task.done {
+                task.done = true;
+                self.left[k][step] -= 1;
+            }
+            if end.how == EndHow::Failed {
+                task.failures = task.failures.saturating_add(1);
+            }
+            if !end.checkpoint.is_empty() {
+                task.checkpoint = end.checkpoint.clone();
+            }
+        }
+    }
+
+    /// Whether a member of the task's gang has no run, so that the others can't
+    /// work.
+    #[must_use]
+    pub fn is_broken(&self, task: TaskId) -> bool {
+        let (k, step) = (task.occurrence as usize, usize::from(task.step));
+        let Some(spec) = self.spec.steps.get(step).filter(|s| s.gang) else { return false };
+        let members = self.tasks.get(k).and_then(|steps| steps.get(step));
+        spec.gang && members.is_some_and(|m| m.iter().any(|t| !t.done && t.runs.is_empty()))
+    }
+
     /// Whether all steps that `step` depends on are done in this occurrence.
     #[must_use]
     pub fn is_due(&self, occurrence: usize, step: usize) -> bool {
@@ -278,7 +309,39 @@
     }
 
     fn place(&mut self, wanted: &[Placed]) -> Outcome {
-        Outcome::Placed(wanted.iter().copied().filter(|p| self.place_one(*p)).collect())
+        let mut placed: Vec<Placed> =
+            wanted.iter().copied().filter(|p| self.place_one(*p)).collect();
+        // A gang is placed whole or not at all.
+        let broken: Vec<Placed> =
+            placed.iter().copied().filter(|p| !self.is_whole(p.task)).collect();
+        for p in &broken {
+            self.unplace(*p);
+        }
+        placed.retain(|p| !broken.contains(p));
+        Outcome::Placed(placed)
+    }
+
+    /// Whether the task is in no gang, or all members of its gang have a run.
+    fn is_whole(&self, task: TaskId) -> bool {
+        let Some(record) = self.records.get(&task.submission) else { return false };
+        let (k, step) = (task.occurrence as usize, usize::from(task.step));
+        !record.spec.steps[step].gang || record.tasks[k][step].iter().all(|t| !t.runs.is_empty())
+    }
+
+    fn unplace(&mut self, p: Placed) {
+        let Some(record) = self.records.get_mut(&p.task.submission) else { return };
+        let reserved = record.spec.steps[usize::from(p.task.step)].reserved();
+        if let Some(task) = record.task_mut(p.task) {
+            task.runs.retain(|run| run.life != p.life);
+        }
+        self.release(p.life, p.task, reserved);
+    }
+
+    fn release(&mut self, life: LifeId, task: TaskId, reserved: Resources) {
+        if let Some(l) = self.lives.get_mut(&life) {
+            l.runs.remove(&task);
+            l.reserved = l.reserved.checked_sub(&reserved).unwrap_or(Resources::ZERO);
+        }
     }
 
     fn place_one(&mut self, p: Placed) -> bool {
@@ -294,7 +357,7 @@
         let Some(life) = self.lives.get_mut(&p.life) else { return false };
         let elsewhere = task.runs.iter().all(|run| run.life != p.life);
         let free = !task.done && task.runs.len() < most && elsewhere;
-        if !free || p.attempt != task.attempt + 1 || life.worker.draining {
+        if !free || p.attempt <= task.attempt || life.worker.draining {
             return false;
         }
         let Some(sum) = life.reserved.checked_add(&reserved) else { return false };
@@ -341,10 +404,11 @@
         if finished {
             record.left[k][step] -= 1;
         }
-        if let Some(l) = self.lives.get_mut(&life) {
-            l.runs.remove(&end.task);
-            l.reserved = l.reserved.checked_sub(&reserved).unwrap_or(Resources::ZERO);
+        if record.spec.steps[step].gang {
+            record.share_end(end, finished);
         }
+        self.release(life, end.task, reserved);
+        let record = self.records.get_mut(&end.task.submission)?;
         if record.phase != Phase::Open {
             return None;
         }
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -171,3 +171,79 @@
     w.run(200);
     assert_eq!(w.starts[0].0, of(2, 0));
 }
+
+fn gang(count: u16) -> Step {
+    Step { gang: true, ..step(count) }
+}
+
+/// A gang starts whole, with one number for all, or waits.
+#[test]
+fn gang_starts_whole() {
+    let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
+    w.submit(submission(1, vec![step(6)]));
+    w.run(150);
+    w.submit(submission(2, vec![gang(6)]));
+    w.run(200);
+    assert!(w.starts.iter().all(|s| s.0.submission == 1), "there is no room for all");
+    w.run(3_000);
+    let members: Vec<u64> = w.starts.iter().filter(|s| s.0.submission == 2).map(|s| s.2).collect();
+    assert_eq!(members.len(), 6);
+    assert!(members[5] - members[0] < 200, "{members:?}");
+    assert_eq!(w.phase(2), Phase::Complete);
+}
+
+/// Two wide gangs that wait for room don't keep each other from it.
+#[test]
+fn gangs_that_wait_for_each_other() {
+    let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
+    w.submit(submission(1, vec![gang(6)]));
+    w.submit(submission(2, vec![gang(6)]));
+    w.run(5_000);
+    assert_eq!((w.phase(1), w.phase(2)), (Phase::Complete, Phase::Complete));
+}
+
+/// Where a member is lost, the others are stopped, and all start again.
+#[test]
+fn gang_that_loses_a_member() {
+    let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
+    w.submit(submission(1, vec![gang(6)]));
+    w.run(200);
+    w.worker("wa").crash();
+    w.join(WorkerLife { born_ms: 2, ..worker("wa", 4) });
+    w.run(4_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+}
+
+/// A gang that wants one rack gets one that has room for all of it.
+#[test]
+fn gang_on_one_rack() {
+    let on = |name, rack: &str| WorkerLife {
+        rack: rack.into(),
+        labels: vec!["a".into(), rack.into()],
+        ..worker(name, 4)
+    };
+    let mut w = World::new([on("wa", "r1"), on("wb", "r2"), on("wc", "r2")]);
+    w.submit(submission(1, vec![Step { same_rack: true, ..gang(6) }]));
+    w.run(1_500);
+    assert!(w.starts.len() == 6 && w.starts.iter().all(|s| &*s.1 != "wa"), "{:?}", w.starts);
+}
+
+/// What occurs again starts at its times, also while the last time goes on.
+#[test]
+fn occurrences_start_at_their_times() {
+    let mut w = World::new([worker("wa", 8)]);
+    let timed = cyclamenloft_placement::submission::Submission {
+        first_due_ms: 500,
+        interval_ms: 300,
+        occurrences: 3,
+        ..submission(1, vec![step(1)])
+    };
+    w.submit(timed);
+    w.run(3_000);
+    let times: Vec<u64> = w.starts.iter().map(|s| s.2).collect();
+    assert_eq!(times.len(), 3);
+    for (time, due) in times.iter().zip([500, 800, 1_100]) {
+        assert!((due..due + 100).contains(time), "{times:?}");
+    }
+    assert_eq!(w.phase(1), Phase::Complete);
+}
