--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -43,6 +43,10 @@
 /// from other lasting tasks too: less than what the users allow for a restart.
 const STARVING: Duration = Duration::from_millis(1_500);
 
+/// What it weighs that the task's last run failed on the worker: more than all
+/// else, as its attempts are few.
+const FAILED_THERE: f64 = 100.0;
+
 /// From whom room is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Held {
@@ -535,13 +539,15 @@
     patient: bool,
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
+    let failed_on = record.task(task).and_then(|t| t.failed_on);
     for (i, seat) in seats.iter().enumerate() {
         if seat.life.worker.service != record.policy.service
             || !seat.fits(step, task, known, patient)
         {
             continue;
         }
-        let score = seat.score(step, task, known);
+        let again = if failed_on == Some(seat.id) { FAILED_THERE } else { 0.0 };
+        let score = seat.score(step, task, known) + again;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             best = Some((score, i));
         }
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -52,6 +52,9 @@
     pub checkpoint: Box<str>,
     /// Runs that may be going on.
     pub runs: Vec<Run>,
+    /// Where its last run failed. Another worker tells whether the fault is the
+    /// task's own.
+    pub failed_on: Option<LifeId>,
 }
 
 /// A submission as the group knows it.
@@ -399,6 +402,7 @@
         task.done |= finished;
         if end.how == EndHow::Failed {
             task.failures = task.failures.saturating_add(1);
+            task.failed_on = Some(life);
         }
         let exhausted = !lasting && !task.done && task.failures >= max_attempts;
         if finished {
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -37,6 +37,19 @@
     assert!((1..30).all(|id| w.phase(id) == Phase::Complete));
 }
 
+/// A task that has failed is tried elsewhere, so that a sick worker doesn't use
+/// up its attempts.
+#[test]
+fn a_failed_task_goes_elsewhere() {
+    let mut w = World::new([worker("wa", 2), worker("wb", 8)]);
+    w.worker("wa").fails = true;
+    w.submit(submission(1, vec![step(2)]));
+    w.run(5_000);
+    let on_a = w.starts.iter().filter(|s| &*s.1 == "wa").count();
+    assert!(on_a <= 2, "{:?}", w.starts);
+    assert_eq!(w.phase(1), Phase::Complete);
+}
+
 /// Tasks on a worker that stands still go on elsewhere, and nothing goes there.
 #[test]
 fn worker_that_stands_still() {
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,105 @@
+//! `cyclamenloft explain`: what the logs say of one request, in order.
+
+use crate::settings::raw::required;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use cyclamenloft_types::{Error, ErrorKind, Result};
+use serde_json::{Map, Value};
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, Read, Write},
+};
+
+/// Fields that stand first in a line of the account, or are left out of it.
+const SHOWN_FIRST: [&str; 5] = ["timestamp", "decision", "event", "outcome", "level"];
+
+pub(super) fn command() -> Command {
+    Command::new("explain")
+        .about("Shows what the logs say of one submission, task, worker or host")
+        .arg(Arg::new("id").required(true).help("The id, or the beginning of a task's name"))
+        .arg(
+            Arg::new("logs")
+                .action(ArgAction::Append)
+                .help("Files of JSON lines; standard input where there are none"),
+        )
+}
+
+pub(super) fn run(args: &ArgMatches) -> Result<()> {
+    let id = required(args, "id")?;
+    let files: Vec<&String> = args.get_many("logs").into_iter().flatten().collect();
+    let mut account = Vec::new();
+    if files.is_empty() {
+        collect(id, std::io::stdin(), "standard input", &mut account)?;
+    }
+    for path in files {
+        let file = File::open(path)
+            .map_err(|e| Error::new(ErrorKind::BadRequest, format!("log {path}: {e}")))?;
+        collect(id, file, path, &mut account)?;
+    }
+    if account.is_empty() {
+        return Err(Error::new(ErrorKind::NotFound, format!("the logs say nothing of {id:?}")));
+    }
+    account.sort();
+    let mut out = std::io::stdout().lock();
+    for (_, line) in account {
+        // A reader that has seen enough may close the pipe.
+        if writeln!(out, "{line}").is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Takes the lines that concern `id`, with the time to sort them by.
+fn collect(
+    id: &str,
+    log: impl Read,
+    name: &str,
+    account: &mut Vec<(String, String)>,
+) -> Result<()> {
+    for line in BufReader::new(log).lines() {
+        let line =
+            line.map_err(|e| Error::new(ErrorKind::BadRequest, format!("log {name}: {e}")))?;
+        // Other text may stand before and between the lines.
+        let Some(start) = line.find('{').filter(|_| line.contains(id)) else { continue };
+        let Ok(Value::Object(fields)) = serde_json::from_str(&line[start..]) else { continue };
+        if concerns(&fields, id) {
+            let time = text(&fields, "timestamp");
+            account.push((time, told(&fields)));
+        }
+    }
+    Ok(())
+}
+
+/// Whether a field is the id, is a task of it, or a path that ends with it.
+fn concerns(fields: &Map<String, Value>, id: &str) -> bool {
+    let is_it = |value: &str| {
+        value == id
+            || value.strip_prefix(id).is_some_and(|rest| rest.starts_with('.'))
+            || value.strip_suffix(id).is_some_and(|rest| rest.ends_with('/'))
+    };
+    fields.values().filter_map(Value::as_str).any(is_it)
+}
+
+fn text(fields: &Map<String, Value>, key: &str) -> String {
+    match fields.get(key) {
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+        None => String::new(),
+    }
+}
+
+/// One line for a reader: time, what was decided and how it came out, then the
+/// inputs.
+fn told(fields: &Map<String, Value>) -> String {
+    let what = format!("{}{}", text(fields, "decision"), text(fields, "event"));
+    let mut line =
+        format!("{} {what:10} {:12}", text(fields, "timestamp"), text(fields, "outcome"));
+    for (key, value) in fields.iter().filter(|(key, _)| !SHOWN_FIRST.contains(&key.as_str())) {
+        match value {
+            Value::String(text) if text.is_empty() => {}
+            Value::String(text) => line.push_str(&format!(" {key}={text}")),
+            value => line.push_str(&format!(" {key}={value}")),
+        }
+    }
+    line
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod config;
+mod explain;
 mod job;
 mod output;
 mod replay;
@@ -32,6 +33,7 @@
     match args.subcommand() {
         Some(("local", args)) => local::run(args).map(|()| ExitCode::SUCCESS),
         Some(("replay", args)) => replay::run(args),
+        Some(("explain", args)) => explain::run(args).map(|()| ExitCode::SUCCESS),
         Some(("completions", args)) => completions(args).map(|()| ExitCode::SUCCESS),
         Some((name, args)) => process::runtime()?.block_on(dispatch(name, args)),
         None => Err(Error::new(ErrorKind::BadSetting, "expected a command; see --help")),
@@ -66,6 +68,7 @@
         .subcommand(status::services_command())
         .subcommand(status::command())
         .subcommand(replay::command())
+        .subcommand(explain::command())
         .subcommand(local::command())
         .subcommand(
             Command::new("completions").about("Prints completions for a shell").arg(
--- /dev/null
+++ b/tests/all/explain.rs
@@ -0,0 +1,58 @@
+//! `cyclamenloft explain` on lines of a played day.
+
+use std::{
+    io::Write,
+    process::{Command, Output, Stdio},
+};
+
+const LOG: &str = r#"
+  8.3441 core-geg {"timestamp":"2026-05-23T15:45:24.343Z","level":"INFO","decision":"submit","submission":"b0bf6bdd2f54fae6","tasks":1,"version":6,"outcome":"done"}
+{"timestamp":"2026-05-23T15:45:24.462Z","level":"INFO","decision":"end","task":"b0bf6bdd2f54fae6.0.0.0","attempt":1,"worker":"i-8438518f90","outcome":"failed"}
+{"timestamp":"2026-05-23T15:45:24.385Z","level":"INFO","decision":"place","task":"b0bf6bdd2f54fae6.0.0.0","attempt":1,"worker":"i-8438518f90","outcome":"placed"}
+{"timestamp":"2026-05-23T15:45:24.400Z","level":"INFO","decision":"place","task":"0000000000000001.0.0.0","attempt":1,"worker":"i-1","outcome":"placed"}
+{"timestamp":"2026-05-23T15:45:24.900Z","level":"INFO","decision":"answer","method":"GET","path":"/q/b0bf6bdd2f54fae6","status":200,"outcome":"failed"}
+{"timestamp":"2026-05-23T15:45:24.901Z","level":"INFO","decision":"answer","detail":"b0bf6bdd2f54fae6 in a text
+not a line at all b0bf6bdd2f54fae6
+"#;
+
+fn explain(args: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cyclamenloft"))
+        .arg("explain")
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(LOG.as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn the_lines_of_a_submission_stand_in_the_order_of_their_times() {
+    let out = explain(&["b0bf6bdd2f54fae6"]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    let decisions: Vec<&str> = text.lines().map(|l| l.split_whitespace().nth(1).unwrap()).collect();
+    assert_eq!(decisions, ["submit", "place", "end", "answer"], "{text}");
+    assert!(text.contains("failed") && text.contains("worker=i-8438518f90"), "{text}");
+}
+
+#[test]
+fn a_worker_can_be_asked_for() {
+    let out = explain(&["i-1"]);
+    assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1);
+}
+
+#[test]
+fn an_id_that_no_line_names_is_an_error() {
+    let out = explain(&["ffffffffffffffff"]);
+    assert!(!out.status.success());
+    assert!(String::from_utf8(out.stderr).unwrap().contains("say nothing of"));
+}
+
+#[test]
+fn a_log_that_is_not_there_is_named() {
+    let out = explain(&["x", "no-such-file"]);
+    assert!(!out.status.success());
+    assert!(String::from_utf8(out.stderr).unwrap().contains("no-such-file"));
+}
