--- a/crates/placement/src/submission/fleet.rs
+++ b/crates/placement/src/submission/fleet.rs
@@ -35,6 +35,9 @@
 const BASE_RISE: f64 = 0.7;
 /// Part of a fall of an undisturbed tail that is believed at once.
 const BASE_FALL: f64 = 0.4;
+/// Time beyond twice the estimate after which a slow run gets a copy: estimates
+/// of short tasks are off by as much.
+const COPY_AFTER: Duration = Duration::from_millis(600);
 /// Time for which a worker that has said farewell must be out of reach before
 /// its runs count as ended.
 const FAREWELL: Duration = Duration::from_millis(400);
@@ -281,6 +284,16 @@
         self.waiting.iter().filter(|(_, at)| long(at)).map(|(task, _)| task.submission).collect()
     }
 
+    /// Whether a run of a task that may run twice wants a copy: its worker is out
+    /// of reach, or it takes far longer than estimated.
+    pub(super) fn wants_copy(&self, life: LifeId, task: TaskId, step: &Step, now: Instant) -> bool {
+        let Some(view) = self.views.get(&life) else { return false };
+        let Some(run) = view.runs.get(&task) else { return !view.is_reachable(now) };
+        let patience = Duration::from_millis(u64::from(step.estimate_ms)) * 2 + COPY_AFTER;
+        let slow = run.started.is_some_and(|at| now >= at + patience);
+        !run.withdrawn && (slow || !view.is_reachable(now))
+    }
+
     /// Notes that a look was sent which is answered within `wait`.
     pub fn looked(&mut self, life: LifeId, wait: Duration, now: Instant) {
         let view = self.view_mut(life, now);
--- a/crates/placement/src/submission/planner.rs
+++ b/crates/placement/src/submission/planner.rs
@@ -7,7 +7,7 @@
     interference::Interference,
     pacing::NEGLIGIBLE,
     spec::{Step, SubmissionId, TaskId},
-    state::{Life, LifeId, Record, SubmissionState},
+    state::{Life, LifeId, Record, Run, SubmissionState},
 };
 use cyclamenloft_types::Resources;
 use std::{
@@ -323,27 +323,34 @@
     records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
     let mut waiting = Vec::new();
     for record in records {
-        for_each_due(record, wall_ms, |task, step| {
-            waiting.push(Waiting {
-                task,
-                waited_ms: wall_ms.saturating_sub(record.at_ms),
-                need: step.reserved(),
-                widest_free,
-                usable: seats.len(),
-                roomy: seats.iter().filter(|s| step.reserved().fits_in(&s.free)).count(),
-                fills: step.fills,
-            });
-            true
-        });
+        for_each_due(
+            record,
+            wall_ms,
+            |_, _, _| false,
+            |task, step| {
+                waiting.push(Waiting {
+                    task,
+                    waited_ms: wall_ms.saturating_sub(record.at_ms),
+                    need: step.reserved(),
+                    widest_free,
+                    usable: seats.len(),
+                    roomy: seats.iter().filter(|s| step.reserved().fits_in(&s.free)).count(),
+                    fills: step.fills,
+                });
+                true
+            },
+        );
     }
     waiting
 }
 
-/// Calls `take` for each task that is due and doesn't run; where it is false,
+/// Calls `take` for each task that is due and doesn't run, or whose only run
+/// wants a copy; where it is false,
 /// the rest of the step is passed over.
 fn for_each_due<'a>(
     record: &'a Record,
     wall_ms: u64,
+    wants_copy: impl Fn(TaskId, &Step, &Run) -> bool,
     mut take: impl FnMut(TaskId, &'a Step) -> bool,
 ) {
     for (k, steps) in record.tasks.iter().enumerate() {
@@ -355,15 +362,20 @@
             if record.left[k][s] == 0 || !record.is_due(k, s) {
                 continue;
             }
-            let waits = tasks.iter().enumerate().filter(|(_, t)| !t.done && t.runs.is_empty());
-            for (i, _) in waits {
+            let step = &record.spec.steps[s];
+            for (i, task) in tasks.iter().enumerate().filter(|(_, t)| !t.done) {
                 let id = TaskId {
                     submission: record.spec.id,
                     occurrence,
                     step: u16::try_from(s).unwrap_or(u16::MAX),
                     index: u16::try_from(i).unwrap_or(u16::MAX),
                 };
-                if !take(id, &record.spec.steps[s]) {
+                let waits = match &*task.runs {
+                    [] => true,
+                    [only] => step.copies && wants_copy(id, step, only),
+                    _ => false,
+                };
+                if waits && !take(id, step) {
                     break;
                 }
             }
@@ -419,7 +431,8 @@
 ) {
     let known = &fleet.interference;
     let mut gangs: Vec<TaskId> = Vec::new();
-    for_each_due(record, wall_ms, |id, step| {
+    let wants_copy = |id, step: &Step, run: &Run| fleet.wants_copy(run.life, id, step, now);
+    for_each_due(record, wall_ms, wants_copy, |id, step| {
         if step.gang {
             gangs.push(TaskId { index: 0, ..id });
             return false;
@@ -540,7 +553,11 @@
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
     let failed_on = record.task(task).and_then(|t| t.failed_on);
+    let runs_on = |life| record.task(task).is_some_and(|t| t.runs.iter().any(|r| r.life == life));
     for (i, seat) in seats.iter().enumerate() {
+        if runs_on(seat.id) {
+            continue;
+        }
         if seat.life.worker.service != record.policy.service
             || !seat.fits(step, task, known, patient)
         {
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -63,6 +63,18 @@
     assert!((1..20).all(|id| w.phase(id) == Phase::Complete));
 }
 
+/// A task that may run twice doesn't wait for a worker that is cut off.
+#[test]
+fn copies_of_tasks_on_workers_out_of_reach() {
+    let mut w = World::new(["wa", "wb"].map(|n| worker(n, 8)));
+    w.run(100);
+    w.submit(submission(1, vec![Step { copies: true, ..step(4) }]));
+    w.run(100);
+    w.worker("wa").path = Path::Cut;
+    w.run(1_500);
+    assert_eq!(w.phase(1), Phase::Complete, "{:?}", w.starts);
+}
+
 /// Lasting tasks leave a draining worker at once.
 #[test]
 fn releases_in_turn() {
--- a/crates/placement/tests/all/submission/safety.rs
+++ b/crates/placement/tests/all/submission/safety.rs
@@ -237,7 +237,9 @@
     ) {
         let mut w = fleet_of(4);
         for id in 1..4 {
-            w.submit(submission(id, vec![step(5), Step { depends_on: vec![0], ..step(3) }]));
+            let copies = id == 3;
+            let first = Step { copies, ..step(5) };
+            w.submit(submission(id, vec![first, Step { depends_on: vec![0], ..step(3) }]));
         }
         w.submit(submission(4, vec![Step { lasting: true, ..step(3) }]));
         for (i, (trouble, millis)) in troubles.into_iter().enumerate() {
