--- /dev/null
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -0,0 +1,274 @@
+//! Which task goes to which worker: queues by priority and objective, steps in
+//! their order, room by processors, memory and accelerators.
+
+mod gang;
+mod rank;
+mod seat;
+
+pub use rank::{Prospect, objective_ms, prospect};
+
+use super::{
+    command::Placed,
+    fleet::Fleet,
+    interference::Interference,
+    spec::{Step, TaskId},
+    state::{Life, LifeId, Record, Run, SubmissionState},
+};
+use cyclamenloft_types::Resources;
+use gang::place_gang;
+use rank::rank;
+use seat::{Held, Seat, seats};
+use std::time::{Duration, Instant};
+
+/// Most runs that one round places, so that one entry of the log stays small.
+pub const MAX_PLACED: usize = 256;
+
+/// Time after which a task that fills is placed where it is borne worst, so that
+/// it is at least slowed there rather than never started.
+const PATIENCE_MS: u64 = 6_000;
+/// Most runs that are moved in one round.
+const MAX_MOVES: usize = 8;
+
+/// Time after which a lasting task that waits comes first, and room is kept for it
+/// from other lasting tasks too: less than what the users allow for a restart.
+const STARVING: Duration = Duration::from_millis(1_500);
+
+/// What it weighs that the task's last run failed on the worker: more than all
+/// else, as its attempts are few.
+const FAILED_THERE: f64 = 100.0;
+
+/// The runs to place now, in the order of their importance.
+#[must_use]
+pub fn plan(state: &SubmissionState, fleet: &mut Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
+    let mut seats = seats(state, fleet, now);
+    let mut waiting = Vec::new();
+    let starving = fleet.starving(STARVING, now);
+    let mut records: Vec<&Record> = state.open().collect();
+    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
+    let mut placed = Vec::new();
+    for record in records {
+        place_record(record, &mut seats, fleet, (now, wall_ms), &mut placed, &mut waiting);
+        if placed.len() >= MAX_PLACED {
+            break;
+        }
+    }
+    fleet.note_waiting(&waiting, now);
+    placed
+}
+
+/// Runs that hardly get on where they are and would disturb nobody elsewhere.
+#[must_use]
+pub fn moves(state: &SubmissionState, fleet: &Fleet, now: Instant) -> Vec<(LifeId, TaskId)> {
+    let held = |(id, _): &(LifeId, &Life)| {
+        fleet.view(*id).is_some_and(|v| v.held_back(now).next().is_some())
+    };
+    if !state.lives().any(|l| held(&l)) {
+        return Vec::new();
+    }
+    let mut seats = seats(state, fleet, now);
+    let mut moved = Vec::new();
+    for (life, view) in state.lives().filter_map(|(id, _)| Some((id, fleet.view(id)?))) {
+        for task in view.held_back(now) {
+            let Some(record) = state.record(task.submission) else { continue };
+            let step = &record.spec.steps[usize::from(task.step)];
+            let found = best_seat_of(record, step, task, &seats, &fleet.interference, true);
+            if let Some(seat) = found.filter(|i| seats[*i].id != life) {
+                seats[seat].take(step, task, &fleet.interference);
+                moved.push((life, task));
+            }
+            if moved.len() >= MAX_MOVES {
+                return moved;
+            }
+        }
+    }
+    moved
+}
+
+/// A task that is due and has no worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// The task.
+    pub task: TaskId,
+    /// Time since its submission was accepted, in milliseconds.
+    pub waited_ms: u64,
+    /// What it reserves.
+    pub need: Resources,
+    /// Most room on one usable worker.
+    pub widest_free: Resources,
+    /// Workers that may get work.
+    pub usable: usize,
+    /// Usable workers with room, whatever else keeps the task off them.
+    pub roomy: usize,
+    /// It takes what others leave unused.
+    pub fills: bool,
+}
+
+/// The tasks that are due and have no worker, the most important first.
+#[must_use]
+pub fn waiting(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Waiting> {
+    let seats = seats(state, fleet, now);
+    let widest = seats.iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
+    let widest_free = widest.unwrap_or(Resources::ZERO);
+    let starving = fleet.starving(STARVING, now);
+    let mut records: Vec<&Record> = state.open().collect();
+    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
+    let mut waiting = Vec::new();
+    for record in records {
+        for_each_due(
+            record,
+            wall_ms,
+            |_, _, _| false,
+            |task, step| {
+                waiting.push(Waiting {
+                    task,
+                    waited_ms: wall_ms.saturating_sub(record.at_ms),
+                    need: step.reserved(),
+                    widest_free,
+                    usable: seats.len(),
+                    roomy: seats.iter().filter(|s| step.reserved().fits_in(&s.free)).count(),
+                    fills: step.fills,
+                });
+                true
+            },
+        );
+    }
+    waiting
+}
+
+/// Calls `take` for each task that is due and doesn't run, or whose only run
+/// wants a copy; where it is false, the rest of the step is passed over.
+fn for_each_due<'a>(
+    record: &'a Record,
+    wall_ms: u64,
+    wants_copy: impl Fn(TaskId, &Step, &Run) -> bool,
+    mut take: impl FnMut(TaskId, &'a Step) -> bool,
+) {
+    for (k, steps) in record.tasks.iter().enumerate() {
+        let occurrence = u32::try_from(k).unwrap_or(u32::MAX);
+        if record.spec.first_due_ms > 0 && wall_ms < record.spec.due_ms(occurrence) {
+            break;
+        }
+        for (s, tasks) in steps.iter().enumerate() {
+            if record.left[k][s] == 0 || !record.is_due(k, s) {
+                continue;
+            }
+            let step = &record.spec.steps[s];
+            for (i, task) in tasks.iter().enumerate().filter(|(_, t)| !t.done) {
+                let id = TaskId {
+                    submission: record.spec.id,
+                    occurrence,
+                    step: u16::try_from(s).unwrap_or(u16::MAX),
+                    index: u16::try_from(i).unwrap_or(u16::MAX),
+                };
+                let waits = match &*task.runs {
+                    [] => true,
+                    [only] => step.copies && wants_copy(id, step, only),
+                    _ => false,
+                };
+                if waits && !take(id, step) {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn place_record<'a>(
+    record: &'a Record,
+    seats: &mut [Seat<'a>],
+    fleet: &Fleet,
+    (now, wall_ms): (Instant, u64),
+    placed: &mut Vec<Placed>,
+    waiting: &mut Vec<TaskId>,
+) {
+    let known = &fleet.interference;
+    let mut gangs: Vec<TaskId> = Vec::new();
+    let wants_copy = |id, step: &Step, run: &Run| fleet.wants_copy(run.life, id, step, now);
+    for_each_due(record, wall_ms, wants_copy, |id, step| {
+        if step.gang {
+            gangs.push(TaskId { index: 0, ..id });
+            return false;
+        }
+        let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
+            if step.lasting {
+                let held = if fleet.waited(id, now) >= STARVING { Held::All } else { Held::Short };
+                hold_room(record, step, id, seats, held);
+                waiting.push(id);
+            }
+            // No other task of the step fits either.
+            return false;
+        };
+        seat.take(step, id, known);
+        let attempt = record.task(id).map_or(0, |t| t.attempt) + 1;
+        placed.push(Placed { task: id, attempt, life: seat.id });
+        true
+    });
+    for first in gangs {
+        place_gang(record, first, seats, known, wall_ms, placed);
+    }
+}
+
+/// One worker in this many is kept for lasting tasks at most in one round: those
+/// serve no short task meanwhile.
+const HELD_ONE_IN: usize = 12;
+
+/// Keeps short tasks off the worker that will soonest have room for a lasting
+/// one; else they would take each bit of room as it comes free.
+fn hold_room(record: &Record, step: &Step, task: TaskId, seats: &mut [Seat<'_>], held: Held) {
+    if seats.iter().filter(|s| s.held.is_some()).count() > seats.len() / HELD_ONE_IN {
+        return;
+    }
+    let need = step.reserved();
+    let fits_later = |seat: &&mut Seat<'_>| {
+        let apart = step.max_per_worker == 0 || seat.of_step(task) < step.max_per_worker;
+        let service = seat.life.worker.service == record.policy.service;
+        let room = seat.free.checked_add(&seat.short).unwrap_or(seat.free);
+        apart && service && seat.held.is_none() && need.fits_in(&room)
+    };
+    if let Some(seat) = seats.iter_mut().filter(fits_later).max_by_key(|s| s.free.cpu_millis) {
+        seat.held = Some(held);
+    }
+}
+
+fn best_seat<'s, 'a>(
+    record: &Record,
+    step: &Step,
+    task: TaskId,
+    seats: &'s mut [Seat<'a>],
+    known: &Interference,
+    wall_ms: u64,
+) -> Option<&'s mut Seat<'a>> {
+    let patient = wall_ms < record.at_ms + PATIENCE_MS;
+    best_seat_of(record, step, task, seats, known, true)
+        .or_else(|| (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?)
+        .map(|i| &mut seats[i])
+}
+
+fn best_seat_of(
+    record: &Record,
+    step: &Step,
+    task: TaskId,
+    seats: &[Seat<'_>],
+    known: &Interference,
+    patient: bool,
+) -> Option<usize> {
+    let mut best: Option<(f64, usize)> = None;
+    let failed_on = record.task(task).and_then(|t| t.failed_on);
+    let runs_on = |life| record.task(task).is_some_and(|t| t.runs.iter().any(|r| r.life == life));
+    for (i, seat) in seats.iter().enumerate() {
+        if runs_on(seat.id) {
+            continue;
+        }
+        if seat.life.worker.service != record.policy.service
+            || !seat.fits(step, task, known, patient)
+        {
+            continue;
+        }
+        let again = if failed_on == Some(seat.id) { FAILED_THERE } else { 0.0 };
+        let score = seat.score(step, task, known) + again;
+        if best.is_none_or(|(lowest, _)| score < lowest) {
+            best = Some((score, i));
+        }
+    }
+    best.map(|(_, i)| i)
+}
