--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -27,9 +27,6 @@
 const RESEND: Duration = Duration::from_millis(400);
 /// Pause before an order that the worker could not take is sent again.
 const RETRY_SOON: Duration = Duration::from_millis(60);
-/// Time beyond twice the estimate after which a slow run gets a copy: estimates
-/// of short tasks are off by as much.
-const COPY_AFTER: Duration = Duration::from_millis(600);
 /// Time for which a worker that has said farewell must be out of reach before
 /// its runs count as ended.
 const FAREWELL: Duration = Duration::from_millis(400);
@@ -107,13 +104,11 @@
     }
 
     /// Whether a run of a task that may run twice wants a copy: its worker is out
-    /// of reach, or it takes far longer than estimated.
-    pub(super) fn wants_copy(&self, life: LifeId, task: TaskId, step: &Step, now: Instant) -> bool {
+    /// of reach, and nothing else may run the task before the lease is over.
+    pub(super) fn wants_copy(&self, life: LifeId, task: TaskId, now: Instant) -> bool {
         let Some(view) = self.views.get(&life) else { return false };
-        let Some(run) = view.runs.get(&task) else { return !view.is_reachable(now) };
-        let patience = Duration::from_millis(u64::from(step.estimate_ms)) * 2 + COPY_AFTER;
-        let slow = run.started.is_some_and(|at| now >= at + patience);
-        !run.withdrawn && (slow || !view.is_reachable(now))
+        let withdrawn = view.runs.get(&task).is_some_and(|run| run.withdrawn);
+        !withdrawn && !view.is_reachable(now)
     }
 
     /// Notes that a look was sent which is answered within `wait`.
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -117,7 +117,7 @@
         for_each_due(
             record,
             wall_ms,
-            |_, _, _| false,
+            |_, _| false,
             |task, step| {
                 waiting.push(Waiting {
                     task,
@@ -140,7 +140,7 @@
 fn for_each_due<'a>(
     record: &'a Record,
     wall_ms: u64,
-    wants_copy: impl Fn(TaskId, &Step, &Run) -> bool,
+    wants_copy: impl Fn(TaskId, &Run) -> bool,
     mut take: impl FnMut(TaskId, &'a Step) -> bool,
 ) {
     for (k, steps) in record.tasks.iter().enumerate() {
@@ -162,7 +162,7 @@
                 };
                 let waits = match &*task.runs {
                     [] => true,
-                    [only] => step.copies && wants_copy(id, step, only),
+                    [only] => step.copies && wants_copy(id, only),
                     _ => false,
                 };
                 if waits && !take(id, step) {
@@ -183,7 +183,7 @@
 ) {
     let known = &fleet.interference;
     let mut gangs: Vec<TaskId> = Vec::new();
-    let wants_copy = |id, step: &Step, run: &Run| fleet.wants_copy(run.life, id, step, now);
+    let wants_copy = |id, run: &Run| fleet.wants_copy(run.life, id, now);
     for_each_due(record, wall_ms, wants_copy, |id, step| {
         if step.gang {
             gangs.push(TaskId { index: 0, ..id });
@@ -253,7 +253,8 @@
     patient: bool,
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
-    let failed_on = record.task(task).and_then(|t| t.failed_on);
+    // A lasting task has attempts without end, and stays with its image.
+    let failed_on = record.task(task).filter(|_| !step.lasting).and_then(|t| t.failed_on);
     let runs_on = |life| record.task(task).is_some_and(|t| t.runs.iter().any(|r| r.life == life));
     for (i, seat) in seats.iter().enumerate() {
         if runs_on(seat.id) {
