A new leader tells fill tasks their pace

Change: the pace of a run that this leader has not seen begin is unknown, and is ordered once. Test: slowed_tasks_after_an_election fails without it.

--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -14,6 +14,8 @@
 
 /// Time for which a stopped run may still be listed before the stop is repeated.
 const STOP_AGAIN: Duration = Duration::from_millis(1500);
+/// Pace of a run that a former leader started: not known.
+const UNKNOWN_PACE: u8 = u8::MAX;
 /// Time without progress after which a task stands still. A task's progress is
 /// told in hundredths, and 1.5 s is a hundredth of far more than any task's work.
 const STUCK_AFTER: Duration = Duration::from_millis(1500);
@@ -75,6 +77,16 @@
 }
 
 impl RunView {
+    /// Notes that the worker lists the run. One that this leader hasn't seen
+    /// begin may have been slowed by another.
+    pub(super) fn note_listed(&mut self, now: Instant) {
+        self.listed = true;
+        if self.started.is_none() {
+            self.started = Some(now);
+            self.pace = UNKNOWN_PACE;
+        }
+    }
+
     pub(super) fn wanted_order(
         &mut self,
         record: &Record,
@@ -128,7 +140,7 @@
 
     pub(super) fn is_stuck(&self, step: &Step, now: Instant) -> bool {
         let after = if step.fills { FILL_STUCK_AFTER } else { STUCK_AFTER };
-        let paced = self.pace < 100 || self.wanted_pace.percent() < 100;
+        let paced = self.pace != 100 || self.wanted_pace.percent() < 100;
         self.listed && !self.withdrawn && !paced && now >= self.progress_at + after
     }
 }
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -90,8 +90,7 @@
         }
         let lasting = step_of(state, seen.task).is_some_and(|s| s.lasting);
         let run = self.run_view(seen.task, seen.attempt, now);
-        run.started.get_or_insert(now);
-        run.listed = true;
+        run.note_listed(now);
         let progressed = seen.percent != run.percent || seen.checkpoint != run.checkpoint;
         let at_work = lasting && seen.percent == 100 && run.percent < 100;
         if progressed || (lasting && seen.percent == 100) {
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -75,6 +75,19 @@
     assert_eq!(w.phase(1), Phase::Complete, "{:?}", w.starts);
 }
 
+/// A fill task that a former leader has slowed works on under the next.
+#[test]
+fn slowed_tasks_after_an_election() {
+    let mut w = World::new([worker("wa", 8)]);
+    w.submit(submission(1, vec![Step { fills: true, ..step(1) }]));
+    w.run(100);
+    w.slow("wa", of(1, 0), 0);
+    w.elect();
+    w.run(1_500);
+    assert_eq!(w.phase(1), Phase::Complete);
+    assert_eq!(w.starts.len(), 1, "it did not have to be started again");
+}
+
 /// Lasting tasks leave a draining worker at once.
 #[test]
 fn releases_in_turn() {
--- a/crates/placement/tests/all/submission/world.rs
+++ b/crates/placement/tests/all/submission/world.rs
@@ -224,6 +224,11 @@
         self.workers.get_mut(name).unwrap()
     }
 
+    /// A task works at this share, as another leader has ordered.
+    pub fn slow(&mut self, worker: &str, task: TaskId, percent: u64) {
+        self.worker(worker).runs.get_mut(&task).unwrap().pace = percent;
+    }
+
     /// How far a submission is.
     pub fn phase(&self, id: u64) -> Phase {
         self.state.record(id).unwrap().phase
