--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -11,7 +11,8 @@
 };
 use compio::runtime::JoinHandle;
 use cyclamenloft_placement::submission::{
-    Change, Fleet, LifeId, Outcome, SubmissionId, SubmissionState, planner, state::Phase,
+    Change, Fleet, LifeId, Outcome, SubmissionId, SubmissionState, interference::Interference,
+    planner, state::Phase,
 };
 use cyclamenloft_types::{Result, Term};
 use std::{
@@ -105,6 +106,7 @@
             housekeeping = now + HOUSEKEEPING;
             watch.maintain(&node, now).await;
             log_waiting(&node);
+            keep_learned(&node).await;
             forget(&node).await;
         }
         compio::time::sleep(GATHER).await;
@@ -112,6 +114,18 @@
     }
 }
 
+/// Keeps what was learned for the next leader.
+async fn keep_learned<P: WorkerPort>(node: &Node<P>) {
+    let Some(leadership) = node.leadership.borrow().clone() else { return };
+    let learned = leadership.fleet.borrow().interference.learned();
+    if learned.is_empty() || node.state(|s| s.learned() == learned) {
+        return;
+    }
+    if let Err(e) = node.propose(Change::Learned(learned)).await {
+        tracing::info!(event = "learned-not-kept", error = %e);
+    }
+}
+
 /// Tells of the tasks that wait, the most important first.
 fn log_waiting<P: WorkerPort>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
@@ -136,6 +150,7 @@
     node.leadership.take();
     node.replica.barrier().await?;
     let fresh = Rc::new(Leadership::new(term, node.settings.longest_lease, Instant::now()));
+    fresh.fleet.borrow_mut().interference = node.state(|s| Interference::from_learned(s.learned()));
     node.leadership.replace(Some(fresh.clone()));
     let (open, lives) = node.state(|s| (s.open().count(), s.lives().count()));
     tracing::info!(event = "leadership-gained", term, open, lives);
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -1,6 +1,7 @@
 //! The changes that the group agrees on, as they stand in its log.
 
 use super::{
+    interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
     state::LifeId,
@@ -147,6 +148,8 @@
         /// The ends.
         ends: Vec<RunEnd>,
     },
+    /// What the leader has learned of how images disturb each other.
+    Learned(Vec<LearnedPair>),
     /// Submissions that are over are no longer remembered.
     Forget(Vec<SubmissionId>),
 }
--- a/crates/placement/src/submission/interference.rs
+++ b/crates/placement/src/submission/interference.rs
@@ -3,6 +3,7 @@
 //! image uses beside it, so one linear regression for each serving image finds
 //! all of its pairs at once, with a memory of some seconds.
 
+use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
@@ -39,6 +40,8 @@
     /// Decayed sums of inputs times the logarithm of the tail.
     moments: [f64; DIMENSIONS],
     weights: [f64; MAX_IMAGES],
+    /// What the weights are taken for before the pairs were seen together.
+    priors: [f64; MAX_IMAGES],
     solved: Option<Instant>,
 }
 
@@ -48,6 +51,7 @@
             products: vec![[0.0; DIMENSIONS]; DIMENSIONS],
             moments: [0.0; DIMENSIONS],
             weights: [PRIOR; MAX_IMAGES],
+            priors: [PRIOR; MAX_IMAGES],
             solved: None,
         }
     }
@@ -88,7 +92,7 @@
                 let mut row: Vec<f64> = row.chain([self.moments[place(i)]]).collect();
                 if i < images {
                     row[i] += PRIOR_WEIGHT;
-                    row[n] += PRIOR_WEIGHT * PRIOR;
+                    row[n] += PRIOR_WEIGHT * self.priors[i];
                 } else {
                     row[i] += 1e-6;
                 }
@@ -109,6 +113,17 @@
     }
 }
 
+/// Weight of one pair, as the group keeps it for the next leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LearnedPair {
+    /// The serving image.
+    pub serving: Box<str>,
+    /// The image that fills.
+    pub filling: Box<str>,
+    /// The weight in thousandths.
+    pub weight_millis: u32,
+}
+
 /// What is known of all pairs.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
@@ -117,6 +132,34 @@
 }
 
 impl Interference {
+    /// Begins with what a former leader has learned.
+    #[must_use]
+    pub fn from_learned(pairs: &[LearnedPair]) -> Self {
+        let mut known = Self::default();
+        for pair in pairs {
+            let index = known.index(Some(&pair.filling));
+            let weight = f64::from(pair.weight_millis) / 1000.0;
+            let model = known.models.entry(pair.serving.clone()).or_insert_with(Model::new);
+            model.weights[index] = weight;
+            model.priors[index] = weight;
+        }
+        known
+    }
+
+    /// All pairs that were learned.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn learned(&self) -> Vec<LearnedPair> {
+        let pairs = self.models.iter().flat_map(|(serving, model)| {
+            self.images.iter().map(move |(filling, index)| LearnedPair {
+                serving: serving.clone(),
+                filling: filling.clone(),
+                weight_millis: (model.weights[*index] * 1000.0) as u32,
+            })
+        });
+        pairs.collect()
+    }
+
     /// The number of an image of tasks that fill.
     pub fn index(&mut self, image: Option<&str>) -> ImageIndex {
         let image = image.unwrap_or_default();
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -3,6 +3,7 @@
 
 use super::{
     command::{Change, EndHow, Outcome, Placed, RunEnd, WorkerLife},
+    interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
 };
@@ -154,9 +155,16 @@
     lives: BTreeMap<LifeId, Life>,
     newest: BTreeMap<WorkerId, (LifeId, u64)>,
     next_life: LifeId,
+    learned: Vec<LearnedPair>,
 }
 
 impl SubmissionState {
+    /// What a leader has learned of how images disturb each other.
+    #[must_use]
+    pub fn learned(&self) -> &[LearnedPair] {
+        &self.learned
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn routes(&self) -> &RouteTable {
@@ -459,6 +467,10 @@
             }
             Change::Place(wanted) => self.place(wanted),
             Change::Ended { life, ends } => self.ended(*life, ends),
+            Change::Learned(pairs) => {
+                self.learned.clone_from(pairs);
+                Outcome::Done
+            }
             Change::Forget(ids) => {
                 self.forget(ids);
                 Outcome::Done
--- a/crates/placement/tests/all/submission/interference.rs
+++ b/crates/placement/tests/all/submission/interference.rs
@@ -49,6 +49,17 @@
     assert!(known.weight("serving", Some(index)) > 3.0);
 }
 
+#[test]
+fn the_next_leader_begins_with_what_was_learned() {
+    let (known, now) = taught(&[("loud", 5.0), ("quiet", 0.0)], 20);
+    let mut next = Interference::from_learned(&known.learned());
+    let weight = |k: &Interference, image| k.weight("serving", k.known(Some(image)));
+    assert!((weight(&next, "loud") - weight(&known, "loud")).abs() < 0.01);
+    // A first solution from little is not far from it.
+    next.note("serving", &Vec::new(), 6.0, now);
+    assert!(weight(&next, "loud") > 3.0 && weight(&next, "quiet") < 0.8);
+}
+
 fn victim(base_ms: f64, over_ms: u64) -> Victim {
     Victim {
         base_ln: base_ms.ln(),
