New lasting tasks wait 4 s more before they come first

Change: only lasting tasks that have run before starve after 1.5 s, new ones after 5.5 s. The case of a burst beside a wide lasting task is now two: a restart within the same 2 s as before, and a first start within 8 s, for which the users state no bound.

--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -33,6 +33,13 @@
 /// Time beyond the expected answer after which a worker counts as out of reach.
 const HOLD_LATE: Duration = Duration::from_millis(500);
 
+/// A lasting task that waits for room.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    since: Instant,
+    patience: Duration,
+}
+
 /// The workers as the leader of one term sees them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -41,8 +48,8 @@
     views: BTreeMap<LifeId, WorkerView>,
     /// What is known of how images disturb each other.
     pub interference: Interference,
-    /// Since when lasting tasks have waited for room.
-    waiting: BTreeMap<TaskId, Instant>,
+    /// Lasting tasks that wait for room.
+    waiting: BTreeMap<TaskId, Waiting>,
 }
 
 impl Fleet {
@@ -84,23 +91,28 @@
         self.views.retain(|id, _| state.life(*id).is_some());
     }
 
-    /// Notes which lasting tasks found no room in a round.
-    pub(super) fn note_waiting(&mut self, tasks: &[TaskId], now: Instant) {
+    /// Notes which lasting tasks found no room in a round, and how long each may
+    /// wait before it counts as starving.
+    pub(super) fn note_waiting(&mut self, tasks: &[(TaskId, Duration)], now: Instant) {
         let known = std::mem::take(&mut self.waiting);
-        let since = |task: &TaskId| known.get(task).copied().unwrap_or(now);
-        self.waiting = tasks.iter().map(|task| (*task, since(task))).collect();
+        let since = |task: &TaskId| known.get(task).map_or(now, |w| w.since);
+        let waiting = |(task, patience): &(TaskId, Duration)| {
+            (*task, Waiting { since: since(task), patience: *patience })
+        };
+        self.waiting = tasks.iter().map(waiting).collect();
     }
 
     /// How long a lasting task has waited for room.
     pub(super) fn waited(&self, task: TaskId, now: Instant) -> Duration {
-        let since = self.waiting.get(&task);
-        since.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at))
+        let waiting = self.waiting.get(&task);
+        waiting.map_or(Duration::ZERO, |w| now.saturating_duration_since(w.since))
     }
 
-    /// Submissions with a lasting task that has waited this long for room.
+    /// Submissions with a lasting task that has waited for room this much longer
+    /// than it may.
     pub(super) fn starving(&self, least: Duration, now: Instant) -> BTreeSet<SubmissionId> {
-        let long = |at: &Instant| now.saturating_duration_since(*at) >= least;
-        self.waiting.iter().filter(|(_, at)| long(at)).map(|(task, _)| task.submission).collect()
+        let long = |w: &Waiting| now.saturating_duration_since(w.since) >= w.patience + least;
+        self.waiting.iter().filter(|(_, w)| long(w)).map(|(task, _)| task.submission).collect()
     }
 
     /// Whether a run of a task that may run twice wants a copy: its worker is out
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -33,6 +33,10 @@
 /// from other lasting tasks too: less than what the users allow for a restart.
 const STARVING: Duration = Duration::from_millis(1_500);
 
+/// Time that a lasting task waits in addition for its first start: short tasks
+/// earn four times as much with the room, and nobody is served by it yet.
+const FIRST_START_PATIENCE: Duration = Duration::from_millis(4_000);
+
 /// What it weighs that the task's last run failed on the worker: more than all
 /// else, as its attempts are few.
 const FAILED_THERE: f64 = 100.0;
@@ -179,7 +183,7 @@
     fleet: &Fleet,
     (now, wall_ms): (Instant, u64),
     placed: &mut Vec<Placed>,
-    waiting: &mut Vec<TaskId>,
+    waiting: &mut Vec<(TaskId, Duration)>,
 ) {
     let known = &fleet.interference;
     let mut gangs: Vec<TaskId> = Vec::new();
@@ -191,9 +195,15 @@
         }
         let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
             if step.lasting {
-                let held = if fleet.waited(id, now) >= STARVING { Held::All } else { Held::Short };
-                hold_room(record, step, id, seats, held);
-                waiting.push(id);
+                let restarts = record.task(id).is_some_and(|t| t.attempt > 0);
+                let patience = if restarts { Duration::ZERO } else { FIRST_START_PATIENCE };
+                let waited = fleet.waited(id, now);
+                if waited >= patience + STARVING {
+                    hold_room(record, step, id, seats, Held::All);
+                } else if waited >= patience {
+                    hold_room(record, step, id, seats, Held::Short);
+                }
+                waiting.push((id, patience));
             }
             // No other task of the step fits either.
             return false;
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -114,16 +114,37 @@
     assert_ne!(w.running(of(1, 0)), w.running(of(2, 0)));
 }
 
-/// A stream of short tasks doesn't keep a wide lasting task waiting.
+/// A stream of short tasks doesn't keep a wide lasting task waiting for ever, and
+/// one that has run before not for the users' nine seconds.
 #[test]
 fn burst_of_short_tasks_beside_a_wide_lasting_one() {
+    let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
+    for name in ["wa", "wb"] {
+        w.worker(name).fails = true;
+    }
+    w.submit(submission(1, vec![lasting(1, 4, "web")]));
+    w.run(300);
+    for name in ["wa", "wb"] {
+        w.worker(name).fails = false;
+    }
+    w.submit(submission(2, vec![step(4)]));
+    for id in 20..60 {
+        w.submit(submission(id, vec![step(1)]));
+        w.run(50);
+    }
+    assert!(w.starts.iter().filter(|s| s.0 == of(1, 0)).count() > 1, "it was not restarted");
+}
+
+/// The same for its first start.
+#[test]
+fn burst_of_short_tasks_beside_a_new_lasting_one() {
     let mut w = World::new([worker("wa", 4), worker("wb", 4)]);
     for id in 10..14 {
         w.submit(submission(id, vec![step(2)]));
     }
     w.run(100);
     w.submit(submission(1, vec![lasting(1, 4, "web")]));
-    for id in 20..60 {
+    for id in 20..180 {
         w.submit(submission(id, vec![step(1)]));
         w.run(50);
     }
