--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -191,11 +191,12 @@
         if let Some((task, attempt)) = view.strays.pop_first() {
             return Some(Order { task, attempt, kind: OrderKind::Stop });
         }
+        let draining = life.worker.draining;
         let mut next: Option<Order> = None;
         for task in &life.runs {
             let Some((record, run)) = record_run(state, id, *task) else { continue };
             let run_view = view.run_view(*task, run.attempt, now);
-            let Some(kind) = run_view.wanted_order(record, *task, now) else { continue };
+            let Some(kind) = run_view.wanted_order(record, *task, draining, now) else { continue };
             // Stops free room that starts may need.
             if kind == OrderKind::Stop || next.is_none() {
                 next = Some(Order { task: *task, attempt: run.attempt, kind });
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -91,6 +91,7 @@
         &mut self,
         record: &Record,
         task: TaskId,
+        draining: bool,
         now: Instant,
     ) -> Option<OrderKind> {
         if now < self.not_before {
--- a/crates/placement/tests/all/submission/fleet.rs
+++ b/crates/placement/tests/all/submission/fleet.rs
@@ -98,6 +98,17 @@
     assert_eq!(fleet.condemn(&w.state, now + Duration::from_millis(500)).len(), 1);
 }
 
+#[test]
+fn a_worker_that_leaves_is_not_told_to_begin_what_was_placed_before() {
+    let (mut w, mut fleet, now) = placed();
+    let order = fleet.next_order(&w.state, 1, now).unwrap();
+    fleet.answered(1, order, OrderAnswer::Unanswered, now);
+    w.apply(Change::Register(WorkerLife { draining: true, ..worker("wa", 4) }));
+    let later = now + Duration::from_millis(450);
+    let next = fleet.next_order(&w.state, 1, later).unwrap();
+    assert_eq!((next.task, next.kind), (TASK, OrderKind::Stop));
+}
+
 #[test]
 fn a_run_that_the_group_does_not_know_is_stopped() {
     let (w, mut fleet, now) = placed();
