--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -98,8 +98,10 @@
             return None;
         }
         let done = record.task(task).is_none_or(|t| t.done);
-        let wanted =
-            record.phase == Phase::Open && !done && !self.withdrawn && !record.is_broken(task);
+        // A worker that leaves is not told to begin anything.
+        let may_run = self.started.is_some() || !draining;
+        let open = record.phase == Phase::Open && !done && !record.is_broken(task);
+        let wanted = open && may_run && !self.withdrawn;
         if !wanted {
             let again = self.stopped.is_none_or(|at| self.listed && now >= at + STOP_AGAIN);
             return again.then_some(OrderKind::Stop);
