--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -277,13 +277,7 @@
         }
     }
 
-    /// Whether a run is being given up.
-    #[must_use]
-    pub fn is_withdrawn(&self, life: LifeId, task: TaskId) -> bool {
-        self.views.get(&life).and_then(|v| v.runs.get(&task)).is_some_and(|r| r.withdrawn)
-    }
-
-    /// Runs that stand still on a worker that answers, and those checkpoints.
+    /// Gives up runs that stand still on a worker that answers.
     pub fn withdraw_stuck(
         &mut self,
         state: &SubmissionState,
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -74,9 +74,7 @@
             not_before: now,
         }
     }
-}
 
-impl RunView {
     /// Notes that the worker lists the run. One that this leader hasn't seen
     /// begin may have been slowed by another.
     pub(super) fn note_listed(&mut self, now: Instant) {
@@ -87,6 +85,7 @@
         }
     }
 
+    /// The order that brings the worker to what the group wants, if one is due.
     pub(super) fn wanted_order(
         &mut self,
         record: &Record,
