One way to ask a replica, one place for a queue's service; a test that raced

The entry host's and the joining replica's question were written twice: Peers::ask serves both. A queue's service stood in the queue and in its policy; it stands in the policy now. No behaviour changes.

The child that reads files gets no standard input now; its assertions are as before.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,11 +2,11 @@
 //! a client.
 
 use crate::{
-    ask::{ASK_PATH, Ask, Reply, Standing, decode, encode},
+    ask::{Ask, Reply, Standing},
     metrics::Metrics,
     transport::{Peers, replica_id, replica_ip},
 };
-use cyclamenloft_types::{ErrorKind, ReplicaId, Result};
+use cyclamenloft_types::{ErrorKind, ReplicaId};
 use std::{
     cell::{Cell, RefCell},
     net::Ipv4Addr,
@@ -114,7 +114,7 @@
 
     /// Asks one replica; true where it leads.
     async fn look(&self, to: ReplicaId, until: Instant) -> bool {
-        let standing = match self.ask(to, &Ask::Where, until).await {
+        let standing = match self.peers.ask(to, &Ask::Where, until).await {
             Ok(Reply::Standing(standing)) => standing,
             Ok(_) => return false,
             Err(e) => {
@@ -141,12 +141,6 @@
         self.leader.set(Some((id, Instant::now())));
     }
 
-    async fn ask(&self, to: ReplicaId, ask: &Ask, until: Instant) -> Result<Reply> {
-        let content = encode(ask)?;
-        let answer = self.peers.post(to, ASK_PATH, content, until).await?;
-        decode(&answer)
-    }
-
     /// Hands a question to the leader. The question must be idempotent: after a
     /// lost answer the next leader is asked the same.
     pub async fn hand_over(&self, ask: &Ask, until: Instant) -> Answered {
@@ -166,7 +160,7 @@
                 compio::time::sleep(SEEK_PAUSE).await;
                 continue;
             };
-            match self.ask(leader, ask, until.min(Instant::now() + ATTEMPT)).await {
+            match self.peers.ask(leader, ask, until.min(Instant::now() + ATTEMPT)).await {
                 Ok(Reply::NotLeader(_)) => seek = true,
                 Ok(Reply::Unsure) => {
                     unsure = true;
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -3,7 +3,7 @@
 //! that are gone.
 
 use crate::{
-    ask::{ASK_PATH, Ask, Reply, encode},
+    ask::{Ask, Reply},
     node::{Node, own_id},
     port::WorkerPort,
     transport::replica_id,
@@ -41,28 +41,21 @@
         asked.retain(|id| *id != me);
         if let Some(to) = asked.get(next % asked.len().max(1)).copied() {
             next += 1;
-            if let Some(Reply::Standing(standing)) = ask(&node, to, &Ask::Join(me)).await {
-                // The leader first, then everybody that the group knows.
-                asked = standing.leader.into_iter().chain(standing.members).collect();
-                next = 0;
+            let until = Instant::now() + JOIN_TIMEOUT;
+            match node.peers.ask(to, &Ask::Join(me), until).await {
+                Ok(Reply::Standing(standing)) => {
+                    // The leader first, then everybody that the group knows.
+                    asked = standing.leader.into_iter().chain(standing.members).collect();
+                    next = 0;
+                }
+                Ok(_) => {}
+                Err(e) => tracing::debug!(peer = to, error = %e, "not asked to join"),
             }
         }
         compio::time::sleep(JOIN_PAUSE).await;
     }
 }
 
-async fn ask<P: WorkerPort>(node: &Node<P>, to: ReplicaId, ask: &Ask) -> Option<Reply> {
-    let until = Instant::now() + JOIN_TIMEOUT;
-    let content = encode(ask).ok()?;
-    match node.peers.post(to, ASK_PATH, content, until).await {
-        Ok(bytes) => crate::ask::decode(&bytes).ok(),
-        Err(e) => {
-            tracing::debug!(peer = to, error = %e, "not asked to join");
-            None
-        }
-    }
-}
-
 /// Takes a host in as a learner, where this replica leads.
 pub(crate) async fn admit<P: WorkerPort>(node: &Node<P>, id: ReplicaId) -> Reply {
     let known = node.replica.status().members.iter().any(|m| m.id == id);
--- a/crates/dispatch/src/transport.rs
+++ b/crates/dispatch/src/transport.rs
@@ -1,7 +1,7 @@
 //! Messages of the log between replicas. A replica's id is its IPv4 address as
 //! a number, so nobody needs a table of addresses.
 
-use crate::ask::LOG_PATH;
+use crate::ask::{ASK_PATH, Ask, LOG_PATH, Reply, decode, encode};
 use bytes::Bytes;
 use cyclamenloft_http::Link;
 use cyclamenloft_replication::Transport;
@@ -69,6 +69,16 @@
         Err(Error::new(ErrorKind::PeerUnreachable, detail))
     }
 
+    /// Asks a replica.
+    ///
+    /// # Errors
+    ///
+    /// As [`Peers::post`], and `BadRequest` where the answer can't be read.
+    pub async fn ask(&self, to: ReplicaId, ask: &Ask, until: Instant) -> Result<Reply> {
+        let answer = self.post(to, ASK_PATH, encode(ask)?, until).await?;
+        decode(&answer)
+    }
+
     fn link(&self, to: ReplicaId) -> Result<Rc<Link>> {
         let ip = replica_ip(to).ok_or_else(|| {
             Error::new(ErrorKind::PeerUnreachable, format!("replica {to} has no address"))
--- a/crates/placement/src/submission/routes.rs
+++ b/crates/placement/src/submission/routes.rs
@@ -13,8 +13,6 @@
     pub host: Box<str>,
     /// Prefix of the path.
     pub prefix: Box<str>,
-    /// Service whose workers run the tasks.
-    pub service: ServiceName,
     /// What happens to the queue's submissions.
     pub policy: QueuePolicy,
 }
--- a/crates/placement/tests/all/submission/state.rs
+++ b/crates/placement/tests/all/submission/state.rs
@@ -47,8 +47,7 @@
 
 fn table(number: u64, service: &str) -> RouteTable {
     let policy = QueuePolicy { service: service.into(), max_attempts: 9, ..policy() };
-    let queue =
-        Queue { host: "host".into(), prefix: "/queue/".into(), service: service.into(), policy };
+    let queue = Queue { host: "host".into(), prefix: "/queue/".into(), policy };
     RouteTable { number, queues: vec![queue], services: vec![], text: "{}".into() }
 }
 
@@ -153,7 +152,7 @@
     g.apply(Change::Configure(table(5, "old")));
     g.apply(Change::Configure(table(7, "other")));
     assert_eq!(g.state.routes().number, 7);
-    assert_eq!(&*g.state.routes().queues[0].service, "new");
+    assert_eq!(&*g.state.routes().queues[0].policy.service, "new");
 }
 
 #[test]
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -19,12 +19,15 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_cyclamenloft"))
         .arg("explain")
         .args(args)
-        .stdin(Stdio::piped())
+        // A child that reads files may end before anything is written to it.
+        .stdin(if args.len() > 1 { Stdio::null() } else { Stdio::piped() })
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    child.stdin.take().unwrap().write_all(LOG.as_bytes()).unwrap();
+    if let Some(mut stdin) = child.stdin.take() {
+        stdin.write_all(LOG.as_bytes()).unwrap();
+    }
     child.wait_with_output().unwrap()
 }
 
