--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers: JSON content, and the one way an error becomes a response.
 
 use crate::{body::full, server::Response};
-use cyclamenloft_types::{Error, RetryAdvice};
+use cyclamenloft_types::{Error, ErrorKind, RetryAdvice};
 use http::{HeaderValue, StatusCode, header};
 use serde::Serialize;
 use std::time::Duration;
@@ -53,6 +53,11 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
     headers.insert(ERROR_HEADER, HeaderValue::from_static(answer.code));
+    if error.kind == ErrorKind::TooLarge {
+        // The rest of the body is not read, so the connection can't be used
+        // again; a client that isn't told would send its next request on it.
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     let advised = match answer.retry {
         RetryAdvice::After(wait) => Some(retry_after.unwrap_or(wait)),
         RetryAdvice::ElsewhereNow => Some(Duration::ZERO),
