Hosts that ask too early join later; any replica takes workers' reports

Cause: a host that asked to join before the group was formed was answered with no leader and no members, which emptied the list of those it asks. At 3,000 workers all connections for reports led to the leader, which ran out of descriptors.

Change: seeds are never dropped from those that are asked. A replica that doesn't lead answers a report that says nothing new from its own state and passes the rest on; workers stay with the replica that answered first. A learner from the domain with the fewest voters gets the next vote.

--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -11,7 +11,7 @@
     Change, Outcome, SubmissionId, SubmissionState, routes::QueuePolicy, spec::parse_id,
     state::Phase,
 };
-use cyclamenloft_types::{Error, Outcome as RunOutcome};
+use cyclamenloft_types::{Error, ErrorKind, Outcome as RunOutcome, Result};
 
 /// Answers a question.
 pub(crate) async fn answer<P: WorkerPort>(node: &Node<P>, ask: Ask) -> Reply {
@@ -19,6 +19,8 @@
         Ask::Where => Reply::Standing(node.standing()),
         Ask::Join(id) => members::admit(node, id).await,
         _ if !node.leads() => Reply::NotLeader(node.replica.status().leader),
+        Ask::Report(worker) => taken(node.report(worker).await),
+        Ask::Farewell(id) => taken(node.farewell(&id).await),
         Ask::Submit { host, path, draft } => submit(node, &host, &path, draft).await,
         Ask::Read { host, path } => node.state(|s| read(s, &host, &path)),
         Ask::Cancel { host, path } => cancel(node, &host, &path).await,
@@ -121,6 +123,15 @@
     reply
 }
 
+/// The answer to what a worker says of itself.
+fn taken(done: Result<()>) -> Reply {
+    match done {
+        Ok(()) => Reply::Done,
+        Err(e) if e.kind == ErrorKind::Conflict => Reply::Outdated,
+        Err(e) => failure(&e),
+    }
+}
+
 /// The answer to a change that the group has not agreed on.
 fn failure(e: &Error) -> Reply {
     match e.answer().outcome {
--- a/crates/dispatch/src/ask.rs
+++ b/crates/dispatch/src/ask.rs
@@ -1,7 +1,11 @@
 //! What an entry host asks of a replica, in postcard form.
 
-use cyclamenloft_placement::submission::{Step, Submission, SubmissionId, state::Phase};
-use cyclamenloft_types::{ConfigNumber, Error, ErrorKind, ReplicaId, Result, Term};
+use cyclamenloft_placement::submission::{
+    Step, Submission, SubmissionId, WorkerLife, state::Phase,
+};
+use cyclamenloft_types::{
+    ConfigNumber, DomainName, Error, ErrorKind, ReplicaId, Result, Term, WorkerId,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Path on which a replica takes questions.
@@ -49,6 +53,10 @@
     Where,
     /// A replica that isn't a member asks to become one.
     Join(ReplicaId),
+    /// What a worker says of itself, taken by a replica that doesn't lead.
+    Report(WorkerLife),
+    /// The farewell of a worker, taken by a replica that doesn't lead.
+    Farewell(WorkerId),
     /// A submission for the queue that host and path select.
     Submit {
         /// Host that the client named.
@@ -96,6 +104,8 @@
     pub term: Term,
     /// All members.
     pub members: Vec<ReplicaId>,
+    /// Failure domain of this replica's host.
+    pub domain: DomainName,
     /// Number of the configuration that the replica has applied.
     pub configured: ConfigNumber,
 }
@@ -113,6 +123,8 @@
     Pending(u64),
     /// No such submission.
     Gone,
+    /// A report of a life that a newer one has replaced.
+    Outdated,
     /// No such queue.
     NoQueue,
     /// The group has no configuration yet.
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -3,13 +3,13 @@
 //! that are gone.
 
 use crate::{
-    ask::{Ask, Reply},
+    ask::{Ask, Reply, Standing},
     node::{Node, own_id},
     port::WorkerPort,
     transport::replica_id,
 };
-use cyclamenloft_replication::{MemberKind, Status};
-use cyclamenloft_types::ReplicaId;
+use cyclamenloft_replication::{MemberKind, MemberStatus, Status};
+use cyclamenloft_types::{DomainName, ReplicaId};
 use std::{
     collections::BTreeMap,
     rc::Rc,
@@ -22,6 +22,8 @@
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for an answer while joining.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a member's failure domain; it is asked again next second.
+const DOMAIN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Silence after which a voter may be replaced by a learner that is there; far
 /// longer than a restart, a freeze or a cut of some seconds.
 const REPLACE_AFTER: Duration = Duration::from_secs(15);
@@ -29,25 +31,19 @@
 /// Asks the seeds and the members to be admitted, until this host is a member.
 pub(crate) async fn join<P: WorkerPort>(node: Rc<Node<P>>) {
     let me = own_id(&node);
-    let mut asked: Vec<ReplicaId> = node.settings.seeds.iter().map(|ip| replica_id(*ip)).collect();
-    let mut next = 0;
+    let seeds: Vec<ReplicaId> = node.settings.seeds.iter().map(|ip| replica_id(*ip)).collect();
+    let forms = node.settings.first_start && seeds.contains(&me);
+    let mut sponsors = Sponsors::new(me, seeds);
     loop {
         let is_member = node.replica.status().members.iter().any(|m| m.id == me);
-        let forms = node.settings.first_start && asked.contains(&me);
         if is_member || forms {
             compio::time::sleep(REPLACE_AFTER).await;
             continue;
         }
-        asked.retain(|id| *id != me);
-        if let Some(to) = asked.get(next % asked.len().max(1)).copied() {
-            next += 1;
+        if let Some(to) = sponsors.next() {
             let until = Instant::now() + JOIN_TIMEOUT;
             match node.peers.ask(to, &Ask::Join(me), until).await {
-                Ok(Reply::Standing(standing)) => {
-                    // The leader first, then everybody that the group knows.
-                    asked = standing.leader.into_iter().chain(standing.members).collect();
-                    next = 0;
-                }
+                Ok(Reply::Standing(standing)) => sponsors.note(&standing),
                 Ok(_) => {}
                 Err(e) => tracing::debug!(peer = to, error = %e, "not asked to join"),
             }
@@ -56,6 +52,41 @@
     }
 }
 
+/// Whom a host asks to be admitted: the leader as last heard of, then members
+/// and seeds in turn. The seeds are never dropped, since a replica that answers
+/// before the group is formed knows of nobody.
+struct Sponsors {
+    me: ReplicaId,
+    seeds: Vec<ReplicaId>,
+    leader: Option<ReplicaId>,
+    members: Vec<ReplicaId>,
+    turn: usize,
+}
+
+impl Sponsors {
+    fn new(me: ReplicaId, seeds: Vec<ReplicaId>) -> Self {
+        Self { me, seeds, leader: None, members: Vec::new(), turn: 0 }
+    }
+
+    fn next(&mut self) -> Option<ReplicaId> {
+        if let Some(leader) = self.leader.take() {
+            return Some(leader);
+        }
+        let known = self.members.iter().chain(&self.seeds).filter(|id| **id != self.me);
+        let known: Vec<ReplicaId> = known.copied().collect();
+        let next = known.get(self.turn % known.len().max(1)).copied();
+        self.turn += 1;
+        next
+    }
+
+    fn note(&mut self, standing: &Standing) {
+        self.leader = standing.leader.filter(|id| *id != self.me);
+        if !standing.members.is_empty() {
+            self.members.clone_from(&standing.members);
+        }
+    }
+}
+
 /// Takes a host in as a learner, where this replica leads.
 pub(crate) async fn admit<P: WorkerPort>(node: &Node<P>, id: ReplicaId) -> Reply {
     let known = node.replica.status().members.iter().any(|m| m.id == id);
@@ -72,6 +103,8 @@
 #[derive(Default)]
 pub(crate) struct Watch {
     matched: BTreeMap<ReplicaId, (u64, Instant)>,
+    /// Failure domains of the members that have told.
+    domains: BTreeMap<ReplicaId, DomainName>,
 }
 
 /// A change of the membership that is due.
@@ -85,6 +118,7 @@
     /// Gives votes to learners, and removes voters that others replace.
     pub(crate) async fn maintain<P: WorkerPort>(&mut self, node: &Node<P>, now: Instant) {
         let status = node.replica.status();
+        self.learn_domains(node, &status, now).await;
         let Some(due) = self.due(&status, own_id(node), now) else { return };
         let changed = match due {
             Due::Promote(id) => node.replica.promote(id, MemberKind::Voter).await,
@@ -98,6 +132,38 @@
         }
     }
 
+    /// Asks members where they stand, once each.
+    async fn learn_domains<P: WorkerPort>(
+        &mut self,
+        node: &Node<P>,
+        status: &Status,
+        now: Instant,
+    ) {
+        let unknown = status.members.iter().filter(|m| !self.domains.contains_key(&m.id));
+        let asked = unknown.map(|m| async {
+            let own = m.id == own_id(node);
+            let standing = match own {
+                true => Ok(Reply::Standing(node.standing())),
+                false => node.peers.ask(m.id, &Ask::Where, now + DOMAIN_TIMEOUT).await,
+            };
+            match standing {
+                Ok(Reply::Standing(standing)) => Some((m.id, standing.domain)),
+                _ => None,
+            }
+        });
+        let told: Vec<_> = futures_util::future::join_all(asked).await;
+        self.domains.extend(told.into_iter().flatten());
+    }
+
+    /// Voters in the domain of a member, so that no domain holds more of them
+    /// than the group can lose.
+    fn neighbours(&self, status: &Status, id: ReplicaId) -> usize {
+        let domain = self.domains.get(&id);
+        let voter = |m: &&MemberStatus| m.kind != MemberKind::Learner && m.id != id;
+        let beside = status.members.iter().filter(voter);
+        beside.filter(|m| domain.is_some() && self.domains.get(&m.id) == domain).count()
+    }
+
     fn due(&mut self, status: &Status, me: ReplicaId, now: Instant) -> Option<Due> {
         for m in &status.members {
             let matched = m.matched.unwrap_or(0);
@@ -119,7 +185,8 @@
             .collect();
         let gone = voters.iter().find(|m| silent(m.id));
         let grows = voters.len() < MAX_VOTERS && (ready.len() >= 2 || voters.len() % 2 == 0);
-        match (gone, ready.first()) {
+        let best = ready.iter().min_by_key(|m| (self.neighbours(status, m.id), m.id));
+        match (gone, best) {
             (Some(gone), _) if voters.len() > 3 => Some(Due::Remove(gone.id)),
             (Some(_), Some(learner)) => Some(Due::Promote(learner.id)),
             (None, Some(learner)) if grows => Some(Due::Promote(learner.id)),
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     answer,
-    ask::{ASK_PATH, Ask, LOG_PATH, MAX_ASK_BYTES, Standing, decode, encode},
+    ask::{ASK_PATH, Ask, LOG_PATH, MAX_ASK_BYTES, Reply, Standing, decode, encode},
     lead::{self, Leadership},
     members,
     metrics::Metrics,
@@ -45,6 +45,10 @@
 /// seconds; cuts of six seconds should cost no run.
 const LONGEST_LEASE: Duration = Duration::from_millis(7_000);
 
+/// Longest wait for the leader when a worker's words are passed on: workers call
+/// another replica after a second.
+const PASS_ON: Duration = Duration::from_millis(700);
+
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -142,6 +146,7 @@
             leads: self.leads(),
             term: status.term,
             members: status.members.iter().map(|m| m.id).collect(),
+            domain: self.settings.domain.clone(),
             configured: self.replica.state(|s| s.routes().number),
         }
     }
@@ -180,7 +185,9 @@
         Ok(self.state(|s| s.routes().clone()))
     }
 
-    /// Takes what a worker says of itself. Once this returns, the group knows.
+    /// Takes what a worker says of itself. Once this returns, the group knows:
+    /// what is new is agreed on, by way of the leader where another replica
+    /// leads.
     ///
     /// # Errors
     ///
@@ -201,6 +208,9 @@
         if known {
             return Ok(());
         }
+        if !self.leads() {
+            return self.pass_on(Ask::Report(worker)).await;
+        }
         let (id, born_ms, draining) = (worker.id.clone(), worker.born_ms, worker.draining);
         let capacity = worker.capacity;
         self.propose(Change::Register(worker)).await?;
@@ -217,6 +227,9 @@
     ///
     /// Those of a proposal to the group.
     pub async fn farewell(&self, id: &str) -> Result<()> {
+        if !self.leads() {
+            return self.pass_on(Ask::Farewell(id.into())).await;
+        }
         let life = self.state(|s| s.newest_life(id).map(|(_, life)| life.worker.clone()));
         match life {
             Some(worker) => {
@@ -226,6 +239,23 @@
         }
     }
 
+    /// Hands a worker's words to the leader.
+    async fn pass_on(&self, ask: Ask) -> Result<()> {
+        let no_leader = || Error::new(ErrorKind::NoQuorum, "no leader is known");
+        let me = own_id(self);
+        let leader = self.replica.status().leader.filter(|id| *id != me).ok_or_else(no_leader)?;
+        match self.peers.ask(leader, &ask, Instant::now() + PASS_ON).await {
+            Ok(Reply::Done) => Ok(()),
+            Ok(Reply::Outdated) => {
+                Err(Error::new(ErrorKind::Conflict, "a newer life of the worker is known"))
+            }
+            Ok(Reply::NotLeader(_)) => Err(no_leader()),
+            Err(e) if e.kind == ErrorKind::NotReached => Err(no_leader()),
+            Ok(_) => Err(Error::new(ErrorKind::ChangeUnknown, "the leader is not sure")),
+            Err(e) => Err(Error::new(ErrorKind::ChangeUnknown, e.detail)),
+        }
+    }
+
     /// Proposes a change and notes how long the group took.
     pub(crate) async fn propose(&self, change: Change) -> Result<Outcome> {
         let began = Instant::now();
