--- /dev/null
+++ b/crates/dispatch/src/advise.rs
@@ -0,0 +1,89 @@
+//! The leader's talk with the advisor: one question at a time, as the advisor
+//! takes calls of one host in turn.
+
+use crate::{
+    node::{Node, wall_ms},
+    port::Port,
+};
+use cyclamenloft_placement::submission::{advice::Question, planner};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Longest sleep without a question; a ticket may expire meanwhile.
+const IDLE: Duration = Duration::from_millis(250);
+/// Pause after a question without an answer; the advisor may be overrun.
+const RETRY: Duration = Duration::from_millis(200);
+/// Time beyond the stated one for which an answer is awaited.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Asks the advisor for as long as this replica leads.
+pub(crate) async fn run<P: Port>(node: Rc<Node<P>>) {
+    let mut silent = false;
+    loop {
+        let seen = node.due.seen();
+        let question = next_question(&node);
+        let Some(question) = question else {
+            let _ = compio::time::timeout(IDLE, node.due.changed(seen)).await;
+            continue;
+        };
+        match ask(&node, &question).await {
+            Ok(()) if silent => {
+                tracing::info!(event = "advisor-regained");
+                silent = false;
+            }
+            Ok(()) => {}
+            Err(e) => {
+                if !silent {
+                    tracing::info!(event = "advisor-lost", error = %e);
+                }
+                silent = true;
+                compio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+fn next_question<P: Port>(node: &Node<P>) -> Option<Question> {
+    let leadership = node.leading()?;
+    let fleet = leadership.fleet.borrow();
+    node.state(|s| planner::question(s, &fleet, Instant::now(), wall_ms()))
+}
+
+async fn ask<P: Port>(node: &Node<P>, question: &Question) -> cyclamenloft_types::Result<()> {
+    let named: Vec<_> = node.state(|s| {
+        let named = question.lives.iter().filter_map(|id| Some((*id, s.life(*id)?)));
+        named.map(|(id, life)| (id, life.worker.id.clone())).collect()
+    });
+    let ids: Vec<_> = named.iter().map(|(_, id)| id.clone()).collect();
+    let began = Instant::now();
+    let count = u32::try_from(ids.len()).unwrap_or(u32::MAX);
+    let stated = question
+        .advising
+        .decision_ms
+        .saturating_add(question.advising.per_worker_ms.saturating_mul(count));
+    let until = began + Duration::from_millis(stated.into()) + PATIENCE;
+    let advised = node.port.advise(question.step, &ids, until).await;
+    node.metrics.time("advise", began.elapsed());
+    let elapsed_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let outcome = if advised.is_ok() { "answered" } else { "no-answer" };
+    node.metrics.count("advise", outcome);
+    let (tickets, valid) = advised.inspect_err(|e| {
+        tracing::info!(
+            decision = "advise", step = %question.step, workers = ids.len(), elapsed_ms,
+            outcome, error = %e
+        );
+    })?;
+    tracing::info!(
+        decision = "advise", step = %question.step, workers = ids.len(),
+        approved = tickets.len(), elapsed_ms, outcome
+    );
+    if let Some(leadership) = node.leading() {
+        let life = |id: &str| named.iter().find(|(_, n)| **n == *id).map(|(life, _)| *life);
+        let approved = tickets.into_iter().filter_map(|(id, ticket)| Some((life(&id)?, ticket)));
+        leadership.fleet.borrow_mut().advice.note(question, approved, Instant::now() + valid);
+    }
+    node.due.notify();
+    Ok(())
+}
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -5,7 +5,7 @@
     ask::{Ask, Draft, Progress, Reply},
     members,
     node::{Node, wall_ms},
-    port::WorkerPort,
+    port::Port,
 };
 use cyclamenloft_placement::submission::{
     Change, Outcome, SubmissionId, SubmissionState, routes::QueuePolicy, spec::parse_id,
@@ -14,7 +14,7 @@
 use cyclamenloft_types::{Error, ErrorKind, Outcome as RunOutcome, Result};
 
 /// Answers a question.
-pub(crate) async fn answer<P: WorkerPort>(node: &Node<P>, ask: Ask) -> Reply {
+pub(crate) async fn answer<P: Port>(node: &Node<P>, ask: Ask) -> Reply {
     match ask {
         Ask::Where => Reply::Standing(node.standing()),
         Ask::Join(id) => members::admit(node, id).await,
@@ -48,7 +48,7 @@
     Ok(Target { key: queue.key(), policy: queue.policy.clone(), id })
 }
 
-async fn submit<P: WorkerPort>(node: &Node<P>, host: &str, path: &str, draft: Draft) -> Reply {
+async fn submit<P: Port>(node: &Node<P>, host: &str, path: &str, draft: Draft) -> Reply {
     let target = match node.state(|s| find(s, host, path)) {
         Ok(target) => target,
         Err(reply) => return reply,
@@ -100,7 +100,7 @@
     }
 }
 
-async fn cancel<P: WorkerPort>(node: &Node<P>, host: &str, path: &str) -> Reply {
+async fn cancel<P: Port>(node: &Node<P>, host: &str, path: &str) -> Reply {
     let target = match node.state(|s| find(s, host, path)) {
         Ok(target) => target,
         Err(reply) => return reply,
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -6,7 +6,7 @@
     members::Watch,
     node::{Node, wall_ms},
     notify::Notify,
-    port::WorkerPort,
+    port::Port,
     worker,
 };
 use compio::runtime::JoinHandle;
@@ -80,7 +80,7 @@
 }
 
 /// Leads the group whenever this replica is its leader.
-pub(crate) async fn run<P: WorkerPort>(node: Rc<Node<P>>) {
+pub(crate) async fn run<P: Port>(node: Rc<Node<P>>) {
     let mut watch = Watch::default();
     let mut housekeeping = Instant::now();
     loop {
@@ -115,7 +115,7 @@
 }
 
 /// Keeps what was learned for the next leader.
-async fn keep_learned<P: WorkerPort>(node: &Node<P>) {
+async fn keep_learned<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
     let learned = leadership.fleet.borrow().interference.learned();
     if learned.is_empty() || node.state(|s| s.learned() == learned) {
@@ -127,7 +127,7 @@
 }
 
 /// Tells of the tasks that wait, the most important first.
-fn log_waiting<P: WorkerPort>(node: &Node<P>) {
+fn log_waiting<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
     let waiting =
         node.state(|s| planner::waiting(s, &leadership.fleet.borrow(), Instant::now(), wall_ms()));
@@ -142,7 +142,7 @@
 }
 
 /// What this replica knows as the leader of the present term.
-async fn lead_now<P: WorkerPort>(node: &Rc<Node<P>>) -> Result<Rc<Leadership>> {
+async fn lead_now<P: Port>(node: &Rc<Node<P>>) -> Result<Rc<Leadership>> {
     let term = node.replica.status().term;
     if let Some(known) = node.leadership.borrow().as_ref().filter(|l| l.token == term) {
         return Ok(known.clone());
@@ -158,7 +158,7 @@
     Ok(fresh)
 }
 
-async fn round<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+async fn round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
     tend_lines(node, leadership);
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().condemn(s, now));
@@ -175,7 +175,7 @@
 }
 
 /// Gives up runs that stand still, and those that get on better elsewhere.
-fn withdraw<P: WorkerPort>(node: &Node<P>, leadership: &Leadership) {
+fn withdraw<P: Port>(node: &Node<P>, leadership: &Leadership) {
     let now = Instant::now();
     let stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, now));
     let moved = node.state(|s| planner::moves(s, &leadership.fleet.borrow(), now));
@@ -192,7 +192,7 @@
     }
 }
 
-async fn place<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+async fn place<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
     let began = Instant::now();
     let wanted = node
         .state(|s| planner::plan(s, &mut leadership.fleet.borrow_mut(), Instant::now(), wall_ms()));
@@ -220,7 +220,7 @@
 }
 
 /// Starts a line to each life that is new and ends those of lives that are over.
-fn tend_lines<P: WorkerPort>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) {
+fn tend_lines<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) {
     node.state(|s| {
         leadership.fleet.borrow_mut().retain(s);
         let mut lines = leadership.lines.borrow_mut();
@@ -247,7 +247,7 @@
 }
 
 /// Forgets submissions that have been over for long.
-async fn forget<P: WorkerPort>(node: &Node<P>) {
+async fn forget<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
     let now = Instant::now();
     let due: Vec<SubmissionId> = node.state(|s| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,7 @@
 //! and then calls the workers.
 //!
 //! [`entry`] is the side of an entry host, [`Node`] the side of a replica. How
-//! workers are called is behind the [`WorkerPort`] trait.
+//! workers are called is behind the [`Port`] trait.
 
 pub mod ask;
 pub mod entry;
@@ -14,12 +14,17 @@
 pub mod telemetry;
 
 mod admission;
+mod advise;
 mod answer;
 mod lead;
 mod members;
 mod transport;
+mod upkeep;
 mod worker;
 
 pub use ask::{Ask, Draft, Reply};
 pub use node::{Node, NodeSettings};
-pub use port::{Look, OrderCall, OrderReply, WorkerPort};
+pub use port::{
+    Advised, AdvisorPort, ListedMachine, Look, MachinePort, OrderCall, OrderReply, Port,
+    UpkeepAnswer, UpkeepCall, UpkeepReply, WorkerPort,
+};
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -5,7 +5,7 @@
 use crate::{
     ask::{Ask, Reply, Standing},
     node::{Node, own_id},
-    port::WorkerPort,
+    port::Port,
     transport::replica_id,
 };
 use cyclamenloft_replication::{MemberKind, MemberStatus, Status};
@@ -29,7 +29,7 @@
 const REPLACE_AFTER: Duration = Duration::from_secs(15);
 
 /// Asks the seeds and the members to be admitted, until this host is a member.
-pub(crate) async fn join<P: WorkerPort>(node: Rc<Node<P>>) {
+pub(crate) async fn join<P: Port>(node: Rc<Node<P>>) {
     let me = own_id(&node);
     let seeds: Vec<ReplicaId> = node.settings.seeds.iter().map(|ip| replica_id(*ip)).collect();
     let forms = node.settings.first_start && seeds.contains(&me);
@@ -88,7 +88,7 @@
 }
 
 /// Takes a host in as a learner, where this replica leads.
-pub(crate) async fn admit<P: WorkerPort>(node: &Node<P>, id: ReplicaId) -> Reply {
+pub(crate) async fn admit<P: Port>(node: &Node<P>, id: ReplicaId) -> Reply {
     let known = node.replica.status().members.iter().any(|m| m.id == id);
     if node.leads() && !known {
         let admitted = node.replica.add_learner(id).await;
@@ -116,7 +116,7 @@
 
 impl Watch {
     /// Gives votes to learners, and removes voters that others replace.
-    pub(crate) async fn maintain<P: WorkerPort>(&mut self, node: &Node<P>, now: Instant) {
+    pub(crate) async fn maintain<P: Port>(&mut self, node: &Node<P>, now: Instant) {
         let status = node.replica.status();
         self.learn_domains(node, &status, now).await;
         let Some(due) = self.due(&status, own_id(node), now) else { return };
@@ -133,12 +133,7 @@
     }
 
     /// Asks members where they stand, once each.
-    async fn learn_domains<P: WorkerPort>(
-        &mut self,
-        node: &Node<P>,
-        status: &Status,
-        now: Instant,
-    ) {
+    async fn learn_domains<P: Port>(&mut self, node: &Node<P>, status: &Status, now: Instant) {
         let unknown = status.members.iter().filter(|m| !self.domains.contains_key(&m.id));
         let asked = unknown.map(|m| async {
             let own = m.id == own_id(node);
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -2,20 +2,21 @@
 //! part in the log, and the leader's work while it leads.
 
 use crate::{
-    answer,
+    advise, answer,
     ask::{ASK_PATH, Ask, LOG_PATH, MAX_ASK_BYTES, Reply, Standing, decode, encode},
     lead::{self, Leadership},
     members,
     metrics::Metrics,
     notify::Notify,
-    port::WorkerPort,
+    port::Port,
     transport::{LogMessages, Peers, replica_id},
+    upkeep,
 };
 use cyclamenloft_http::{
     Request, Response, error_response, full, read_limited, server::Handler, text_response,
 };
 use cyclamenloft_placement::submission::{
-    Change, Outcome, RouteTable, SubmissionState, WorkerLife,
+    Change, Outcome, RouteTable, SubmissionState, WorkerLife, waves::Wave,
 };
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, ReplicaId, Result};
@@ -70,10 +71,12 @@
     pub longest_lease: Duration,
     /// How long a submission that is over is remembered.
     pub remember: Duration,
+    /// How long a machine is down for its upkeep.
+    pub maintenance: Duration,
 }
 
 /// One replica and what its tasks share.
-pub struct Node<P: WorkerPort> {
+pub struct Node<P: Port> {
     pub(crate) settings: NodeSettings,
     pub(crate) replica: Replica<SubmissionState>,
     pub(crate) peers: Rc<Peers>,
@@ -85,7 +88,7 @@
     pub metrics: Rc<Metrics>,
 }
 
-impl<P: WorkerPort> Node<P> {
+impl<P: Port> Node<P> {
     /// Opens the replica and starts its tasks.
     ///
     /// # Errors
@@ -120,6 +123,8 @@
             metrics,
         });
         compio::runtime::spawn(lead::run(node.clone())).detach();
+        compio::runtime::spawn(advise::run(node.clone())).detach();
+        compio::runtime::spawn(upkeep::run(node.clone())).detach();
         compio::runtime::spawn(members::join(node.clone())).detach();
         Ok(node)
     }
@@ -130,6 +135,11 @@
         self.replica.leads(Instant::now()) && self.leadership.borrow().is_some()
     }
 
+    /// What this replica knows as the leader, while it surely leads.
+    pub(crate) fn leading(&self) -> Option<Rc<Leadership>> {
+        self.replica.leads(Instant::now()).then(|| self.leadership.borrow().clone())?
+    }
+
     /// The leader's address, where one is known that isn't this host.
     #[must_use]
     pub fn other_leader(&self) -> Option<Ipv4Addr> {
@@ -256,6 +266,27 @@
         }
     }
 
+    /// Takes a wave of upkeep; one that is known changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Those of a proposal to the group.
+    pub async fn start_wave(&self, wave: Wave) -> Result<()> {
+        let (number, machines, cap) = (wave.number, wave.machines.len(), wave.cap);
+        let deadline_ms = wave.deadline_ms;
+        self.propose(Change::Wave(wave)).await?;
+        tracing::info!(
+            decision = "wave",
+            wave = number,
+            machines,
+            cap,
+            deadline_ms,
+            outcome = "taken"
+        );
+        self.metrics.count("wave", "taken");
+        Ok(())
+    }
+
     /// Proposes a change and notes how long the group took.
     pub(crate) async fn propose(&self, change: Change) -> Result<Outcome> {
         let began = Instant::now();
@@ -280,9 +311,9 @@
 }
 
 /// Answers the system's own processes.
-pub struct PeerHandler<P: WorkerPort>(pub Rc<Node<P>>);
+pub struct PeerHandler<P: Port>(pub Rc<Node<P>>);
 
-impl<P: WorkerPort> Handler for PeerHandler<P> {
+impl<P: Port> Handler for PeerHandler<P> {
     async fn handle(&self, req: Request, _remote: SocketAddr) -> Response {
         let path: Box<str> = req.uri().path().into();
         let answered = match read_limited(req.into_body(), MAX_ASK_BYTES).await {
@@ -300,7 +331,7 @@
     }
 }
 
-impl<P: WorkerPort> PeerHandler<P> {
+impl<P: Port> PeerHandler<P> {
     async fn ask(&self, body: &[u8]) -> Result<Vec<u8>> {
         let ask: Ask = decode(body)?;
         encode(&answer::answer(&self.0, ask).await)
@@ -308,12 +339,12 @@
 }
 
 /// The wall clock, in milliseconds since 1970.
-pub(crate) fn wall_ms() -> u64 {
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// The id of this replica's host.
-pub(crate) fn own_id<P: WorkerPort>(node: &Node<P>) -> ReplicaId {
+pub(crate) fn own_id<P: Port>(node: &Node<P>) -> ReplicaId {
     replica_id(node.settings.ip)
 }
--- /dev/null
+++ b/crates/dispatch/src/upkeep.rs
@@ -0,0 +1,181 @@
+//! The leader's work on waves of upkeep: orders to the service that looks after
+//! the machines, and looks at which machines are back.
+
+use crate::{
+    lead::Leadership,
+    node::{Node, wall_ms},
+    port::{Port, UpkeepAnswer, UpkeepCall},
+};
+use cyclamenloft_placement::submission::{
+    Change, Outcome,
+    fleet::UpkeepOrder,
+    waves::{MachineId, Upkeep, WaveNumber},
+};
+use cyclamenloft_types::{Result, Term};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Time between two rounds while a wave is under way.
+const ROUND: Duration = Duration::from_millis(250);
+/// Time between two looks at the waves where none is under way.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time between two listings of the machines.
+const LISTING: Duration = Duration::from_millis(500);
+/// Longest wait for an answer of the machines' service.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Pause after an order was refused for a higher token: the platform allows a
+/// former leader few more orders.
+const FENCED_PAUSE: Duration = Duration::from_secs(10);
+
+/// What the leader of one term remembers of the machines.
+#[derive(Default)]
+struct Desk {
+    token: Term,
+    /// When upkeeps were first seen as begun.
+    begun: BTreeMap<MachineId, Instant>,
+    listed: Option<Instant>,
+    fenced_until: Option<Instant>,
+}
+
+/// Tends the waves for as long as this replica leads.
+pub(crate) async fn run<P: Port>(node: Rc<Node<P>>) {
+    let mut desk = Desk::default();
+    loop {
+        let open = node.state(|s| s.waves().any(|w| !w.is_complete()));
+        let leadership = node.leading().filter(|_| open);
+        let Some(leadership) = leadership else {
+            compio::time::sleep(IDLE).await;
+            continue;
+        };
+        if desk.token != leadership.token {
+            desk = Desk { token: leadership.token, ..Desk::default() };
+        }
+        if let Err(e) = desk.round(&node, &leadership).await {
+            tracing::info!(event = "upkeep-round-failed", error = %e);
+        }
+        compio::time::sleep(ROUND).await;
+    }
+}
+
+impl Desk {
+    async fn round<P: Port>(&mut self, node: &Node<P>, leadership: &Leadership) -> Result<()> {
+        let now = Instant::now();
+        if self.fenced_until.is_some_and(|until| now < until) {
+            return Ok(());
+        }
+        let maintenance = node.settings.maintenance;
+        let orders = node
+            .state(|s| leadership.fleet.borrow_mut().tend_waves(s, maintenance, now, wall_ms()));
+        for order in orders {
+            self.agree(node, order).await?;
+        }
+        let ordered: Vec<(WaveNumber, MachineId)> = node.state(|s| {
+            let under_way =
+                s.waves().flat_map(|w| w.machines.iter().map(|(m, u)| (w.number, m, u)));
+            let ordered = under_way.filter(|(_, _, u)| matches!(u, Upkeep::Ordered { .. }));
+            ordered.map(|(wave, machine, _)| (wave, machine.clone())).collect()
+        });
+        let calls = ordered.iter().map(|(wave, machine)| order(node, self.token, *wave, machine));
+        for ((wave, machine), answer) in
+            ordered.iter().zip(futures_util::future::join_all(calls).await)
+        {
+            self.take(node, *wave, machine, answer).await?;
+        }
+        self.list(node, now).await
+    }
+
+    /// Agrees with the group that an upkeep is ordered, before it is.
+    async fn agree<P: Port>(&self, node: &Node<P>, order: UpkeepOrder) -> Result<()> {
+        let UpkeepOrder { wave, machine, life } = order;
+        let step = Upkeep::Ordered { life };
+        let change = Change::Upkeep { wave, machine: machine.clone(), step };
+        let outcome = match node.propose(change).await? {
+            Outcome::Done => "agreed",
+            _ => "void",
+        };
+        tracing::info!(decision = "upkeep", wave, %machine, life, outcome);
+        Ok(())
+    }
+
+    async fn take<P: Port>(
+        &mut self,
+        node: &Node<P>,
+        wave: WaveNumber,
+        machine: &MachineId,
+        answer: UpkeepAnswer,
+    ) -> Result<()> {
+        let step = match answer {
+            UpkeepAnswer::Begun => {
+                self.begun.insert(machine.clone(), Instant::now());
+                Upkeep::Begun
+            }
+            UpkeepAnswer::NoMachine | UpkeepAnswer::NotOfWave => Upkeep::Done,
+            UpkeepAnswer::Fenced => {
+                self.fenced_until = Some(Instant::now() + FENCED_PAUSE);
+                return Ok(());
+            }
+            UpkeepAnswer::Busy | UpkeepAnswer::Unanswered => return Ok(()),
+        };
+        node.propose(Change::Upkeep { wave, machine: machine.clone(), step }).await?;
+        node.due.notify();
+        Ok(())
+    }
+
+    /// Looks which machines are back, where some are down.
+    async fn list<P: Port>(&mut self, node: &Node<P>, now: Instant) -> Result<()> {
+        let down: Vec<(WaveNumber, MachineId)> = node.state(|s| {
+            let all = s.waves().flat_map(|w| w.machines.iter().map(|(m, u)| (w.number, m, u)));
+            let down = all.filter(|(_, _, u)| **u == Upkeep::Begun);
+            down.map(|(wave, machine, _)| (wave, machine.clone())).collect()
+        });
+        if down.is_empty() || self.listed.is_some_and(|at| now < at + LISTING) {
+            return Ok(());
+        }
+        self.listed = Some(now);
+        let machines = match node.port.machines(now + PATIENCE).await {
+            Ok(machines) => machines,
+            Err(e) => {
+                tracing::info!(event = "machines-not-listed", error = %e);
+                return Ok(());
+            }
+        };
+        let known: BTreeSet<&str> = machines.iter().map(|m| &*m.machine).collect();
+        let up: BTreeSet<&str> = machines.iter().filter(|m| m.up).map(|m| &*m.machine).collect();
+        for (wave, machine) in down {
+            // A list may be older than the upkeep, so one that says that the
+            // machine is up counts only once the upkeep has had its time.
+            let since = *self.begun.entry(machine.clone()).or_insert(now);
+            let back = up.contains(&*machine) && now >= since + node.settings.maintenance;
+            let gone = !known.contains(&*machine);
+            if back || gone {
+                let outcome = if back { "back" } else { "gone" };
+                let step = Upkeep::Done;
+                node.propose(Change::Upkeep { wave, machine: machine.clone(), step }).await?;
+                tracing::info!(decision = "upkeep", wave, %machine, outcome);
+                node.metrics.count("upkeep", outcome);
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn order<P: Port>(
+    node: &Node<P>,
+    token: Term,
+    wave: WaveNumber,
+    machine: &MachineId,
+) -> UpkeepAnswer {
+    let holder = node.settings.host.clone();
+    let call = UpkeepCall { wave, machine: machine.clone(), holder, token };
+    let reply = node.port.upkeep(&call, Instant::now() + PATIENCE).await;
+    let outcome = reply.answer;
+    tracing::info!(
+        decision = "upkeep", wave, %machine, token, ?outcome, detail = %reply.detail
+    );
+    node.metrics
+        .count("upkeep", if outcome == UpkeepAnswer::Begun { "begun" } else { "not-begun" });
+    outcome
+}
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -5,11 +5,11 @@
     lead::Leadership,
     node::Node,
     notify::Notify,
-    port::{Look, OrderCall, WorkerPort},
+    port::{Look, OrderCall, OrderReply, Port},
 };
 use cyclamenloft_placement::submission::{
     Change, LifeId, Observation, Outcome, RunEnd,
-    fleet::{Order, OrderAnswer},
+    fleet::{Order, OrderAnswer, OrderKind},
 };
 use cyclamenloft_types::{ErrorKind, Result, WorkerId};
 use std::{
@@ -33,7 +33,7 @@
 const ORDER_IDLE: Duration = Duration::from_millis(2_000);
 
 /// What both tasks of a line share.
-pub(crate) struct Context<P: WorkerPort> {
+pub(crate) struct Context<P: Port> {
     pub node: Rc<Node<P>>,
     pub leadership: Weak<Leadership>,
     pub life: LifeId,
@@ -42,7 +42,7 @@
     pub wake: Rc<Notify>,
 }
 
-impl<P: WorkerPort> Clone for Context<P> {
+impl<P: Port> Clone for Context<P> {
     fn clone(&self) -> Self {
         Self {
             node: self.node.clone(),
@@ -55,7 +55,7 @@
     }
 }
 
-impl<P: WorkerPort> Context<P> {
+impl<P: Port> Context<P> {
     /// The leadership, while it lasts.
     fn leadership(&self) -> Option<Rc<Leadership>> {
         let leadership = self.leadership.upgrade()?;
@@ -90,7 +90,7 @@
 }
 
 /// Looks at the worker for as long as this replica leads and the life lasts.
-pub(crate) async fn look<P: WorkerPort>(cx: Context<P>) {
+pub(crate) async fn look<P: Port>(cx: Context<P>) {
     let acknowledged = Cell::new(0);
     let mut failures = 0u32;
     loop {
@@ -122,7 +122,7 @@
     }
 }
 
-async fn look_once<P: WorkerPort>(
+async fn look_once<P: Port>(
     cx: &Context<P>,
     leadership: &Leadership,
     acknowledged: &Cell<u64>,
@@ -161,7 +161,7 @@
     Ok(())
 }
 
-async fn take<P: WorkerPort>(
+async fn take<P: Port>(
     cx: &Context<P>,
     leadership: &Leadership,
     seen: &Observation,
@@ -197,7 +197,7 @@
 }
 
 /// Sends orders for as long as this replica leads and the life lasts.
-pub(crate) async fn order<P: WorkerPort>(cx: Context<P>) {
+pub(crate) async fn order<P: Port>(cx: Context<P>) {
     loop {
         let seen = cx.wake.seen();
         let Some(leadership) = cx.leadership() else {
@@ -217,7 +217,7 @@
     }
 }
 
-async fn send<P: WorkerPort>(cx: &Context<P>, leadership: &Leadership, order: Order) {
+async fn send<P: Port>(cx: &Context<P>, leadership: &Leadership, order: Order) {
     let now = Instant::now();
     let Some(lease_end_ms) = grant(leadership, cx.life, now) else { return };
     let call = cx.node.state(|s| {
@@ -228,10 +228,16 @@
             token: leadership.token,
             payload: record.map(|r| r.spec.payload.clone()).unwrap_or_default(),
             checkpoint: task.map(|t| t.checkpoint.clone()).unwrap_or_default(),
+            ticket: ticket_of(cx, leadership, order, now).unwrap_or_default(),
             lease_end_ms,
         }
     });
-    let reply = cx.node.port.order(&cx.line, &call).await;
+    let needs_ticket = order.kind == OrderKind::Start && is_advised(cx, order);
+    let reply = if needs_ticket && call.ticket.is_empty() {
+        OrderReply { answer: OrderAnswer::NoTicket, detail: "no ticket that is still valid".into() }
+    } else {
+        cx.node.port.order(&cx.line, &call).await
+    };
     let elapsed = now.elapsed();
     cx.node.metrics.time("order", elapsed);
     let answer = reply.answer;
@@ -251,3 +257,18 @@
         tracing::info!(event = "end-not-agreed", task = %order.task, error = %e);
     }
 }
+
+fn is_advised<P: Port>(cx: &Context<P>, order: Order) -> bool {
+    cx.node.state(|s| s.record(order.task.submission).is_some_and(|r| r.policy.advising.is_some()))
+}
+
+/// The advisor's ticket for an order, where there is one.
+fn ticket_of<P: Port>(
+    cx: &Context<P>,
+    leadership: &Leadership,
+    order: Order,
+    now: Instant,
+) -> Option<Box<str>> {
+    let fleet = leadership.fleet.borrow();
+    fleet.advice.ticket(order.task.step_id(), cx.life, now).map(Box::from)
+}
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -5,6 +5,7 @@
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
     state::LifeId,
+    waves::{MachineId, Upkeep, Wave, WaveNumber},
 };
 use cyclamenloft_types::{AttemptNumber, DomainName, RackName, Resources, ServiceName, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -148,6 +149,17 @@
         /// The ends.
         ends: Vec<RunEnd>,
     },
+    /// The operator asks for a wave of upkeep; a known one changes nothing.
+    Wave(Wave),
+    /// A step of a machine's upkeep; one that may not be taken changes nothing.
+    Upkeep {
+        /// The wave.
+        wave: WaveNumber,
+        /// The machine.
+        machine: MachineId,
+        /// The step.
+        step: Upkeep,
+    },
     /// What the leader has learned of how images disturb each other.
     Learned(Vec<LearnedPair>),
     /// Submissions that are over are no longer remembered.
@@ -161,7 +173,7 @@
     Done,
     /// The submission's id is taken by another one.
     Taken,
-    /// No such submission.
+    /// No such submission, or a step of upkeep that may not be taken.
     Unknown,
     /// The runs that were placed; others were void.
     Placed(Vec<Placed>),
--- a/crates/placement/src/submission/fleet/messages.rs
+++ b/crates/placement/src/submission/fleet/messages.rs
@@ -71,8 +71,10 @@
     Unhealthy,
     /// Another life of the worker answered.
     OtherLife,
-    /// The worker can't read the order, or its ticket isn't valid.
+    /// The worker can't read the order.
     Refused,
+    /// The advisor's ticket is missing or not valid there.
+    NoTicket,
     /// The order has surely not left this host.
     NotSent,
     /// No answer; it may be carried out, also later.
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -4,18 +4,22 @@
 mod messages;
 mod run;
 mod tails;
+mod upkeep;
 mod worker;
 
 pub use messages::{Listed, Observation, Order, OrderAnswer, OrderKind};
+pub use upkeep::UpkeepOrder;
 pub use worker::WorkerView;
 
 use super::{
+    advice::Advice,
     command::{Checkpoints, EndHow, RunEnd},
     health::Health,
     interference::Interference,
     lease::WorkerLease,
     spec::{Step, SubmissionId, TaskId},
     state::{Life, LifeId, Record, Run, SubmissionState},
+    waves::MachineId,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -48,8 +52,12 @@
     views: BTreeMap<LifeId, WorkerView>,
     /// What is known of how images disturb each other.
     pub interference: Interference,
+    /// What the advisor has said.
+    pub advice: Advice,
     /// Lasting tasks that wait for room.
     waiting: BTreeMap<TaskId, Waiting>,
+    /// Machines that are emptied for their upkeep, and since when.
+    emptying: BTreeMap<MachineId, Instant>,
 }
 
 impl Fleet {
@@ -62,7 +70,9 @@
             since,
             views: BTreeMap::new(),
             interference: Interference::default(),
+            advice: Advice::default(),
             waiting: BTreeMap::new(),
+            emptying: BTreeMap::new(),
         }
     }
 
@@ -89,6 +99,7 @@
     /// Forgets lives that are over.
     pub fn retain(&mut self, state: &SubmissionState) {
         self.views.retain(|id, _| state.life(*id).is_some());
+        self.advice.retain(state);
     }
 
     /// Notes which lasting tasks found no room in a round, and how long each may
@@ -256,6 +267,14 @@
                     return Some(never_ran(order));
                 }
             }
+            (OrderKind::Start, OrderAnswer::NoTicket) => {
+                run.withdrawn = true;
+                let unsure = run.unsure;
+                self.advice.drop_ticket(order.task.step_id(), id, now);
+                if !unsure {
+                    return Some(never_ran(order));
+                }
+            }
             (OrderKind::Start, OrderAnswer::Refused) if !run.unsure => {
                 view.health.note_stuck(now);
                 return Some(never_ran(order));
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -6,6 +6,7 @@
 //! a task on one life of a worker; it is over only once the worker says so, or
 //! once it surely can't run any more.
 
+pub mod advice;
 pub mod command;
 pub mod fleet;
 pub mod health;
@@ -16,6 +17,7 @@
 pub mod routes;
 pub mod spec;
 pub mod state;
+pub mod waves;
 
 pub use command::{Change, EndHow, Outcome, Placed, RunEnd, WorkerLife};
 pub use fleet::{Fleet, Listed, Observation, OrderKind};
--- a/crates/placement/src/submission/planner/gang.rs
+++ b/crates/placement/src/submission/planner/gang.rs
@@ -1,8 +1,8 @@
 //! Gangs: all tasks of a step at once, or none.
 
 use super::{
-    super::{command::Placed, interference::Interference, spec::TaskId, state::Record},
-    best_seat, hold_room,
+    super::{command::Placed, spec::TaskId, state::Record},
+    Known, best_seat, hold_room,
     seat::{Held, Seat},
 };
 use std::collections::BTreeSet;
@@ -14,7 +14,7 @@
     record: &'a Record,
     first: TaskId,
     seats: &mut [Seat<'a>],
-    known: &Interference,
+    known: Known<'_>,
     wall_ms: u64,
     placed: &mut Vec<Placed>,
 ) {
@@ -40,7 +40,7 @@
         for index in 0..step.count {
             let id = TaskId { index, ..first };
             let Some(seat) = best_seat(record, step, id, &mut tried, known, wall_ms) else { break };
-            seat.take(step, id, known);
+            seat.take(step, id, known.interference);
             members.push(Placed { task: id, attempt, life: seat.id });
         }
         if members.len() == tasks.len() {
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -1,13 +1,16 @@
 //! Which task goes to which worker: queues by priority and objective, steps in
 //! their order, room by processors, memory and accelerators.
 
+mod advised;
 mod gang;
 mod rank;
 mod seat;
 
+pub use advised::{LARGEST_BATCH, question};
 pub use rank::{Prospect, objective_ms, prospect};
 
 use super::{
+    advice::{Advice, Standing},
     command::Placed,
     fleet::Fleet,
     interference::Interference,
@@ -46,11 +49,8 @@
 pub fn plan(state: &SubmissionState, fleet: &mut Fleet, now: Instant, wall_ms: u64) -> Vec<Placed> {
     let mut seats = seats(state, fleet, now);
     let mut waiting = Vec::new();
-    let starving = fleet.starving(STARVING, now);
-    let mut records: Vec<&Record> = state.open().collect();
-    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
     let mut placed = Vec::new();
-    for record in records {
+    for record in ranked(state, fleet, now, wall_ms) {
         place_record(record, &mut seats, fleet, (now, wall_ms), &mut placed, &mut waiting);
         if placed.len() >= MAX_PLACED {
             break;
@@ -60,6 +60,19 @@
     placed
 }
 
+/// Open submissions in the order in which they are placed.
+fn ranked<'a>(
+    state: &'a SubmissionState,
+    fleet: &Fleet,
+    now: Instant,
+    wall_ms: u64,
+) -> Vec<&'a Record> {
+    let starving = fleet.starving(STARVING, now);
+    let mut records: Vec<&Record> = state.open().collect();
+    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
+    records
+}
+
 /// Runs that hardly get on where they are and would disturb nobody elsewhere.
 #[must_use]
 pub fn moves(state: &SubmissionState, fleet: &Fleet, now: Instant) -> Vec<(LifeId, TaskId)> {
@@ -75,7 +88,7 @@
         for task in view.held_back(now) {
             let Some(record) = state.record(task.submission) else { continue };
             let step = &record.spec.steps[usize::from(task.step)];
-            let found = best_seat_of(record, step, task, &seats, &fleet.interference, true);
+            let found = best_seat_of(record, step, task, &seats, Known::of(fleet, now), true);
             if let Some(seat) = found.filter(|i| seats[*i].id != life) {
                 seats[seat].take(step, task, &fleet.interference);
                 moved.push((life, task));
@@ -88,6 +101,26 @@
     moved
 }
 
+/// What is known beside the agreed state when a worker is chosen.
+#[derive(Clone, Copy)]
+struct Known<'k> {
+    interference: &'k Interference,
+    advice: &'k Advice,
+    now: Instant,
+}
+
+impl<'k> Known<'k> {
+    fn of(fleet: &'k Fleet, now: Instant) -> Self {
+        Self { interference: &fleet.interference, advice: &fleet.advice, now }
+    }
+
+    /// Whether the queue's advisor, if it has one, lets the task run there.
+    fn admits(self, record: &Record, task: TaskId, life: LifeId) -> bool {
+        record.policy.advising.is_none()
+            || self.advice.standing(task.step_id(), life, self.now) == Standing::Admitted
+    }
+}
+
 /// A task that is due and has no worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -113,11 +146,8 @@
     let seats = seats(state, fleet, now);
     let widest = seats.iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
     let widest_free = widest.unwrap_or(Resources::ZERO);
-    let starving = fleet.starving(STARVING, now);
-    let mut records: Vec<&Record> = state.open().collect();
-    records.sort_by_cached_key(|r| rank(r, &starving, wall_ms));
     let mut waiting = Vec::new();
-    for record in records {
+    for record in ranked(state, fleet, now, wall_ms) {
         for_each_due(
             record,
             wall_ms,
@@ -185,7 +215,7 @@
     placed: &mut Vec<Placed>,
     waiting: &mut Vec<(TaskId, Duration)>,
 ) {
-    let known = &fleet.interference;
+    let known = Known::of(fleet, now);
     let mut gangs: Vec<TaskId> = Vec::new();
     let wants_copy = |id, run: &Run| fleet.wants_copy(run.life, id, now);
     for_each_due(record, wall_ms, wants_copy, |id, step| {
@@ -208,7 +238,7 @@
             // No other task of the step fits either.
             return false;
         };
-        seat.take(step, id, known);
+        seat.take(step, id, known.interference);
         let attempt = record.task(id).map_or(0, |t| t.attempt) + 1;
         placed.push(Placed { task: id, attempt, life: seat.id });
         true
@@ -245,7 +275,7 @@
     step: &Step,
     task: TaskId,
     seats: &'s mut [Seat<'a>],
-    known: &Interference,
+    known: Known<'_>,
     wall_ms: u64,
 ) -> Option<&'s mut Seat<'a>> {
     let patient = wall_ms < record.at_ms + PATIENCE_MS;
@@ -259,7 +289,7 @@
     step: &Step,
     task: TaskId,
     seats: &[Seat<'_>],
-    known: &Interference,
+    known: Known<'_>,
     patient: bool,
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
@@ -271,12 +301,13 @@
             continue;
         }
         if seat.life.worker.service != record.policy.service
-            || !seat.fits(step, task, known, patient)
+            || !seat.fits(step, task, known.interference, patient)
+            || !known.admits(record, task, seat.id)
         {
             continue;
         }
         let again = if failed_on == Some(seat.id) { FAILED_THERE } else { 0.0 };
-        let score = seat.score(step, task, known) + again;
+        let score = seat.score(step, task, known.interference) + again;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             best = Some((score, i));
         }
--- a/crates/placement/src/submission/planner/seat.rs
+++ b/crates/placement/src/submission/planner/seat.rs
@@ -170,6 +170,23 @@
         !kept && apart && labelled && filled && proven && step.reserved().fits_in(&self.free)
     }
 
+    /// How many tasks of the step have room here.
+    pub(super) fn room_for(&self, step: &Step, task: TaskId) -> usize {
+        let apart = match step.max_per_worker {
+            0 => usize::from(u16::MAX),
+            most => usize::from(most.saturating_sub(self.of_step(task))),
+        };
+        let mut free = self.free;
+        let takes = |_: &usize| match free.checked_sub(&step.reserved()) {
+            Some(left) => {
+                free = left;
+                true
+            }
+            None => false,
+        };
+        (0..apart.min(usize::from(step.count))).take_while(takes).count()
+    }
+
     pub(super) fn has_fill_room(&self, step: &Step) -> bool {
         let left = self.capacity() - self.used;
         self.filled == 0.0 || self.filled + f64::from(step.demand.cpu_millis) <= left * FILL_DEPTH
@@ -204,7 +221,8 @@
 /// The workers that may get work now.
 pub(super) fn seats<'a>(state: &'a SubmissionState, fleet: &Fleet, now: Instant) -> Vec<Seat<'a>> {
     let usable = |(id, life): &(LifeId, &Life)| {
-        !life.worker.draining && fleet.view(*id).is_some_and(|v| v.is_usable(now))
+        let may_fill = !life.worker.draining && !fleet.is_emptied(life);
+        may_fill && fleet.view(*id).is_some_and(|v| v.is_usable(now))
     };
     let seat = |(id, life)| Seat::new(state, fleet, id, life, now);
     state.lives().filter(usable).map(seat).collect()
--- a/crates/placement/src/submission/routes.rs
+++ b/crates/placement/src/submission/routes.rs
@@ -17,6 +17,17 @@
     pub policy: QueuePolicy,
 }
 
+/// How the advisor of a queue answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advising {
+    /// Time that it takes for an answer, in milliseconds.
+    pub decision_ms: u32,
+    /// Time that it takes in addition for each worker named, in milliseconds.
+    pub per_worker_ms: u32,
+    /// How long its tickets are valid, in milliseconds.
+    pub valid_ms: u32,
+}
+
 /// What happens to a queue's submissions.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuePolicy {
@@ -30,8 +41,8 @@
     pub slack_millis: u32,
     /// Added to the objective, in milliseconds.
     pub target_ms: u32,
-    /// Starts need an advisor's ticket.
-    pub advised: bool,
+    /// Starts need a ticket of an advisor that answers like this.
+    pub advising: Option<Advising>,
 }
 
 impl Queue {
--- a/crates/placement/src/submission/spec.rs
+++ b/crates/placement/src/submission/spec.rs
@@ -28,6 +28,33 @@
     pub index: u16,
 }
 
+/// One step of one occurrence of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// The submission.
+    pub submission: SubmissionId,
+    /// Occurrence, counted from 0.
+    pub occurrence: u32,
+    /// Step, counted from 0.
+    pub step: u16,
+}
+
+impl TaskId {
+    /// The step that the task belongs to.
+    #[must_use]
+    pub fn step_id(&self) -> StepId {
+        let Self { submission, occurrence, step, .. } = *self;
+        StepId { submission, occurrence, step }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { submission, occurrence, step } = self;
+        write!(f, "{submission:016x}.{occurrence}.{step}")
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { submission, occurrence, step, index } = self;
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -6,6 +6,7 @@
     interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
+    waves::{Upkeep, Wave, WaveNumber},
 };
 use cyclamenloft_replication::StateMachine;
 use cyclamenloft_types::{AttemptNumber, Error, ErrorKind, LogIndex, Resources, Result, WorkerId};
@@ -156,6 +157,7 @@
     newest: BTreeMap<WorkerId, (LifeId, u64)>,
     next_life: LifeId,
     learned: Vec<LearnedPair>,
+    waves: BTreeMap<WaveNumber, Wave>,
 }
 
 impl SubmissionState {
@@ -177,6 +179,17 @@
         self.records.get(&id)
     }
 
+    /// The waves of upkeep, by number.
+    pub fn waves(&self) -> impl Iterator<Item = &Wave> {
+        self.waves.values()
+    }
+
+    /// The wave with this number.
+    #[must_use]
+    pub fn wave(&self, number: WaveNumber) -> Option<&Wave> {
+        self.waves.get(&number)
+    }
+
     /// All submissions that are remembered.
     pub fn records(&self) -> impl Iterator<Item = (&SubmissionId, &Record)> {
         self.records.iter()
@@ -368,7 +381,11 @@
         let Some(life) = self.lives.get_mut(&p.life) else { return false };
         let elsewhere = task.runs.iter().all(|run| run.life != p.life);
         let free = !task.done && task.runs.len() < most && elsewhere;
-        if !free || p.attempt <= task.attempt || life.worker.draining {
+        let goes_down = life.worker.machine.as_ref().is_some_and(|machine| {
+            let under_way = |w: &Wave| w.machines.get(machine).is_some_and(|u| u.is_under_way());
+            self.waves.values().any(under_way)
+        });
+        if !free || p.attempt <= task.attempt || life.worker.draining || goes_down {
             return false;
         }
         let Some(sum) = life.reserved.checked_add(&reserved) else { return false };
@@ -435,6 +452,19 @@
         Some(end.task.submission)
     }
 
+    fn upkeep(&mut self, wave: WaveNumber, machine: &str, next: Upkeep) -> Outcome {
+        let Some(wave) = self.waves.get_mut(&wave) else { return Outcome::Unknown };
+        match (wave.step(machine, next), next) {
+            // The machine has ended all that ran there.
+            (Some(Upkeep::Ordered { life: Some(life) }), Upkeep::Begun) => {
+                self.end_life(life, &[]);
+                Outcome::Done
+            }
+            (Some(_), _) => Outcome::Done,
+            (None, _) => Outcome::Unknown,
+        }
+    }
+
     fn forget(&mut self, ids: &[SubmissionId]) {
         for id in ids {
             let idle = |r: &Record| {
@@ -467,6 +497,11 @@
             }
             Change::Place(wanted) => self.place(wanted),
             Change::Ended { life, ends } => self.ended(*life, ends),
+            Change::Wave(wave) => {
+                self.waves.entry(wave.number).or_insert_with(|| wave.clone());
+                Outcome::Done
+            }
+            Change::Upkeep { wave, machine, step } => self.upkeep(*wave, machine, *step),
             Change::Learned(pairs) => {
                 self.learned.clone_from(pairs);
                 Outcome::Done
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of submissions to workers that are called.
 
+mod advice;
 mod fleet;
 mod interference;
 mod lease;
@@ -7,4 +8,5 @@
 mod safety;
 mod spec;
 mod state;
+mod waves;
 mod world;
--- /dev/null
+++ b/crates/placement/tests/all/submission/waves.rs
@@ -0,0 +1,130 @@
+//! Waves of upkeep.
+
+use super::world::{Machines, World, step, submission, worker};
+use cyclamenloft_placement::submission::{
+    Change, Phase, Step, TaskId, WorkerLife,
+    waves::{Upkeep, Wave},
+};
+use cyclamenloft_types::Resources;
+use std::collections::BTreeMap;
+
+const NAMES: [&str; 6] = ["wa", "wb", "wc", "wd", "we", "wf"];
+
+fn on_machine(name: &str) -> WorkerLife {
+    WorkerLife { machine: Some(format!("m-{name}").into()), ..worker(name, 4) }
+}
+
+fn wave(names: &[&str], deadline_ms: u64, cap: u16) -> Wave {
+    let machines: BTreeMap<Box<str>, Upkeep> =
+        names.iter().map(|n| (format!("m-{n}").into(), Upkeep::Due)).collect();
+    Wave { number: 1, machines, deadline_ms, cap }
+}
+
+fn world() -> World {
+    let mut w = World::new(NAMES.map(on_machine));
+    w.machines = Some(Machines::default());
+    w
+}
+
+fn lasting(count: u16, most: u16) -> Step {
+    Step {
+        lasting: true,
+        demand: Resources::new(1000, 1000, 0),
+        max_interrupted: Some(most),
+        ..step(count)
+    }
+}
+
+#[test]
+fn every_machine_goes_down_once_and_within_the_cap() {
+    let mut w = world();
+    for id in 1..8 {
+        w.submit(submission(id, vec![step(6)]));
+    }
+    w.apply(Change::Wave(wave(&NAMES, 20_000, 2)));
+    w.run(20_000);
+    let machines = w.machines.as_ref().unwrap();
+    assert!(w.state.wave(1).unwrap().is_complete());
+    assert_eq!(machines.begun.len(), NAMES.len(), "{:?}", machines.begun);
+    assert!(machines.most_down <= 2);
+    assert!((1..8).all(|id| w.phase(id) == Phase::Complete));
+}
+
+/// Short tasks end before their machine goes down, as there is time for it.
+#[test]
+fn short_tasks_are_let_end() {
+    let mut w = world();
+    w.submit(submission(1, vec![step(20)]));
+    w.run(100);
+    w.apply(Change::Wave(wave(&NAMES, 40_000, 1)));
+    w.run(40_000);
+    assert!(w.state.wave(1).unwrap().is_complete());
+    assert_eq!(w.starts.len(), 20, "{:?}", w.starts);
+}
+
+/// A wave without time is carried out all the same.
+#[test]
+fn a_late_wave_does_not_wait() {
+    let mut w = world();
+    w.apply(Change::Wave(wave(&NAMES, 1, 3)));
+    w.run(6_000);
+    assert!(w.state.wave(1).unwrap().is_complete());
+}
+
+/// Of a step's tasks no more are interrupted at once than it bears.
+#[test]
+fn lasting_tasks_move_one_by_one() {
+    let mut w = world();
+    w.submit(submission(1, vec![lasting(8, 1)]));
+    w.run(1_500);
+    w.apply(Change::Wave(wave(&NAMES, 30_000, 2)));
+    let at_work = |w: &World| {
+        let task = |index| TaskId { submission: 1, occurrence: 0, step: 0, index };
+        (0..8).filter(|index| !w.running(task(*index)).is_empty()).count()
+    };
+    assert_eq!(at_work(&w), 8);
+    for _ in 0..6_000 {
+        w.run(5);
+        assert!(at_work(&w) >= 7, "{} of 8 at work", at_work(&w));
+    }
+    assert!(w.state.wave(1).unwrap().is_complete());
+}
+
+/// The next leader goes on with what was agreed; no machine goes down twice.
+#[test]
+fn a_new_leader_goes_on() {
+    let mut w = world();
+    w.apply(Change::Wave(wave(&NAMES, 20_000, 1)));
+    for _ in 0..10 {
+        w.run(1_700);
+        w.elect();
+    }
+    w.run(10_000);
+    assert!(w.state.wave(1).unwrap().is_complete());
+    assert_eq!(w.machines.as_ref().unwrap().begun.len(), NAMES.len());
+}
+
+/// The same wave sent again changes nothing.
+#[test]
+fn a_wave_that_is_sent_again_is_one() {
+    let mut w = world();
+    w.apply(Change::Wave(wave(&["wa"], 20_000, 1)));
+    w.run(8_000);
+    w.apply(Change::Wave(wave(&["wa"], 40_000, 1)));
+    w.run(8_000);
+    assert_eq!(w.machines.as_ref().unwrap().begun.len(), 1);
+}
+
+/// A step that is not allowed is void wherever it is decided.
+#[test]
+fn the_cap_holds_in_the_agreed_state() {
+    let mut w = World::new(NAMES.map(on_machine));
+    w.apply(Change::Wave(wave(&["wa", "wb"], 20_000, 1)));
+    let order = |machine: &str| {
+        let step = Upkeep::Ordered { life: None };
+        Change::Upkeep { wave: 1, machine: machine.into(), step }
+    };
+    w.apply(order("m-wa"));
+    w.apply(order("m-wb"));
+    assert_eq!(w.state.wave(1).unwrap().under_way(), 1);
+}
--- a/crates/placement/tests/all/submission/world.rs
+++ b/crates/placement/tests/all/submission/world/mod.rs
@@ -2,9 +2,15 @@
 //! and attempts as the users' interface states, and a leader that decides on
 //! agreed changes, which take a while to be agreed on.
 
+mod outside;
+mod stand_in;
+
+pub use outside::{Advisor, Machines};
+pub use stand_in::{Path, Worker};
+
 use cyclamenloft_placement::submission::{
-    Change, EndHow, Fleet, LifeId, Listed, Observation, OrderKind, Outcome, Phase, QueueKey,
-    RunEnd, Step, Submission, SubmissionState, TaskId, WorkerLife,
+    Change, Fleet, LifeId, OrderKind, Outcome, Phase, QueueKey, Step, Submission, SubmissionState,
+    TaskId, WorkerLife,
     fleet::{Order, OrderAnswer},
     planner,
     routes::QueuePolicy,
@@ -29,50 +35,6 @@
 /// Time that a step of the world takes.
 const STEP: u64 = 5;
 
-/// What happens to the calls to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Path {
-    /// They are answered.
-    Open,
-    /// They get no answer and are never carried out.
-    Cut,
-    /// They get no answer and are carried out after this many milliseconds.
-    Late(u64),
-}
-
-#[derive(Clone, Debug)]
-struct Running {
-    attempt: u32,
-    left_ms: u64,
-    work_ms: u64,
-    fails: bool,
-    pace: u64,
-    /// It serves until it is stopped.
-    lasts: bool,
-}
-
-/// A stand-in of a worker.
-#[derive(Debug)]
-pub struct Worker {
-    /// What it says of itself.
-    pub life: WorkerLife,
-    /// Whether its process runs.
-    pub up: bool,
-    /// What happens to calls to it.
-    pub path: Path,
-    /// Its tasks fail.
-    pub fails: bool,
-    /// Its tasks stand still.
-    pub stalls: bool,
-    token: u64,
-    lease_end: u64,
-    runs: BTreeMap<TaskId, Running>,
-    ended: Vec<(u64, RunEnd)>,
-    numbered: u64,
-    highest: BTreeMap<TaskId, u32>,
-    late: Vec<(u64, u64, Order, u64)>,
-}
-
 struct InFlight {
     life: LifeId,
     order: Order,
@@ -98,6 +60,10 @@
     looked: BTreeMap<LifeId, u64>,
     acknowledged: BTreeMap<LifeId, u64>,
     index: u64,
+    /// The advisor, where queues have one.
+    pub advisor: Option<Advisor>,
+    /// The machines' service, where there are machines.
+    pub machines: Option<Machines>,
 }
 
 /// A worker with this many cores.
@@ -149,7 +115,7 @@
         max_attempts: 3,
         slack_millis: 2000,
         target_ms: 500,
-        advised: false,
+        advising: None,
     }
 }
 
@@ -170,6 +136,8 @@
             looked: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             index: 0,
+            advisor: None,
+            machines: None,
         };
         for life in workers {
             world.join(life);
@@ -180,20 +148,7 @@
     /// A worker begins a life.
     pub fn join(&mut self, life: WorkerLife) {
         self.apply(Change::Register(life.clone()));
-        let worker = Worker {
-            up: true,
-            path: Path::Open,
-            fails: false,
-            stalls: false,
-            token: 0,
-            lease_end: 0,
-            runs: BTreeMap::new(),
-            ended: Vec::new(),
-            numbered: 0,
-            highest: BTreeMap::new(),
-            late: Vec::new(),
-            life,
-        };
+        let worker = Worker::new(life);
         self.workers.insert(worker.life.id.clone(), worker);
     }
 
@@ -209,8 +164,10 @@
 
     /// Accepts a submission at once.
     pub fn submit(&mut self, submission: Submission) {
+        let advising = self.advisor.as_ref().map(|a| a.advising);
+        let policy = QueuePolicy { advising, ..policy() };
         let at_ms = self.now;
-        self.apply(Change::Submit { submission, policy: policy(), at_ms });
+        self.apply(Change::Submit { submission, policy, at_ms });
     }
 
     /// Agrees on a change at once.
@@ -248,6 +205,8 @@
             self.agree();
             self.receive();
             self.look();
+            self.advise();
+            self.maintain();
             self.decide();
             self.order();
             self.check();
@@ -408,6 +367,11 @@
             }
             let Some(order) = self.fleet.next_order(&self.state, id, now) else { continue };
             let Some(lease_end) = self.fleet.view_mut(id, now).grant(now) else { continue };
+            if order.kind == OrderKind::Start && !self.has_ticket(id, order.task) {
+                let (answer, at) = (OrderAnswer::NoTicket, self.now);
+                self.orders.push(InFlight { life: id, order, answer, at });
+                continue;
+            }
             let (answer, at) = self.send(&life, order, lease_end);
             self.orders.push(InFlight { life: id, order, answer, at });
         }
@@ -429,103 +393,3 @@
         }
     }
 }
-
-impl Worker {
-    /// The process dies; it runs nothing any more.
-    pub fn crash(&mut self) {
-        self.up = false;
-        self.runs.clear();
-        self.late.clear();
-    }
-
-    fn extend(&mut self, now: u64, end: u64) {
-        let longest = now + u64::try_from(LEASE.as_millis()).unwrap();
-        self.lease_end = self.lease_end.max(end.min(longest));
-    }
-
-    fn take(
-        &mut self,
-        now: u64,
-        token: u64,
-        order: Order,
-        lease_end: u64,
-        lasts: bool,
-    ) -> OrderAnswer {
-        if token < self.token {
-            return OrderAnswer::Fenced;
-        }
-        self.token = token;
-        let Order { task, attempt, kind } = order;
-        let running = self.runs.get(&task).is_some_and(|r| r.attempt == attempt);
-        let outdated = self.highest.get(&task).is_some_and(|h| attempt <= *h);
-        match kind {
-            OrderKind::Start if running => OrderAnswer::Taken,
-            OrderKind::Start if outdated => OrderAnswer::Outdated,
-            OrderKind::Start if lease_end <= now => OrderAnswer::Late,
-            OrderKind::Start => {
-                self.extend(now, lease_end);
-                let (left_ms, work_ms, fails) = (500, 500, self.fails);
-                let run = Running { attempt, left_ms, work_ms, fails, pace: 100, lasts };
-                self.runs.insert(task, run);
-                OrderAnswer::Taken
-            }
-            OrderKind::Stop => {
-                self.highest.entry(task).and_modify(|h| *h = attempt.max(*h)).or_insert(attempt);
-                if running {
-                    self.end(task, attempt, EndHow::Stopped);
-                }
-                OrderAnswer::Taken
-            }
-            OrderKind::Pace(percent) => {
-                if let Some(run) = self.runs.get_mut(&task) {
-                    run.pace = u64::from(percent);
-                }
-                OrderAnswer::Taken
-            }
-        }
-    }
-
-    fn end(&mut self, task: TaskId, attempt: u32, how: EndHow) {
-        self.runs.remove(&task);
-        self.highest.entry(task).and_modify(|h| *h = attempt.max(*h)).or_insert(attempt);
-        self.numbered += 1;
-        let end = RunEnd { task, attempt, how, checkpoint: "".into() };
-        self.ended.push((self.numbered, end));
-    }
-
-    /// Lets tasks work.
-    fn progress(&mut self, now: u64) {
-        let lapsed = now > self.lease_end;
-        let mut ended = Vec::new();
-        for (task, run) in &mut self.runs {
-            if lapsed {
-                ended.push((*task, run.attempt, EndHow::Lapsed));
-            } else if !self.stalls {
-                run.left_ms = run.left_ms.saturating_sub(STEP * run.pace / 100);
-                if run.left_ms == 0 && (!run.lasts || run.fails) {
-                    let how = if run.fails { EndHow::Failed } else { EndHow::Done };
-                    ended.push((*task, run.attempt, how));
-                }
-            }
-        }
-        for (task, attempt, how) in ended {
-            self.end(task, attempt, how);
-        }
-    }
-
-    fn observation(&self, now: u64) -> Observation {
-        let listed = |(task, run): (&TaskId, &Running)| Listed {
-            task: *task,
-            attempt: run.attempt,
-            checkpoint: "".into(),
-            percent: u8::try_from(100 - 100 * run.left_ms / run.work_ms).unwrap(),
-            figure: if run.lasts { 5 } else { 1000 },
-        };
-        Observation {
-            born_ms: self.life.born_ms,
-            clock_ms: now,
-            running: self.runs.iter().map(listed).collect(),
-            ended: self.ended.iter().map(|(_, end)| end.clone()).collect(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/placement/tests/all/submission/world/outside.rs
@@ -0,0 +1,144 @@
+//! Stand-ins of the advisor and of the machines' service.
+
+use super::World;
+use cyclamenloft_placement::submission::{
+    Change, LifeId, TaskId, WorkerLife,
+    advice::{Advising, Question},
+    planner,
+    waves::{MachineId, Upkeep, WaveNumber},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// How long a machine is down for its upkeep.
+pub const MAINTENANCE: Duration = Duration::from_secs(2);
+
+/// A stand-in of an advisor that answers one question at a time.
+pub struct Advisor {
+    /// How it answers.
+    pub advising: Advising,
+    /// The workers that it allows.
+    pub approves: BTreeSet<Box<str>>,
+    /// Workers named in each call so far.
+    pub calls: Vec<usize>,
+    open: Option<(u64, Question)>,
+    /// When the tickets that it gave expire.
+    tickets: BTreeMap<Box<str>, u64>,
+}
+
+impl Advisor {
+    /// An advisor that allows these workers.
+    pub fn new<'a>(approves: impl IntoIterator<Item = &'a str>, advising: Advising) -> Self {
+        let approves = approves.into_iter().map(Box::from).collect();
+        Self { advising, approves, calls: Vec::new(), open: None, tickets: BTreeMap::new() }
+    }
+}
+
+/// A stand-in of the machines' service.
+#[derive(Default)]
+pub struct Machines {
+    /// Machines that are down, until when.
+    down: BTreeMap<MachineId, u64>,
+    /// Most machines that were down at once.
+    pub most_down: usize,
+    /// Upkeeps in the order in which they began.
+    pub begun: Vec<MachineId>,
+}
+
+impl World {
+    /// Asks the advisor and takes its answers.
+    pub(super) fn advise(&mut self) {
+        let (now, instant) = (self.now, self.instant());
+        let Some(advisor) = &mut self.advisor else { return };
+        let name = |state: &super::SubmissionState, id: LifeId| {
+            state.life(id).map(|l| l.worker.id.clone())
+        };
+        if let Some((at, question)) = advisor.open.take() {
+            if now < at {
+                advisor.open = Some((at, question));
+                return;
+            }
+            let named = question.lives.iter().filter_map(|id| Some((*id, name(&self.state, *id)?)));
+            let approved: Vec<_> = named.filter(|(_, n)| advisor.approves.contains(n)).collect();
+            let valid = u64::from(advisor.advising.valid_ms);
+            for (_, worker) in &approved {
+                advisor.tickets.insert(worker.clone(), now + valid);
+            }
+            let tickets = approved.into_iter().map(|(id, worker)| (id, worker));
+            let until = instant + Duration::from_millis(valid);
+            self.fleet.advice.note(&question, tickets, until);
+        }
+        let question = planner::question(&self.state, &self.fleet, instant, now);
+        if let Some(question) = question {
+            let count = question.lives.len();
+            assert!(count <= planner::LARGEST_BATCH, "{count} workers in one call");
+            advisor.calls.push(count);
+            let takes = u64::from(advisor.advising.decision_ms)
+                + u64::from(advisor.advising.per_worker_ms) * count as u64;
+            advisor.open = Some((now + takes, question));
+        }
+    }
+
+    /// Whether a start carries a ticket, which then has to be valid.
+    pub(super) fn has_ticket(&self, life: LifeId, task: TaskId) -> bool {
+        let Some(advisor) = &self.advisor else { return true };
+        let ticket = self.fleet.advice.ticket(task.step_id(), life, self.instant());
+        let Some(worker) = ticket else { return false };
+        let until = advisor.tickets.get(worker).copied().unwrap_or(0);
+        assert!(self.now < until, "{task} starts at {} with an expired ticket", self.now);
+        assert!(
+            advisor.approves.contains(worker),
+            "{task} starts on {worker}, which isn't allowed"
+        );
+        true
+    }
+
+    /// Tends the waves: machines go down and come back with a new life.
+    pub(super) fn maintain(&mut self) {
+        let (now, instant) = (self.now, self.instant());
+        let Some(mut machines) = self.machines.take() else { return };
+        for order in self.fleet.tend_waves(&self.state, MAINTENANCE, instant, now) {
+            let step = Upkeep::Ordered { life: order.life };
+            self.step(order.wave, &order.machine, step);
+            self.take_down(&order.machine);
+            machines.begun.push(order.machine.clone());
+            machines.down.insert(order.machine.clone(), now + 2_000);
+            self.step(order.wave, &order.machine, Upkeep::Begun);
+        }
+        machines.most_down = machines.most_down.max(machines.down.len());
+        let back: Vec<MachineId> =
+            machines.down.iter().filter(|(_, at)| **at <= now).map(|(m, _)| m.clone()).collect();
+        for machine in back {
+            machines.down.remove(&machine);
+            self.bring_back(&machine);
+            let waves: Vec<WaveNumber> = self.state.waves().map(|w| w.number).collect();
+            for wave in waves {
+                self.step(wave, &machine, Upkeep::Done);
+            }
+        }
+        self.machines = Some(machines);
+    }
+
+    fn step(&mut self, wave: WaveNumber, machine: &MachineId, step: Upkeep) {
+        self.apply(Change::Upkeep { wave, machine: machine.clone(), step });
+    }
+
+    fn take_down(&mut self, machine: &MachineId) {
+        let on = |life: &WorkerLife| life.machine.as_ref() == Some(machine);
+        for worker in self.workers.values_mut().filter(|w| on(&w.life)) {
+            worker.crash();
+            worker.up = false;
+        }
+    }
+
+    fn bring_back(&mut self, machine: &MachineId) {
+        let on = |life: &WorkerLife| life.machine.as_ref() == Some(machine);
+        let lives: Vec<WorkerLife> =
+            self.workers.values().map(|w| w.life.clone()).filter(on).collect();
+        for life in lives {
+            self.join(WorkerLife { born_ms: self.now + 1, ..life });
+        }
+    }
+}
