--- a/crates/placement/tests/all/submission/world/outside.rs
+++ b/crates/placement/tests/all/submission/world/outside.rs
@@ -66,7 +66,7 @@
             for (_, worker) in &approved {
                 advisor.tickets.insert(worker.clone(), now + valid);
             }
-            let tickets = approved.into_iter().map(|(id, worker)| (id, worker));
+            let tickets = approved;
             let until = instant + Duration::from_millis(valid);
             self.fleet.advice.note(&question, tickets, until);
         }
