--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -340,6 +340,15 @@
 
 /// The wall clock, in milliseconds since 1970.
 pub fn wall_ms() -> u64 {
+    fail::fail_point!("wall-clock", |step: Option<String>| {
+        // A test moves the clock by this many milliseconds.
+        let step = step.and_then(|s| s.parse().ok()).unwrap_or(0);
+        true_wall_ms().saturating_add_signed(step)
+    });
+    true_wall_ms()
+}
+
+fn true_wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
