Fill work is placed by what serving tasks bear at their highest load

Cause: a serving task's load swings by four within ten seconds.

Change: each serving task's highest undisturbed tail is remembered and fades; placing and moving go by the budget that it leaves. Pacing goes by the present tail as before.

Tests: submission::interference::fill_work_is_not_placed_for_a_moment_of_low_load fails with the old budget.

--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -23,6 +23,9 @@
 const FILL_STUCK_AFTER: Duration = Duration::from_millis(4000);
 /// Part of a rise of an undisturbed tail that is believed at once.
 const BASE_RISE: f64 = 0.7;
+/// Fall of a remembered peak in a second, in the tail's logarithm: load swings
+/// with a period of ten seconds.
+const PEAK_FALL: f64 = 0.03;
 /// Part of a fall of an undisturbed tail that is believed at once.
 const BASE_FALL: f64 = 0.4;
 
@@ -49,6 +52,8 @@
     pub(super) wanted_pace: Pace,
     /// Logarithm of the tail without tasks that fill, of a serving task.
     pub(super) base_ln: Option<f64>,
+    /// Highest that `base_ln` was lately.
+    pub(super) peak_ln: Option<(f64, Instant)>,
     /// Since when the tail is over its target.
     pub(super) over_since: Option<Instant>,
     pub(super) not_before: Instant,
@@ -70,6 +75,7 @@
             pace: 100,
             wanted_pace: Pace::default(),
             base_ln: None,
+            peak_ln: None,
             over_since: None,
             not_before: now,
         }
@@ -132,7 +138,13 @@
         let known = self.base_ln.unwrap_or(base);
         // A base that rises is believed faster than one that falls.
         let gain = if base > known { BASE_RISE } else { BASE_FALL };
-        self.base_ln = Some(known + gain * (base - known));
+        let base = known + gain * (base - known);
+        self.base_ln = Some(base);
+        let faded = |(peak, at): (f64, Instant)| {
+            peak - PEAK_FALL * now.saturating_duration_since(at).as_secs_f64()
+        };
+        let peak = self.peak_ln.map_or(base, |peak| faded(peak).max(base));
+        self.peak_ln = Some((peak, now));
         if self.figure > target_ms {
             self.over_since.get_or_insert(now);
         } else {
--- a/crates/placement/src/submission/fleet/tails.rs
+++ b/crates/placement/src/submission/fleet/tails.rs
@@ -101,7 +101,12 @@
             let base_ln = run.base_ln.unwrap_or(target_ln + UNKNOWN_BASE.ln());
             Some((
                 step.image.as_deref().unwrap_or_default(),
-                Victim { base_ln, target_ln, over_for },
+                Victim {
+                    base_ln,
+                    peak_ln: run.peak_ln.map_or(base_ln, |(peak, _)| peak),
+                    target_ln,
+                    over_for,
+                },
             ))
         };
         self.runs.iter().filter_map(victim).collect()
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -30,6 +30,8 @@
 pub struct Victim {
     /// Logarithm of the tail without the tasks that fill.
     pub base_ln: f64,
+    /// Highest that this was lately, as load swings.
+    pub peak_ln: f64,
     /// Logarithm of the target.
     pub target_ln: f64,
     /// How long the tail has been over its target.
@@ -42,6 +44,13 @@
     pub fn budget(&self) -> f64 {
         (self.target_ln + TAIL_SHARE.ln() - self.base_ln).max(0.0)
     }
+
+    /// The same where the load is at its highest: what tasks that are placed
+    /// beside it may add for long.
+    #[must_use]
+    pub fn lasting_budget(&self) -> f64 {
+        (self.target_ln + TAIL_SHARE.ln() - self.peak_ln.max(self.base_ln)).max(0.0)
+    }
 }
 
 /// The share at which a fill task may work, in percent. `pressures` has, for
--- a/crates/placement/src/submission/planner/seat.rs
+++ b/crates/placement/src/submission/planner/seat.rs
@@ -75,7 +75,10 @@
             filled: 0.0,
             victims: view.map_or_else(Vec::new, |v| {
                 let victims = v.victims(state, now);
-                victims.into_iter().map(|(image, victim)| (image, victim.budget())).collect()
+                victims
+                    .into_iter()
+                    .map(|(image, victim)| (image, victim.lasting_budget()))
+                    .collect()
             }),
             lasting: BTreeMap::new(),
             spread: BTreeMap::new(),
--- a/crates/placement/tests/all/submission/interference.rs
+++ b/crates/placement/tests/all/submission/interference.rs
@@ -1,9 +1,13 @@
 //! Learning how images disturb each other, and pacing by it.
 
+use super::world::{World, step, submission, worker};
 use cyclamenloft_placement::submission::{
+    Change, Fleet, Listed, Observation, Placed, Step, TaskId,
     interference::Interference,
     pacing::{Pace, Victim, share},
+    planner,
 };
+use cyclamenloft_types::Resources;
 use std::time::{Duration, Instant};
 
 /// Feeds tails that follow the true weights, with a swing of their own.
@@ -63,6 +67,7 @@
 fn victim(base_ms: f64, over_ms: u64) -> Victim {
     Victim {
         base_ln: base_ms.ln(),
+        peak_ln: base_ms.ln(),
         target_ln: 18f64.ln(),
         over_for: Duration::from_millis(over_ms),
     }
@@ -105,3 +110,45 @@
     assert!(!pace.is_held_back(now + Duration::from_millis(900)));
     assert!(pace.is_held_back(now + Duration::from_millis(1_300)));
 }
+
+/// Runs placed for a task that fills, beside a serving task whose tail was seen
+/// at these values, the last one just now.
+fn placed_beside(tails_ms: &[u32]) -> usize {
+    let serving =
+        Step { lasting: true, image: Some("serving".into()), target_ms: Some(18), ..step(1) };
+    let demand = Resources::new(2_000, 1_000, 0);
+    let fill = Step { fills: true, image: Some("loud".into()), demand, ..step(1) };
+    let mut w = World::new([worker("wa", 8)]);
+    w.submit(submission(1, vec![serving]));
+    let task = TaskId { submission: 1, occurrence: 0, step: 0, index: 0 };
+    w.apply(Change::Place(vec![Placed { task, attempt: 1, life: 1 }]));
+    let begin = Instant::now();
+    let mut fleet = Fleet::new(Duration::from_secs(3), begin);
+    let mut now = begin;
+    for (tick, tail_ms) in tails_ms.iter().enumerate() {
+        now = begin + Duration::from_millis(500) * u32::try_from(tick).unwrap();
+        let listed =
+            Listed { task, attempt: 1, checkpoint: "".into(), percent: 100, figure: *tail_ms };
+        let seen = Observation { born_ms: 1, clock_ms: 0, running: vec![listed], ended: vec![] };
+        fleet.observe(&w.state, 1, &seen, now, now);
+    }
+    w.submit(submission(2, vec![fill]));
+    planner::plan(&w.state, &mut fleet, now, 0).len()
+}
+
+/// Load that swings: a task that fills has to be borne also where it is highest,
+/// or it would be held soon after its start.
+#[test]
+fn fill_work_is_not_placed_for_a_moment_of_low_load() {
+    let swings: Vec<u32> = [4, 6, 9, 12, 14, 14, 12, 9, 6, 4, 4, 4, 4].into();
+    assert_eq!(placed_beside(&swings), 0);
+    assert_eq!(placed_beside(&[4; 13]), 1, "the load is always low");
+}
+
+/// A peak is not held against a worker for ever.
+#[test]
+fn a_peak_of_long_ago_is_forgotten() {
+    let calm = std::iter::repeat_n(4, 120);
+    let tails: Vec<u32> = [4, 14, 14, 4].into_iter().chain(calm).collect();
+    assert_eq!(placed_beside(&tails), 1);
+}
