--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -97,11 +97,14 @@
             Ok(leadership) => round(&node, &leadership).await,
             Err(e) => Err(e),
         };
-        if let Err(e) = led {
-            tracing::info!(event = "round-failed", error = %e);
-            compio::time::sleep(FOLLOW_PAUSE).await;
-            continue;
-        }
+        let planned = match led {
+            Ok(planned) => planned,
+            Err(e) => {
+                tracing::info!(event = "round-failed", error = %e);
+                compio::time::sleep(FOLLOW_PAUSE).await;
+                continue;
+            }
+        };
         if now >= housekeeping {
             housekeeping = now + HOUSEKEEPING;
             watch.maintain(&node, now).await;
@@ -109,7 +112,8 @@
             keep_learned(&node).await;
             forget(&node).await;
         }
-        compio::time::sleep(GATHER).await;
+        // Planning takes at most a third of the time, however many workers.
+        compio::time::sleep(GATHER.max(planned * 2)).await;
         let _ = compio::time::timeout(TICK, node.due.changed(seen)).await;
     }
 }
@@ -129,13 +133,15 @@
 /// Tells of the tasks that wait, the most important first.
 fn log_waiting<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
-    let waiting =
-        node.state(|s| planner::waiting(s, &leadership.fleet.borrow(), Instant::now(), wall_ms()));
-    node.metrics.level("waiting", waiting.len());
-    for w in waiting.iter().take(WAITING_LINES) {
+    let (count, first) = node.state(|s| {
+        let fleet = leadership.fleet.borrow();
+        planner::waiting(s, &fleet, WAITING_LINES, Instant::now(), wall_ms())
+    });
+    node.metrics.level("waiting", count);
+    for w in first {
         tracing::info!(
             decision = "wait", task = %w.task, waited_ms = w.waited_ms, need = %w.need,
-            widest_free = %w.widest_free, usable = w.usable, roomy = w.roomy, fills = w.fills, waiting = waiting.len(),
+            widest_free = %w.widest_free, usable = w.usable, roomy = w.roomy, fills = w.fills, waiting = count,
             outcome = "no-room"
         );
     }
@@ -158,7 +164,8 @@
     Ok(fresh)
 }
 
-async fn round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+/// One round; gives how long the planning took.
+async fn round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<Duration> {
     tend_lines(node, leadership);
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().condemn(s, now));
@@ -192,17 +199,18 @@
     }
 }
 
-async fn place<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<()> {
+async fn place<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<Duration> {
     let began = Instant::now();
     let wanted = node
         .state(|s| planner::plan(s, &mut leadership.fleet.borrow_mut(), Instant::now(), wall_ms()));
-    node.metrics.time("plan", began.elapsed());
+    let planned = began.elapsed();
+    node.metrics.time("plan", planned);
     if wanted.is_empty() {
-        return Ok(());
+        return Ok(planned);
     }
     let asked = wanted.len();
     let Outcome::Placed(placed) = node.propose(Change::Place(wanted)).await? else {
-        return Ok(());
+        return Ok(planned);
     };
     let commit_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
     for p in &placed {
@@ -216,7 +224,7 @@
     }
     node.metrics.count_many("place", "placed", placed.len() as u64);
     node.metrics.count_many("place", "void", (asked - placed.len()) as u64);
-    Ok(())
+    Ok(planned)
 }
 
 /// Starts a line to each life that is new and ends those of lives that are over.
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -3,6 +3,7 @@
 
 mod advised;
 mod gang;
+mod pick;
 mod rank;
 mod seat;
 
@@ -19,6 +20,7 @@
 };
 use cyclamenloft_types::Resources;
 use gang::place_gang;
+use pick::{Misfits, Picker};
 use rank::rank;
 use seat::{Held, Seat, seats};
 use std::time::{Duration, Instant};
@@ -50,8 +52,10 @@
     let mut seats = seats(state, fleet, now);
     let mut waiting = Vec::new();
     let mut placed = Vec::new();
+    let mut misfits = Misfits::default();
     for record in ranked(state, fleet, now, wall_ms) {
-        place_record(record, &mut seats, fleet, (now, wall_ms), &mut placed, &mut waiting);
+        let round = (now, wall_ms, &mut misfits);
+        place_record(record, &mut seats, fleet, round, &mut placed, &mut waiting);
         if placed.len() >= MAX_PLACED {
             break;
         }
@@ -140,19 +144,29 @@
     pub fills: bool,
 }
 
-/// The tasks that are due and have no worker, the most important first.
+/// How many tasks are due and have no worker, and the `most` important of them.
 #[must_use]
-pub fn waiting(state: &SubmissionState, fleet: &Fleet, now: Instant, wall_ms: u64) -> Vec<Waiting> {
+pub fn waiting(
+    state: &SubmissionState,
+    fleet: &Fleet,
+    most: usize,
+    now: Instant,
+    wall_ms: u64,
+) -> (usize, Vec<Waiting>) {
     let seats = seats(state, fleet, now);
     let widest = seats.iter().map(|s| s.free).max_by_key(|f| f.cpu_millis);
     let widest_free = widest.unwrap_or(Resources::ZERO);
-    let mut waiting = Vec::new();
+    let (mut count, mut waiting) = (0, Vec::new());
     for record in ranked(state, fleet, now, wall_ms) {
         for_each_due(
             record,
             wall_ms,
             |_, _| false,
             |task, step| {
+                count += 1;
+                if waiting.len() >= most {
+                    return true;
+                }
                 waiting.push(Waiting {
                     task,
                     waited_ms: wall_ms.saturating_sub(record.at_ms),
@@ -166,7 +180,7 @@
             },
         );
     }
-    waiting
+    (count, waiting)
 }
 
 /// Calls `take` for each task that is due and doesn't run, or whose only run
@@ -211,19 +225,22 @@
     record: &'a Record,
     seats: &mut [Seat<'a>],
     fleet: &Fleet,
-    (now, wall_ms): (Instant, u64),
+    (now, wall_ms, misfits): (Instant, u64, &mut Misfits),
     placed: &mut Vec<Placed>,
     waiting: &mut Vec<(TaskId, Duration)>,
 ) {
     let known = Known::of(fleet, now);
     let mut gangs: Vec<TaskId> = Vec::new();
     let wants_copy = |id, run: &Run| fleet.wants_copy(run.life, id, now);
+    let mut picker: Option<Picker> = None;
     for_each_due(record, wall_ms, wants_copy, |id, step| {
         if step.gang {
             gangs.push(TaskId { index: 0, ..id });
             return false;
         }
-        let Some(seat) = best_seat(record, step, id, seats, known, wall_ms) else {
+        let wanted = (id, step);
+        let picked = Picker::pick(&mut picker, misfits, record, wanted, seats, (known, wall_ms));
+        let Some(picked) = picked else {
             if step.lasting {
                 let restarts = record.task(id).is_some_and(|t| t.attempt > 0);
                 let patience = if restarts { Duration::ZERO } else { FIRST_START_PATIENCE };
@@ -238,9 +255,12 @@
             // No other task of the step fits either.
             return false;
         };
-        seat.take(step, id, known.interference);
+        seats[picked].take(step, id, known.interference);
+        if let Some(picker) = &mut picker {
+            picker.took(record, wanted, seats, picked, known);
+        }
         let attempt = record.task(id).map_or(0, |t| t.attempt) + 1;
-        placed.push(Placed { task: id, attempt, life: seat.id });
+        placed.push(Placed { task: id, attempt, life: seats[picked].id });
         true
     });
     for first in gangs {
--- /dev/null
+++ b/crates/placement/src/submission/planner/pick.rs
@@ -0,0 +1,182 @@
+//! Picks workers for the tasks of one step without looking at every worker for
+//! every task: only the worker that was picked last has changed meanwhile.
+
+use super::{
+    super::{
+        routes::QueuePolicy,
+        spec::{Step, TaskId},
+        state::Record,
+    },
+    Known, PATIENCE_MS, best_seat_of,
+    seat::Seat,
+};
+use std::{cmp::Ordering, collections::BinaryHeap};
+
+/// A worker that fits, by its score; the lowest is the greatest.
+struct Candidate {
+    score: f64,
+    seat: usize,
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.score.total_cmp(&self.score).then(other.seat.cmp(&self.seat))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Candidate {}
+
+/// A shape of tasks that found no worker in this round.
+struct Misfit {
+    policy: QueuePolicy,
+    step: Step,
+    /// Also workers that bear it badly were tried.
+    tried_all: bool,
+}
+
+impl Misfit {
+    /// Whether a step needs at least what this one did: workers only get fuller
+    /// during a round.
+    fn covers(&self, record: &Record, step: &Step, patient: bool) -> bool {
+        let policy = &record.policy;
+        self.policy.service == policy.service
+            && (self.tried_all || patient)
+            && self.step.fills == step.fills
+            && self.step.lasting == step.lasting
+            && self.step.image == step.image
+            && (self.step.label.is_none() || self.step.label == step.label)
+            && self.step.max_per_worker == 0
+            && self.step.demand.fits_in(&step.demand)
+    }
+}
+
+/// What found no worker in this round.
+#[derive(Default)]
+pub(super) struct Misfits(Vec<Misfit>);
+
+impl Misfits {
+    fn covers(&self, record: &Record, step: &Step, patient: bool) -> bool {
+        self.0.iter().any(|m| m.covers(record, step, patient))
+    }
+
+    fn note(&mut self, record: &Record, step: &Step, tried_all: bool) {
+        // Who may run an advised step differs from step to step.
+        if record.policy.advising.is_none() {
+            let (policy, step) = (record.policy.clone(), step.clone());
+            self.0.push(Misfit { policy, step, tried_all });
+        }
+    }
+}
+
+/// The workers that fit the tasks of one step.
+pub(super) struct Picker {
+    step: (u32, u16),
+    candidates: BinaryHeap<Candidate>,
+}
+
+impl Picker {
+    fn new(
+        record: &Record,
+        step: &Step,
+        task: TaskId,
+        seats: &[Seat<'_>],
+        known: Known<'_>,
+    ) -> Self {
+        let candidates =
+            (0..seats.len()).filter_map(|i| candidate(record, step, task, seats, i, known));
+        Self { step: (task.occurrence, task.step), candidates: candidates.collect() }
+    }
+
+    /// Picks the best worker for a task; the one that was picked before has to
+    /// have taken its task.
+    pub(super) fn pick(
+        picker: &mut Option<Self>,
+        misfits: &mut Misfits,
+        record: &Record,
+        (task, step): (TaskId, &Step),
+        seats: &[Seat<'_>],
+        (known, wall_ms): (Known<'_>, u64),
+    ) -> Option<usize> {
+        let patient = wall_ms < record.at_ms + PATIENCE_MS;
+        let state = record.task(task);
+        // A task with a run or a failure may not go everywhere.
+        if state.is_some_and(|t| !t.runs.is_empty() || t.failed_on.is_some()) {
+            return best_seat_of(record, step, task, seats, known, true).or_else(|| {
+                (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?
+            });
+        }
+        if misfits.covers(record, step, patient) {
+            return None;
+        }
+        let ours = |p: &Self| p.step == (task.occurrence, task.step);
+        if !picker.as_ref().is_some_and(ours) {
+            *picker = Some(Self::new(record, step, task, seats, known));
+        }
+        let best = picker.as_mut().and_then(|p| p.best(record, (task, step), seats, known));
+        let found = best.or_else(|| {
+            (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?
+        });
+        if found.is_none() {
+            misfits.note(record, step, !patient);
+        }
+        found
+    }
+
+    /// The best candidate, as it is now: a task that was placed by another way
+    /// may have changed it.
+    fn best(
+        &mut self,
+        record: &Record,
+        (task, step): (TaskId, &Step),
+        seats: &[Seat<'_>],
+        known: Known<'_>,
+    ) -> Option<usize> {
+        while let Some(known_before) = self.candidates.pop() {
+            match candidate(record, step, task, seats, known_before.seat, known) {
+                Some(c) if c.score > known_before.score => self.candidates.push(c),
+                Some(c) => return Some(c.seat),
+                None => {}
+            }
+        }
+        None
+    }
+
+    /// Notes that the worker has taken a task of the step.
+    pub(super) fn took(
+        &mut self,
+        record: &Record,
+        (task, step): (TaskId, &Step),
+        seats: &[Seat<'_>],
+        seat: usize,
+        known: Known<'_>,
+    ) {
+        self.candidates.extend(candidate(record, step, task, seats, seat, known));
+    }
+}
+
+fn candidate(
+    record: &Record,
+    step: &Step,
+    task: TaskId,
+    seats: &[Seat<'_>],
+    at: usize,
+    known: Known<'_>,
+) -> Option<Candidate> {
+    let seat = &seats[at];
+    let fits = seat.life.worker.service == record.policy.service
+        && seat.fits(step, task, known.interference, true)
+        && known.admits(record, task, seat.id);
+    fits.then(|| Candidate { score: seat.score(step, task, known.interference), seat: at })
+}
--- a/crates/placement/tests/all/submission/patterns.rs
+++ b/crates/placement/tests/all/submission/patterns.rs
@@ -2,8 +2,8 @@
 
 use super::world::{Path, World, policy, step, submission, worker};
 use cyclamenloft_placement::submission::{
-    Change, Phase, Step, TaskId, WorkerLife,
-    planner::{Prospect, objective_ms, prospect},
+    Change, Outcome, Phase, Step, TaskId, WorkerLife,
+    planner::{self, Prospect, objective_ms, prospect},
     routes::QueuePolicy,
 };
 use cyclamenloft_types::Resources;
@@ -306,3 +306,36 @@
     }
     assert_eq!(w.phase(1), Phase::Complete);
 }
+
+/// A wide step with one task that has failed somewhere: what is planned fits,
+/// whichever way each task's worker was picked.
+#[test]
+fn a_failed_task_among_others_of_its_step() {
+    let mut w = World::new([worker("wa", 3), worker("wb", 3)]);
+    w.worker("wa").fails = true;
+    w.submit(submission(1, vec![step(6)]));
+    w.run(700);
+    w.worker("wa").fails = false;
+    let now = w.instant();
+    let planned = planner::plan(&w.state, &mut w.fleet, now, 700);
+    let asked = planned.len();
+    match w.apply(Change::Place(planned)) {
+        Outcome::Placed(placed) => assert_eq!(placed.len(), asked),
+        other => panic!("{other:?}"),
+    }
+    w.run(15_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+}
+
+/// Tasks of a step go to the tightest rooms one by one, as if each had been
+/// picked alone.
+#[test]
+fn a_wide_step_fills_one_room_before_the_next() {
+    let mut w = World::new([worker("wa", 5), worker("wbb", 2), worker("wccc", 3)]);
+    w.run(300);
+    w.submit(submission(1, vec![step(6)]));
+    let now = w.instant();
+    let planned = planner::plan(&w.state, &mut w.fleet, now, 300);
+    let on = |life| planned.iter().filter(|p| p.life == life).count();
+    assert_eq!((on(1), on(2), on(3)), (5, 1, 0));
+}
