No submission stands still beside free room

Change: where 40% of a service's processors are free, one task of a submission of which nothing runs is placed where it disturbs least, however little is borne; pacing protects the serving tasks beside it.

Test first: submission::interference::a_submission_does_not_stand_still_beside_free_room.

--- a/crates/placement/src/submission/planner/advised.rs
+++ b/crates/placement/src/submission/planner/advised.rs
@@ -9,7 +9,7 @@
         state::{LifeId, Record, SubmissionState},
     },
     for_each_due, ranked,
-    seat::{Seat, seats},
+    seat::{Borne, Seat, seats},
 };
 use std::{collections::BTreeMap, time::Instant};
 
@@ -68,7 +68,7 @@
     let known = &fleet.interference;
     let fitting = || {
         let serves = |s: &&Seat<'_>| s.life.worker.service == record.policy.service;
-        seats.iter().filter(serves).filter(|s| s.fits(step, task, known, true))
+        seats.iter().filter(serves).filter(|s| s.fits(step, task, known, Borne::Wholly))
     };
     let admitted = fitting().filter(|s| standing(&fleet.advice, s) == Standing::Admitted);
     let room: usize = admitted.map(|s| s.room_for(step, task)).sum();
--- a/crates/placement/src/submission/planner/gang.rs
+++ b/crates/placement/src/submission/planner/gang.rs
@@ -39,9 +39,9 @@
         let mut members = Vec::with_capacity(tasks.len());
         for index in 0..step.count {
             let id = TaskId { index, ..first };
-            let Some(seat) = best_seat(record, step, id, &mut tried, known, wall_ms) else { break };
-            seat.take(step, id, known.interference);
-            members.push(Placed { task: id, attempt, life: seat.id });
+            let Some(seat) = best_seat(record, step, id, &tried, known, wall_ms) else { break };
+            tried[seat].take(step, id, known.interference);
+            members.push(Placed { task: id, attempt, life: tried[seat].id });
         }
         if members.len() == tasks.len() {
             for seat in tried {
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -22,7 +22,7 @@
 use gang::place_gang;
 use pick::{Misfits, Picker};
 use rank::rank;
-use seat::{Held, Seat, seats};
+use seat::{Borne, Held, Seat, seats};
 use std::time::{Duration, Instant};
 
 /// Most runs that one round places, so that one entry of the log stays small.
@@ -31,6 +31,9 @@
 /// Time after which a task that fills is placed where it is borne worst, so that
 /// it is at least slowed there rather than never started.
 const PATIENCE_MS: u64 = 6_000;
+/// Part of a service's processors that is free, in percent, from which on no
+/// submission may stand still: the users count from half on.
+const SLACK_PERCENT: u64 = 40;
 /// Most runs that are moved in one round.
 const MAX_MOVES: usize = 8;
 
@@ -92,7 +95,8 @@
         for task in view.held_back(now) {
             let Some(record) = state.record(task.submission) else { continue };
             let step = &record.spec.steps[usize::from(task.step)];
-            let found = best_seat_of(record, step, task, &seats, Known::of(fleet, now), true);
+            let found =
+                best_seat_of(record, step, task, &seats, Known::of(fleet, now), Borne::Wholly);
             if let Some(seat) = found.filter(|i| seats[*i].id != life) {
                 seats[seat].take(step, task, &fleet.interference);
                 moved.push((life, task));
@@ -239,7 +243,8 @@
             return false;
         }
         let wanted = (id, step);
-        let picked = Picker::pick(&mut picker, misfits, record, wanted, seats, (known, wall_ms));
+        let picked = Picker::pick(&mut picker, misfits, record, wanted, seats, (known, wall_ms))
+            .or_else(|| last_resort(record, wanted, seats, known, placed, wall_ms));
         let Some(picked) = picked else {
             if step.lasting {
                 let restarts = record.task(id).is_some_and(|t| t.attempt > 0);
@@ -290,18 +295,45 @@
     }
 }
 
-fn best_seat<'s, 'a>(
+fn best_seat(
     record: &Record,
     step: &Step,
     task: TaskId,
-    seats: &'s mut [Seat<'a>],
+    seats: &[Seat<'_>],
     known: Known<'_>,
     wall_ms: u64,
-) -> Option<&'s mut Seat<'a>> {
+) -> Option<usize> {
     let patient = wall_ms < record.at_ms + PATIENCE_MS;
-    best_seat_of(record, step, task, seats, known, true)
-        .or_else(|| (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?)
-        .map(|i| &mut seats[i])
+    let seek = |borne| best_seat_of(record, step, task, seats, known, borne);
+    seek(Borne::Wholly).or_else(|| (!patient).then(|| seek(Borne::Alone))?)
+}
+
+/// The worker for one task of a submission of which nothing runs, though half of
+/// its service's room is free: it may be slowed there, but it doesn't stand
+/// still beside free room.
+fn last_resort(
+    record: &Record,
+    (task, step): (TaskId, &Step),
+    seats: &[Seat<'_>],
+    known: Known<'_>,
+    placed: &[Placed],
+    wall_ms: u64,
+) -> Option<usize> {
+    let runs = record.tasks.iter().flatten().flatten().any(|t| !t.runs.is_empty())
+        || placed.iter().rev().any(|p| p.task.submission == task.submission);
+    if !step.fills || runs || wall_ms < record.at_ms + PATIENCE_MS {
+        return None;
+    }
+    let of_service = seats.iter().filter(|s| s.life.worker.service == record.policy.service);
+    let (mut free, mut whole) = (0, 0);
+    for seat in of_service {
+        free += u64::from(seat.free.cpu_millis);
+        whole += u64::from(seat.life.worker.capacity.cpu_millis);
+    }
+    if free * 100 < whole * SLACK_PERCENT {
+        return None;
+    }
+    best_seat_of(record, step, task, seats, known, Borne::Anyhow)
 }
 
 fn best_seat_of(
@@ -310,7 +342,7 @@
     task: TaskId,
     seats: &[Seat<'_>],
     known: Known<'_>,
-    patient: bool,
+    borne: Borne,
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
     // A lasting task has attempts without end, and stays with its image.
@@ -321,7 +353,7 @@
             continue;
         }
         if seat.life.worker.service != record.policy.service
-            || !seat.fits(step, task, known.interference, patient)
+            || !seat.fits(step, task, known.interference, borne)
             || !known.admits(record, task, seat.id)
         {
             continue;
--- a/crates/placement/src/submission/planner/pick.rs
+++ b/crates/placement/src/submission/planner/pick.rs
@@ -7,8 +7,8 @@
         spec::{Step, TaskId},
         state::Record,
     },
-    Known, PATIENCE_MS, best_seat_of,
-    seat::Seat,
+    Known, PATIENCE_MS, best_seat, best_seat_of,
+    seat::{Borne, Seat},
 };
 use std::{cmp::Ordering, collections::BinaryHeap};
 
@@ -113,9 +113,7 @@
         let state = record.task(task);
         // A task with a run or a failure may not go everywhere.
         if state.is_some_and(|t| !t.runs.is_empty() || t.failed_on.is_some()) {
-            return best_seat_of(record, step, task, seats, known, true).or_else(|| {
-                (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?
-            });
+            return best_seat(record, step, task, seats, known, wall_ms);
         }
         if misfits.covers(record, step, patient) {
             return None;
@@ -125,9 +123,8 @@
             *picker = Some(Self::new(record, step, task, seats, known));
         }
         let best = picker.as_mut().and_then(|p| p.best(record, (task, step), seats, known));
-        let found = best.or_else(|| {
-            (!patient).then(|| best_seat_of(record, step, task, seats, known, false))?
-        });
+        let alone = || best_seat_of(record, step, task, seats, known, Borne::Alone);
+        let found = best.or_else(|| (!patient).then(alone)?);
         if found.is_none() {
             misfits.note(record, step, !patient);
         }
@@ -176,7 +173,7 @@
 ) -> Option<Candidate> {
     let seat = &seats[at];
     let fits = seat.life.worker.service == record.policy.service
-        && seat.fits(step, task, known.interference, true)
+        && seat.fits(step, task, known.interference, Borne::Wholly)
         && known.admits(record, task, seat.id);
     fits.then(|| Candidate { score: seat.score(step, task, known.interference), seat: at })
 }
--- a/crates/placement/src/submission/planner/seat.rs
+++ b/crates/placement/src/submission/planner/seat.rs
@@ -31,6 +31,17 @@
     All,
 }
 
+/// What serving tasks have to bear for a task that fills to go beside them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Borne {
+    /// All that it adds to their tails.
+    Wholly,
+    /// That, or nothing else fills the worker, so that it alone is slowed.
+    Alone,
+    /// Nothing: it may be held for as long as their load is high.
+    Anyhow,
+}
+
 /// A worker as the planner fills it during one round.
 #[derive(Clone)]
 pub(super) struct Seat<'a> {
@@ -154,16 +165,19 @@
         step: &Step,
         task: TaskId,
         known: &Interference,
-        patient: bool,
+        borne: Borne,
     ) -> bool {
         let apart = step.max_per_worker == 0 || self.of_step(task) < step.max_per_worker;
         let labelled = step
             .label
             .as_ref()
             .is_none_or(|label| self.life.worker.labels.iter().any(|l| l == label));
-        let filled = !step.fills
-            || self.has_fill_room(step)
-                && (self.pressure(step, known).1 || (!patient && self.filled == 0.0));
+        let bears = || match borne {
+            Borne::Wholly => self.pressure(step, known).1,
+            Borne::Alone => self.filled == 0.0 || self.pressure(step, known).1,
+            Borne::Anyhow => true,
+        };
+        let filled = !step.fills || self.has_fill_room(step) && bears();
         let proven = !self.probation || !self.probed;
         let kept = match self.held {
             Some(Held::All) => !step.fills,
--- a/crates/placement/tests/all/submission/interference.rs
+++ b/crates/placement/tests/all/submission/interference.rs
@@ -136,6 +136,44 @@
     planner::plan(&w.state, &mut fleet, now, 0).len()
 }
 
+/// Runs placed of three tasks that fill and disturb, beside a serving task near
+/// its target and a harmless task that fills, on a worker of so many cores.
+fn placed_late(cores: u32) -> usize {
+    let serving =
+        Step { lasting: true, image: Some("serving".into()), target_ms: Some(18), ..step(1) };
+    let demand = Resources::new(1_000, 1_000, 0);
+    let fill =
+        |image: &str, count| Step { fills: true, image: Some(image.into()), demand, ..step(count) };
+    let mut w = World::new([worker("wa", cores)]);
+    w.submit(submission(1, vec![serving]));
+    w.submit(submission(2, vec![fill("quiet", 1)]));
+    let task = |submission| TaskId { submission, occurrence: 0, step: 0, index: 0 };
+    let place = |submission| Placed { task: task(submission), attempt: 1, life: 1 };
+    w.apply(Change::Place(vec![place(1), place(2)]));
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Duration::from_secs(3), now);
+    let listed = |submission, figure| Listed {
+        task: task(submission),
+        attempt: 1,
+        checkpoint: "".into(),
+        percent: 100,
+        figure,
+    };
+    let running = vec![listed(1, 17), listed(2, 0)];
+    let seen = Observation { born_ms: 1, clock_ms: 0, running, ended: vec![] };
+    fleet.observe(&w.state, 1, &seen, now, now);
+    w.submit(submission(3, vec![fill("loud", 3)]));
+    planner::plan(&w.state, &mut fleet, now, 10_000).len()
+}
+
+/// Work that no worker bears: one task of it runs, slowed, while most room is
+/// free; the others wait, and all do where there is little room.
+#[test]
+fn a_submission_does_not_stand_still_beside_free_room() {
+    assert_eq!(placed_late(4), 1);
+    assert_eq!(placed_late(1), 0);
+}
+
 /// Load that swings: a task that fills has to be borne also where it is highest,
 /// or it would be held soon after its start.
 #[test]
