Admission: what no worker holds, and images that are jammed, are refused at once

Change: the leader counts, by image, starts and tasks that wait and can still be in time. Where the wait has been over three times the objective for six seconds, new work of that image is refused with a Retry-After from that wait; so is a task that fits no worker of its service. Looks at very many workers are spaced, so that they leave time for starts.

Tests: crates/dispatch/tests/all/admission.rs.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,19 +1,74 @@
 //! Which submissions are taken. What surely can't be served is refused at once,
 //! with a time after which another try makes sense.
 
-use cyclamenloft_placement::submission::{Submission, SubmissionState};
+use cyclamenloft_placement::submission::{
+    Fleet, Submission, SubmissionState, planner::objective_span, routes::QueuePolicy,
+};
+use cyclamenloft_types::Resources;
+use std::time::{Duration, Instant};
 
-/// Most open submissions of one queue: what the sites' busiest queue brings in a
-/// minute, past which waiting is hopeless.
+/// Most open submissions: what the sites' busiest queue brings in a minute, past
+/// which waiting is hopeless.
 const MAX_OPEN: usize = 2_000;
 /// Advice after a refusal for a full queue, in seconds.
 const FULL_RETRY_S: u32 = 5;
+/// Advice where no worker is large enough, in seconds: a worker of another kind
+/// may come.
+const TOO_LARGE_RETRY_S: u32 = 30;
+/// An answer later than this many times the objective is worth nothing to the
+/// users.
+const WORTHLESS_AFTER: u32 = 3;
+/// Longest advice, in seconds: disturbance changes within seconds, so what holds
+/// for longer isn't known.
+const LONGEST_RETRY_S: u64 = 20;
 
-/// Whether a submission is taken; else the seconds after which to come back.
-pub(crate) fn admit(state: &SubmissionState, submission: &Submission) -> Result<(), u32> {
-    let known = state.record(submission.id).is_some();
-    if !known && state.open().count() >= MAX_OPEN {
-        return Err(FULL_RETRY_S);
+/// Why a submission is refused, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason, as logs name it.
+    pub reason: &'static str,
+    /// When another try makes sense, in seconds.
+    pub retry_after_s: u32,
+}
+
+/// Checks whether a new submission may be taken.
+///
+/// # Errors
+///
+/// The reason, and when to come back.
+pub fn admit(
+    state: &SubmissionState,
+    fleet: Option<&Fleet>,
+    submission: &Submission,
+    policy: &QueuePolicy,
+    now: Instant,
+) -> Result<(), Refusal> {
+    if state.record(submission.id).is_some() {
+        // It is the same submission again.
+        return Ok(());
+    }
+    if state.open().count() >= MAX_OPEN {
+        return Err(Refusal { reason: "full", retry_after_s: FULL_RETRY_S });
+    }
+    if is_too_large(state, submission, policy) {
+        return Err(Refusal { reason: "too-large", retry_after_s: TOO_LARGE_RETRY_S });
     }
-    Ok(())
+    let span = objective_span(submission, policy);
+    let images = submission.steps.iter().filter(|s| s.fills).filter_map(|s| s.image.as_deref());
+    let waits = images.filter_map(|image| fleet?.flows.expected_wait(image, now));
+    match waits.max() {
+        Some(wait) if wait > span * WORTHLESS_AFTER => {
+            let retry = wait.saturating_sub(span).max(Duration::from_secs(1));
+            let retry_after_s = u32::try_from(retry.as_secs().min(LONGEST_RETRY_S)).unwrap_or(1);
+            Err(Refusal { reason: "hopeless", retry_after_s })
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Whether a task fits on no worker of the service, even if it were empty.
+fn is_too_large(state: &SubmissionState, submission: &Submission, policy: &QueuePolicy) -> bool {
+    let workers = || state.lives().filter(|(_, l)| l.worker.service == policy.service);
+    let fits = |need: &Resources| workers().any(|(_, l)| need.fits_in(&l.worker.capacity));
+    workers().next().is_some() && submission.steps.iter().any(|s| !fits(&s.reserved()))
 }
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -1,17 +1,18 @@
 //! A replica's answers to entry hosts.
 
 use crate::{
-    admission,
+    admission::{self, Refusal},
     ask::{Ask, Draft, Progress, Reply},
     members,
     node::{Node, wall_ms},
     port::Port,
 };
 use cyclamenloft_placement::submission::{
-    Change, Outcome, SubmissionId, SubmissionState, routes::QueuePolicy, spec::parse_id,
-    state::Phase,
+    Change, Outcome, Submission, SubmissionId, SubmissionState, routes::QueuePolicy,
+    spec::parse_id, state::Phase,
 };
-use cyclamenloft_types::{Error, ErrorKind, Outcome as RunOutcome, Result};
+use cyclamenloft_types::{Error, ErrorKind, Outcome as RunOutcome};
+use std::time::Instant;
 
 /// Answers a question.
 pub(crate) async fn answer<P: Port>(node: &Node<P>, ask: Ask) -> Reply {
@@ -60,11 +61,12 @@
     if let Err(e) = submission.check() {
         return Reply::Invalid(e.detail);
     }
-    if let Err(retry_after_s) = node.state(|s| admission::admit(s, &submission)) {
+    if let Err(refusal) = admit(node, &submission, &target.policy) {
         let (open, version) = node.state(|s| (s.open().count(), s.routes().number));
+        let Refusal { reason, retry_after_s } = refusal;
         let submission = format!("{id:016x}");
-        tracing::info!(decision = "submit", %submission, open, version, retry_after_s, outcome = "busy");
-        node.metrics.count("submit", "busy");
+        tracing::info!(decision = "submit", %submission, open, version, retry_after_s, outcome = reason);
+        node.metrics.count("submit", reason);
         return Reply::Busy { retry_after_s };
     }
     tracing::debug!(event = "submission", submission = %format_args!("{id:016x}"), steps = ?submission.steps);
@@ -84,6 +86,16 @@
     reply
 }
 
+fn admit<P: Port>(
+    node: &Node<P>,
+    submission: &Submission,
+    policy: &QueuePolicy,
+) -> Result<(), Refusal> {
+    let leadership = node.leading();
+    let fleet = leadership.as_ref().map(|l| l.fleet.borrow());
+    node.state(|s| admission::admit(s, fleet.as_deref(), submission, policy, Instant::now()))
+}
+
 fn read(state: &SubmissionState, host: &str, path: &str) -> Reply {
     let target = match find(state, host, path) {
         Ok(target) => target,
@@ -124,7 +136,7 @@
 }
 
 /// The answer to what a worker says of itself.
-fn taken(done: Result<()>) -> Reply {
+fn taken(done: cyclamenloft_types::Result<()>) -> Reply {
     match done {
         Ok(()) => Reply::Done,
         Err(e) if e.kind == ErrorKind::Conflict => Reply::Outdated,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`entry`] is the side of an entry host, [`Node`] the side of a replica. How
 //! workers are called is behind the [`Port`] trait.
 
+pub mod admission;
 pub mod ask;
 pub mod entry;
 pub mod metrics;
@@ -13,7 +14,6 @@
 pub mod port;
 pub mod telemetry;
 
-mod admission;
 mod advise;
 mod answer;
 mod lead;
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -25,6 +25,9 @@
 /// Wait where a tail is near its target or tasks are slowed: the worker
 /// averages over half a second.
 const TENSE_WAIT: Duration = Duration::from_millis(400);
+/// Time that looks leave for one worker: a look costs some 0.15 ms of the
+/// leader's processor, and looks may take a third of it.
+const LOOK_COST: Duration = Duration::from_micros(500);
 /// First pause after a look without an answer; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two tries: a worker that is back is wanted soon.
@@ -140,6 +143,8 @@
             (_, _, true) => TENSE_WAIT,
             _ => BUSY_WAIT,
         };
+        let least = LOOK_COST * u32::try_from(fleet.known()).unwrap_or(u32::MAX);
+        let wait = if answers { wait.max(least).min(IDLE_WAIT) } else { wait };
         fleet.looked(cx.life, wait, sent);
         wait
     };
--- /dev/null
+++ b/crates/dispatch/tests/all/admission.rs
@@ -0,0 +1,141 @@
+//! What surely can't be served is refused at once, and nothing else.
+
+use cyclamenloft_dispatch::admission::{Refusal, admit};
+use cyclamenloft_placement::submission::{
+    Change, Fleet, Step, Submission, SubmissionState, WorkerLife, fleet::Tally, routes::QueuePolicy,
+};
+use cyclamenloft_replication::StateMachine;
+use cyclamenloft_types::Resources;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+fn policy() -> QueuePolicy {
+    QueuePolicy {
+        service: "pool".into(),
+        priority: 2,
+        max_attempts: 3,
+        slack_millis: 2_000,
+        target_ms: 500,
+        advising: None,
+    }
+}
+
+/// One task of so many cores that works for a second; where it has an image, it
+/// fills.
+fn submission(id: u64, cores: u32, image: Option<&str>) -> Submission {
+    let step = Step {
+        count: 1,
+        demand: Resources::new(cores * 1_000, 100, 0),
+        estimate_ms: 1_000,
+        fills: image.is_some(),
+        image: image.map(Box::from),
+        ..Step::default()
+    };
+    Submission {
+        id,
+        queue: "host/queue/".into(),
+        payload: "".into(),
+        steps: vec![step],
+        first_due_ms: 0,
+        interval_ms: 0,
+        occurrences: 1,
+    }
+}
+
+/// A service of one worker with eight cores.
+fn state() -> SubmissionState {
+    let mut state = SubmissionState::default();
+    let life = WorkerLife {
+        id: "i-1".into(),
+        born_ms: 1,
+        service: "pool".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        domain: "d1".into(),
+        rack: "r1".into(),
+        labels: vec![],
+        capacity: Resources::new(8_000, 64_000, 0),
+        machine: None,
+        draining: false,
+        leaving: false,
+    };
+    state.apply(1, &Change::Register(life));
+    state
+}
+
+/// A fleet in which, each second for so many, one task of image "loud" started
+/// and fifty waited.
+fn jammed(seconds: u64) -> (Fleet, Instant) {
+    let begin = Instant::now();
+    let mut fleet = Fleet::new(Duration::from_secs(6), begin);
+    let mut now = begin;
+    for second in 0..=seconds {
+        now = begin + Duration::from_secs(second);
+        let round = BTreeMap::from([("loud", Tally { started: 1, waiting: 50 })]);
+        fleet.flows.note(&round, now);
+    }
+    (fleet, now)
+}
+
+fn verdict(state: &SubmissionState, jam_s: u64, submission: &Submission) -> Result<(), Refusal> {
+    let (fleet, now) = jammed(jam_s);
+    admit(state, Some(&fleet), submission, &policy(), now)
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $state:expr, $jam:literal, $submission:expr => $reason:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let reason: Option<&str> = $reason;
+            let found = verdict(&$state, $jam, &$submission);
+            assert_eq!(found.err().map(|r| r.reason), reason);
+        }
+    )*};
+}
+
+verdicts! {
+    what_fits_is_taken: state(), 20, submission(1, 8, None) => None;
+    what_fits_no_worker_is_refused: state(), 20, submission(1, 9, None) => Some("too-large");
+    what_fills_needs_no_reserved_room: state(), 0, submission(1, 9, Some("quiet")) => None;
+    before_any_worker_is_known_nothing_is_too_large:
+        SubmissionState::default(), 0, submission(1, 9, None) => None;
+    an_image_that_is_jammed_for_long_is_refused:
+        state(), 20, submission(1, 2, Some("loud")) => Some("hopeless");
+    a_jam_of_a_few_seconds_proves_nothing: state(), 4, submission(1, 2, Some("loud")) => None;
+    other_images_are_taken: state(), 20, submission(1, 2, Some("quiet")) => None;
+}
+
+#[test]
+fn the_advice_follows_from_the_wait_and_is_bounded() {
+    let refusal = verdict(&state(), 20, &submission(1, 2, Some("loud"))).unwrap_err();
+    assert!((1..=20).contains(&refusal.retry_after_s), "{refusal:?}");
+}
+
+#[test]
+fn a_submission_that_was_accepted_is_never_refused() {
+    let mut state = state();
+    let known = submission(1, 2, Some("loud"));
+    state.apply(2, &Change::Submit { submission: known.clone(), policy: policy(), at_ms: 1 });
+    assert_eq!(verdict(&state, 20, &known), Ok(()));
+}
+
+#[test]
+fn too_many_open_ones_refuse_new_ones() {
+    let mut state = state();
+    for id in 1..=2_000 {
+        let submission = submission(id, 1, None);
+        state.apply(id, &Change::Submit { submission, policy: policy(), at_ms: 1 });
+    }
+    assert_eq!(verdict(&state, 0, &submission(9_999, 1, None)).unwrap_err().reason, "full");
+    assert_eq!(verdict(&state, 0, &submission(7, 1, None)), Ok(()));
+}
+
+/// Once nothing waits any more, the next one is taken.
+#[test]
+fn a_jam_that_is_over_is_forgotten() {
+    let (mut fleet, now) = jammed(20);
+    fleet.flows.note(&BTreeMap::new(), now);
+    let fresh = submission(1, 2, Some("loud"));
+    assert_eq!(admit(&state(), Some(&fleet), &fresh, &policy(), now), Ok(()));
+}
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -1,12 +1,14 @@
 //! What the leader knows of the workers beyond the agreed state: what they
 //! list, which orders they have answered, and what follows from that.
 
+mod flow;
 mod messages;
 mod run;
 mod tails;
 mod upkeep;
 mod worker;
 
+pub use flow::{Flows, Tally};
 pub use messages::{Listed, Observation, Order, OrderAnswer, OrderKind};
 pub use upkeep::UpkeepOrder;
 pub use worker::WorkerView;
@@ -54,6 +56,8 @@
     pub interference: Interference,
     /// What the advisor has said.
     pub advice: Advice,
+    /// How fast tasks that fill get their workers.
+    pub flows: Flows,
     /// Lasting tasks that wait for room.
     waiting: BTreeMap<TaskId, Waiting>,
     /// Machines that are emptied for their upkeep, and since when.
@@ -71,6 +75,7 @@
             views: BTreeMap::new(),
             interference: Interference::default(),
             advice: Advice::default(),
+            flows: Flows::default(),
             waiting: BTreeMap::new(),
             emptying: BTreeMap::new(),
         }
@@ -96,6 +101,12 @@
         self.views.get(&life)
     }
 
+    /// How many lives are known.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.views.len()
+    }
+
     /// Forgets lives that are over.
     pub fn retain(&mut self, state: &SubmissionState) {
         self.views.retain(|id, _| state.life(*id).is_some());
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -8,12 +8,12 @@
 mod seat;
 
 pub use advised::{LARGEST_BATCH, question};
-pub use rank::{Prospect, objective_ms, prospect};
+pub use rank::{Prospect, objective_ms, objective_span, prospect};
 
 use super::{
     advice::{Advice, Standing},
     command::Placed,
-    fleet::Fleet,
+    fleet::{Fleet, Tally},
     interference::Interference,
     spec::{Step, TaskId},
     state::{Life, LifeId, Record, Run, SubmissionState},
@@ -23,7 +23,10 @@
 use pick::{Misfits, Picker};
 use rank::rank;
 use seat::{Borne, Held, Seat, seats};
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// Most runs that one round places, so that one entry of the log stays small.
 pub const MAX_PLACED: usize = 256;
@@ -56,17 +59,46 @@
     let mut waiting = Vec::new();
     let mut placed = Vec::new();
     let mut misfits = Misfits::default();
+    let mut tallies = BTreeMap::new();
     for record in ranked(state, fleet, now, wall_ms) {
         let round = (now, wall_ms, &mut misfits);
+        let before = placed.len();
         place_record(record, &mut seats, fleet, round, &mut placed, &mut waiting);
+        tally(record, &placed[before..], wall_ms, &mut tallies);
         if placed.len() >= MAX_PLACED {
             break;
         }
     }
     fleet.note_waiting(&waiting, now);
+    fleet.flows.note(&tallies, now);
     placed
 }
 
+/// Counts a submission's tasks that fill, by image: those that were placed, and
+/// those that still wait though the submission can be in time.
+fn tally<'a>(
+    record: &'a Record,
+    placed: &[Placed],
+    wall_ms: u64,
+    tallies: &mut BTreeMap<&'a str, Tally>,
+) {
+    if !record.spec.steps.iter().any(|s| s.fills) {
+        return;
+    }
+    let in_time = prospect(record, wall_ms) == Prospect::Full;
+    let alone = |_, _: &Run| false;
+    for_each_due(record, wall_ms, alone, |task, step| {
+        let Some(image) = step.image.as_deref().filter(|_| step.fills) else { return false };
+        let tally = tallies.entry(image).or_default();
+        if placed.iter().any(|p| p.task == task) {
+            tally.started += 1;
+        } else {
+            tally.waiting += u32::from(in_time);
+        }
+        true
+    });
+}
+
 /// Open submissions in the order in which they are placed.
 fn ranked<'a>(
     state: &'a SubmissionState,
--- a/crates/placement/src/submission/planner/rank.rs
+++ b/crates/placement/src/submission/planner/rank.rs
@@ -1,7 +1,11 @@
 //! Which submission comes first, by what it can still earn.
 
-use super::super::{spec::SubmissionId, state::Record};
-use std::collections::BTreeSet;
+use super::super::{
+    routes::QueuePolicy,
+    spec::{Submission, SubmissionId},
+    state::Record,
+};
+use std::{collections::BTreeSet, time::Duration};
 
 /// Part of the estimated work that has to fit before the objective for a
 /// submission to count as hopeful; estimates are off by half and more.
@@ -20,24 +24,31 @@
 /// client's own estimates; milliseconds since 1970.
 #[must_use]
 pub fn objective_ms(record: &Record) -> u64 {
-    let stretched = longest_chain_ms(record, |_| true)
-        .saturating_mul(u64::from(record.policy.slack_millis))
-        / 1000;
-    record.at_ms + stretched + u64::from(record.policy.target_ms)
+    let span = objective_span(&record.spec, &record.policy).as_millis();
+    record.at_ms + u64::try_from(span).unwrap_or(u64::MAX)
+}
+
+/// The time after which an answer stops being worth its full payoff, by the
+/// client's own estimates.
+#[must_use]
+pub fn objective_span(spec: &Submission, policy: &QueuePolicy) -> Duration {
+    let chain = longest_chain_ms(spec, |_| true);
+    let stretched = chain.saturating_mul(u64::from(policy.slack_millis)) / 1000;
+    Duration::from_millis(stretched + u64::from(policy.target_ms))
 }
 
 /// What the submission can still earn at `wall_ms`.
 #[must_use]
 pub fn prospect(record: &Record, wall_ms: u64) -> Prospect {
-    let left = longest_chain_ms(record, |step| record.left[0][step] > 0);
+    let left = longest_chain_ms(&record.spec, |step| record.left[0][step] > 0);
     let needed = left.saturating_mul(HOPE_PERCENT) / 100;
     if wall_ms + needed <= objective_ms(record) { Prospect::Full } else { Prospect::Late }
 }
 
 /// The longest chain of estimates over the steps that count.
-fn longest_chain_ms(record: &Record, counts: impl Fn(usize) -> bool) -> u64 {
-    let mut chain: Vec<u64> = Vec::with_capacity(record.spec.steps.len());
-    for (i, step) in record.spec.steps.iter().enumerate() {
+fn longest_chain_ms(spec: &Submission, counts: impl Fn(usize) -> bool) -> u64 {
+    let mut chain: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (i, step) in spec.steps.iter().enumerate() {
         let before = step.depends_on.iter().filter_map(|d| chain.get(usize::from(*d))).max();
         let own = if counts(i) { u64::from(step.estimate_ms) } else { 0 };
         chain.push(before.copied().unwrap_or(0) + own);
