Only what surely can't be served is refused: an image of which nothing starts

Cause: the estimate by waiting tasks over the rate of starts refused work that had a chance: among submissions that can be in time, new ones get their share of the rate.

Change: refused is what has an image of which tasks have waited for six seconds and none started meanwhile, with a Retry-After of eight seconds.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,11 +1,9 @@
 //! Which submissions are taken. What surely can't be served is refused at once,
 //! with a time after which another try makes sense.
 
-use cyclamenloft_placement::submission::{
-    Fleet, Submission, SubmissionState, planner::objective_span, routes::QueuePolicy,
-};
+use cyclamenloft_placement::submission::{Fleet, Submission, SubmissionState, routes::QueuePolicy};
 use cyclamenloft_types::Resources;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Most open submissions: what the sites' busiest queue brings in a minute, past
 /// which waiting is hopeless.
@@ -15,12 +13,9 @@
 /// Advice where no worker is large enough, in seconds: a worker of another kind
 /// may come.
 const TOO_LARGE_RETRY_S: u32 = 30;
-/// An answer later than this many times the objective is worth nothing to the
-/// users.
-const WORTHLESS_AFTER: u32 = 3;
-/// Longest advice, in seconds: disturbance changes within seconds, so what holds
-/// for longer isn't known.
-const LONGEST_RETRY_S: u64 = 20;
+/// Advice while work of an image stands still, in seconds: what disturbs what
+/// changes within seconds.
+const STALLED_RETRY_S: u32 = 8;
 
 /// Why a submission is refused, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,17 +48,11 @@
     if is_too_large(state, submission, policy) {
         return Err(Refusal { reason: "too-large", retry_after_s: TOO_LARGE_RETRY_S });
     }
-    let span = objective_span(submission, policy);
-    let images = submission.steps.iter().filter(|s| s.fills).filter_map(|s| s.image.as_deref());
-    let waits = images.filter_map(|image| fleet?.flows.expected_wait(image, now));
-    match waits.max() {
-        Some(wait) if wait > span * WORTHLESS_AFTER => {
-            let retry = wait.saturating_sub(span).max(Duration::from_secs(1));
-            let retry_after_s = u32::try_from(retry.as_secs().min(LONGEST_RETRY_S)).unwrap_or(1);
-            Err(Refusal { reason: "hopeless", retry_after_s })
-        }
-        _ => Ok(()),
+    let mut images = submission.steps.iter().filter(|s| s.fills).filter_map(|s| s.image.as_deref());
+    if images.any(|image| fleet.is_some_and(|f| f.flows.is_stalled(image, now))) {
+        return Err(Refusal { reason: "stalled", retry_after_s: STALLED_RETRY_S });
     }
+    Ok(())
 }
 
 /// Whether a task fits on no worker of the service, even if it were empty.
--- a/crates/placement/src/submission/fleet/flow.rs
+++ b/crates/placement/src/submission/fleet/flow.rs
@@ -1,6 +1,5 @@
-//! How fast tasks that fill get their workers, by image: some images disturb
-//! nearly everything that serves, and work of theirs that comes in faster than
-//! it can be borne can't be done in time.
+//! Whether tasks that fill get workers, by image: some images disturb nearly
+//! everything that serves, and while nothing bears them their work stands still.
 
 use std::{
     collections::BTreeMap,
@@ -9,6 +8,8 @@
 
 /// Time over which starts are counted; a start that long ago counts for a third.
 const MEMORY: Duration = Duration::from_secs(8);
+/// Count of fading starts that counts as none: one of six seconds ago.
+const NO_START: f64 = 0.5;
 /// Time for which tasks must have waited without a break before a flow tells
 /// anything: twice a burst of a second or two, and longer than an election.
 const PROVEN_AFTER: Duration = Duration::from_secs(6);
@@ -27,7 +28,6 @@
     /// Starts, fading.
     started: f64,
     at: Instant,
-    waiting: u32,
     waiting_since: Option<Instant>,
 }
 
@@ -40,7 +40,7 @@
     pub fn note(&mut self, round: &BTreeMap<&str, Tally>, now: Instant) {
         for image in round.keys() {
             if !self.0.contains_key(*image) {
-                let flow = Flow { started: 0.0, at: now, waiting: 0, waiting_since: None };
+                let flow = Flow { started: 0.0, at: now, waiting_since: None };
                 self.0.insert((*image).into(), flow);
             }
         }
@@ -49,7 +49,7 @@
             let passed = now.saturating_duration_since(flow.at).as_secs_f64();
             flow.started *= (-passed / MEMORY.as_secs_f64()).exp();
             flow.started += f64::from(tally.started);
-            (flow.at, flow.waiting) = (now, tally.waiting);
+            flow.at = now;
             if tally.waiting == 0 {
                 flow.waiting_since = None;
             } else {
@@ -58,14 +58,13 @@
         }
     }
 
-    /// How long a task of this image that comes now has to wait for a worker;
-    /// none where nothing waits or it isn't known.
+    /// Whether tasks of this image have waited for long, and none has started
+    /// meanwhile.
     #[must_use]
-    pub fn expected_wait(&self, image: &str, now: Instant) -> Option<Duration> {
-        let flow = self.0.get(image)?;
-        let proven = flow.waiting_since.is_some_and(|at| now >= at + PROVEN_AFTER);
-        let rate = flow.started / MEMORY.as_secs_f64();
-        let wait = f64::from(flow.waiting) / rate.max(1.0 / MEMORY.as_secs_f64());
-        proven.then(|| Duration::from_secs_f64(wait))
+    pub fn is_stalled(&self, image: &str, now: Instant) -> bool {
+        self.0.get(image).is_some_and(|flow| {
+            let waited = flow.waiting_since.is_some_and(|at| now >= at + PROVEN_AFTER);
+            waited && flow.started < NO_START
+        })
     }
 }
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -8,7 +8,7 @@
 mod seat;
 
 pub use advised::{LARGEST_BATCH, question};
-pub use rank::{Prospect, objective_ms, objective_span, prospect};
+pub use rank::{Prospect, objective_ms, prospect};
 
 use super::{
     advice::{Advice, Standing},
--- a/crates/placement/src/submission/planner/rank.rs
+++ b/crates/placement/src/submission/planner/rank.rs
@@ -30,8 +30,7 @@
 
 /// The time after which an answer stops being worth its full payoff, by the
 /// client's own estimates.
-#[must_use]
-pub fn objective_span(spec: &Submission, policy: &QueuePolicy) -> Duration {
+fn objective_span(spec: &Submission, policy: &QueuePolicy) -> Duration {
     let chain = longest_chain_ms(spec, |_| true);
     let stretched = chain.saturating_mul(u64::from(policy.slack_millis)) / 1000;
     Duration::from_millis(stretched + u64::from(policy.target_ms))
