Placing by half the swing; a suspended leader is not believed

What can cause it: leases go by the steady clock, which stands still while a host is suspended, so a leader that wakes may answer from its old state. Now a host that finds that the clock which counts suspensions has run ahead doesn't lead until the group has agreed on another entry of its term.

--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -92,6 +92,17 @@
             compio::time::sleep(FOLLOW_PAUSE).await;
             continue;
         }
+        if !node.awake.check() {
+            // The lease may be over: only an agreed entry shows who leads.
+            match node.replica.barrier().await {
+                Ok(_) => node.awake.confirm(),
+                Err(e) => {
+                    tracing::info!(event = "not-confirmed", error = %e);
+                    compio::time::sleep(FOLLOW_PAUSE).await;
+                }
+            }
+            continue;
+        }
         let seen = node.due.seen();
         let led = match lead_now(&node).await {
             Ok(leadership) => round(&node, &leadership).await,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod ask;
+pub mod awake;
 pub mod entry;
 pub mod metrics;
 pub mod node;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -4,6 +4,7 @@
 use crate::{
     advise, answer,
     ask::{ASK_PATH, Ask, LOG_PATH, MAX_ASK_BYTES, Reply, Standing, decode, encode},
+    awake::Awake,
     lead::{self, Leadership},
     members,
     metrics::Metrics,
@@ -82,6 +83,8 @@
     pub(crate) peers: Rc<Peers>,
     pub(crate) port: P,
     pub(crate) leadership: RefCell<Option<Rc<Leadership>>>,
+    /// Whether this host was suspended.
+    pub(crate) awake: Awake,
     /// Tells that a decision may follow from a change.
     pub(crate) due: Notify,
     /// Counters and histograms.
@@ -119,6 +122,7 @@
             peers,
             port,
             leadership: RefCell::new(None),
+            awake: Awake::default(),
             due: Notify::default(),
             metrics,
         });
@@ -132,12 +136,13 @@
     /// Whether this replica surely leads.
     #[must_use]
     pub fn leads(&self) -> bool {
-        self.replica.leads(Instant::now()) && self.leadership.borrow().is_some()
+        self.leading().is_some()
     }
 
     /// What this replica knows as the leader, while it surely leads.
     pub(crate) fn leading(&self) -> Option<Rc<Leadership>> {
-        self.replica.leads(Instant::now()).then(|| self.leadership.borrow().clone())?
+        let leads = self.awake.check() && self.replica.leads(Instant::now());
+        leads.then(|| self.leadership.borrow().clone())?
     }
 
     /// The leader's address, where one is known that isn't this host.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -62,7 +62,7 @@
     /// The leadership, while it lasts.
     fn leadership(&self) -> Option<Rc<Leadership>> {
         let leadership = self.leadership.upgrade()?;
-        self.node.replica.leads(Instant::now()).then_some(leadership)
+        self.node.leads().then_some(leadership)
     }
 
     async fn commit_ends(&self, leadership: &Leadership, ends: Vec<RunEnd>) -> Result<()> {
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -45,11 +45,12 @@
         (self.target_ln + TAIL_SHARE.ln() - self.base_ln).max(0.0)
     }
 
-    /// The same where the load is at its highest: what tasks that are placed
-    /// beside it may add for long.
+    /// The same half way to where the load is at its highest: what a task that is
+    /// placed beside it may add while it works.
     #[must_use]
     pub fn lasting_budget(&self) -> f64 {
-        (self.target_ln + TAIL_SHARE.ln() - self.peak_ln.max(self.base_ln)).max(0.0)
+        let ahead = (self.peak_ln.max(self.base_ln) + self.base_ln) / 2.0;
+        (self.target_ln + TAIL_SHARE.ln() - ahead).max(0.0)
     }
 }
 
