Planner: one test whether a task may go to a worker, one pass over waiting tasks

Whether a worker suits a task was written twice (best_seat_of and pick's candidate), and record, task and step went side by side through nine signatures. Now a Wanted has the three and the one test. What a round knows and what comes of it are one Round, in a file of its own, instead of six arguments.

Tasks that fill were counted by image in a second pass over each submission, with a search through what was placed; they are counted where they are placed or left. A shape that found no worker keeps its service, not its whole policy.

--- a/crates/placement/src/submission/planner/gang.rs
+++ b/crates/placement/src/submission/planner/gang.rs
@@ -1,28 +1,27 @@
 //! Gangs: all tasks of a step at once, or none.
 
 use super::{
-    super::{command::Placed, spec::TaskId, state::Record},
-    Known, best_seat, hold_room,
+    super::{command::Placed, spec::TaskId},
+    Known, Wanted, best_seat,
+    round::hold_room,
     seat::{Held, Seat},
 };
 use std::collections::BTreeSet;
 
 /// Places all tasks of a gang at once, on one rack where that is wanted and
 /// possible; where there is no room for all, none is placed, and the widest
-/// workers are kept free of short tasks.
+/// workers are kept free of short tasks. `first` is the gang's first task.
 pub(super) fn place_gang<'a>(
-    record: &'a Record,
-    first: TaskId,
+    first: Wanted<'a>,
     seats: &mut [Seat<'a>],
     known: Known<'_>,
     wall_ms: u64,
-    placed: &mut Vec<Placed>,
-) {
-    let (k, s) = (first.occurrence as usize, usize::from(first.step));
-    let (step, tasks) = (&record.spec.steps[s], &record.tasks[k][s]);
+) -> Vec<Placed> {
+    let Wanted { record, task, step } = first;
+    let tasks = &record.tasks[task.occurrence as usize][usize::from(task.step)];
     if tasks.iter().any(|t| !t.runs.is_empty()) {
         // Members of the last try are still being stopped.
-        return;
+        return Vec::new();
     }
     let attempt = tasks.iter().map(|t| t.attempt).max().unwrap_or(0) + 1;
     let mut racks: Vec<Option<&str>> = vec![None];
@@ -38,10 +37,10 @@
             .collect();
         let mut members = Vec::with_capacity(tasks.len());
         for index in 0..step.count {
-            let id = TaskId { index, ..first };
-            let Some(seat) = best_seat(record, step, id, &tried, known, wall_ms) else { break };
-            tried[seat].take(step, id, known.interference);
-            members.push(Placed { task: id, attempt, life: tried[seat].id });
+            let member = Wanted { task: TaskId { index, ..task }, ..first };
+            let Some(seat) = best_seat(member, &tried, known, wall_ms) else { break };
+            tried[seat].take(step, member.task, known.interference);
+            members.push(Placed { task: member.task, attempt, life: tried[seat].id });
         }
         if members.len() == tasks.len() {
             for seat in tried {
@@ -49,11 +48,11 @@
                     *own = seat;
                 }
             }
-            placed.extend(members);
-            return;
+            return members;
         }
     }
     for _ in 0..step.count {
-        hold_room(record, step, first, seats, Held::Short);
+        hold_room(first, seats, Held::Short);
     }
+    Vec::new()
 }
--- a/crates/placement/src/submission/planner/pick.rs
+++ b/crates/placement/src/submission/planner/pick.rs
@@ -2,14 +2,11 @@
 //! every task: only the worker that was picked last has changed meanwhile.
 
 use super::{
-    super::{
-        routes::QueuePolicy,
-        spec::{Step, TaskId},
-        state::Record,
-    },
-    Known, PATIENCE_MS, best_seat, best_seat_of,
+    super::spec::{Step, StepId},
+    Known, Wanted, best_seat, best_seat_of,
     seat::{Borne, Seat},
 };
+use cyclamenloft_types::ServiceName;
 use std::{cmp::Ordering, collections::BinaryHeap};
 
 /// A worker that fits, by its score; the lowest is the greatest.
@@ -40,7 +37,7 @@
 
 /// A shape of tasks that found no worker in this round.
 struct Misfit {
-    policy: QueuePolicy,
+    service: ServiceName,
     step: Step,
     /// Also workers that bear it badly were tried.
     tried_all: bool,
@@ -49,9 +46,8 @@
 impl Misfit {
     /// Whether a step needs at least what this one did: workers only get fuller
     /// during a round.
-    fn covers(&self, record: &Record, step: &Step, patient: bool) -> bool {
-        let policy = &record.policy;
-        self.policy.service == policy.service
+    fn covers(&self, Wanted { record, step, .. }: Wanted<'_>, patient: bool) -> bool {
+        self.service == record.policy.service
             && (self.tried_all || patient)
             && self.step.fills == step.fills
             && self.step.lasting == step.lasting
@@ -67,36 +63,29 @@
 pub(super) struct Misfits(Vec<Misfit>);
 
 impl Misfits {
-    fn covers(&self, record: &Record, step: &Step, patient: bool) -> bool {
-        self.0.iter().any(|m| m.covers(record, step, patient))
+    fn covers(&self, wanted: Wanted<'_>, patient: bool) -> bool {
+        self.0.iter().any(|m| m.covers(wanted, patient))
     }
 
-    fn note(&mut self, record: &Record, step: &Step, tried_all: bool) {
+    fn note(&mut self, Wanted { record, step, .. }: Wanted<'_>, tried_all: bool) {
         // Who may run an advised step differs from step to step.
         if record.policy.advising.is_none() {
-            let (policy, step) = (record.policy.clone(), step.clone());
-            self.0.push(Misfit { policy, step, tried_all });
+            let (service, step) = (record.policy.service.clone(), step.clone());
+            self.0.push(Misfit { service, step, tried_all });
         }
     }
 }
 
 /// The workers that fit the tasks of one step.
 pub(super) struct Picker {
-    step: (u32, u16),
+    step: StepId,
     candidates: BinaryHeap<Candidate>,
 }
 
 impl Picker {
-    fn new(
-        record: &Record,
-        step: &Step,
-        task: TaskId,
-        seats: &[Seat<'_>],
-        known: Known<'_>,
-    ) -> Self {
-        let candidates =
-            (0..seats.len()).filter_map(|i| candidate(record, step, task, seats, i, known));
-        Self { step: (task.occurrence, task.step), candidates: candidates.collect() }
+    fn new(wanted: Wanted<'_>, seats: &[Seat<'_>], known: Known<'_>) -> Self {
+        let candidates = (0..seats.len()).filter_map(|i| candidate(wanted, seats, i, known));
+        Self { step: wanted.task.step_id(), candidates: candidates.collect() }
     }
 
     /// Picks the best worker for a task; the one that was picked before has to
@@ -104,45 +93,37 @@
     pub(super) fn pick(
         picker: &mut Option<Self>,
         misfits: &mut Misfits,
-        record: &Record,
-        (task, step): (TaskId, &Step),
+        wanted: Wanted<'_>,
         seats: &[Seat<'_>],
         (known, wall_ms): (Known<'_>, u64),
     ) -> Option<usize> {
-        let patient = wall_ms < record.at_ms + PATIENCE_MS;
-        let state = record.task(task);
+        let patient = wanted.is_patient(wall_ms);
+        let state = wanted.record.task(wanted.task);
         // A task with a run or a failure may not go everywhere.
         if state.is_some_and(|t| !t.runs.is_empty() || t.failed_on.is_some()) {
-            return best_seat(record, step, task, seats, known, wall_ms);
+            return best_seat(wanted, seats, known, wall_ms);
         }
-        if misfits.covers(record, step, patient) {
+        if misfits.covers(wanted, patient) {
             return None;
         }
-        let ours = |p: &Self| p.step == (task.occurrence, task.step);
-        if !picker.as_ref().is_some_and(ours) {
-            *picker = Some(Self::new(record, step, task, seats, known));
+        if picker.as_ref().is_none_or(|p| p.step != wanted.task.step_id()) {
+            *picker = Some(Self::new(wanted, seats, known));
         }
-        let best = picker.as_mut().and_then(|p| p.best(record, (task, step), seats, known));
-        let alone = || best_seat_of(record, step, task, seats, known, Borne::Alone);
+        let best = picker.as_mut().and_then(|p| p.best(wanted, seats, known));
+        let alone = || best_seat_of(wanted, seats, known, Borne::Alone);
         let found = best.or_else(|| (!patient).then(alone)?);
         if found.is_none() {
-            misfits.note(record, step, !patient);
+            misfits.note(wanted, !patient);
         }
         found
     }
 
     /// The best candidate, as it is now: a task that was placed by another way
     /// may have changed it.
-    fn best(
-        &mut self,
-        record: &Record,
-        (task, step): (TaskId, &Step),
-        seats: &[Seat<'_>],
-        known: Known<'_>,
-    ) -> Option<usize> {
-        while let Some(known_before) = self.candidates.pop() {
-            match candidate(record, step, task, seats, known_before.seat, known) {
-                Some(c) if c.score > known_before.score => self.candidates.push(c),
+    fn best(&mut self, wanted: Wanted<'_>, seats: &[Seat<'_>], known: Known<'_>) -> Option<usize> {
+        while let Some(before) = self.candidates.pop() {
+            match candidate(wanted, seats, before.seat, known) {
+                Some(c) if c.score > before.score => self.candidates.push(c),
                 Some(c) => return Some(c.seat),
                 None => {}
             }
@@ -153,27 +134,22 @@
     /// Notes that the worker has taken a task of the step.
     pub(super) fn took(
         &mut self,
-        record: &Record,
-        (task, step): (TaskId, &Step),
+        wanted: Wanted<'_>,
         seats: &[Seat<'_>],
         seat: usize,
         known: Known<'_>,
     ) {
-        self.candidates.extend(candidate(record, step, task, seats, seat, known));
+        self.candidates.extend(candidate(wanted, seats, seat, known));
     }
 }
 
 fn candidate(
-    record: &Record,
-    step: &Step,
-    task: TaskId,
+    wanted: Wanted<'_>,
     seats: &[Seat<'_>],
     at: usize,
     known: Known<'_>,
 ) -> Option<Candidate> {
     let seat = &seats[at];
-    let fits = seat.life.worker.service == record.policy.service
-        && seat.fits(step, task, known.interference, Borne::Wholly)
-        && known.admits(record, task, seat.id);
-    fits.then(|| Candidate { score: seat.score(step, task, known.interference), seat: at })
+    let suits = wanted.suits(seat, known, Borne::Wholly);
+    suits.then(|| Candidate { score: wanted.score(seat, known), seat: at })
 }
--- a/crates/placement/src/submission/planner/seat.rs
+++ b/crates/placement/src/submission/planner/seat.rs
@@ -52,8 +52,7 @@
     pub(super) used: f64,
     /// Processor time that tasks which fill ask for.
     pub(super) filled: f64,
-    /// Serving tasks: image, what is left of the budget for tasks that fill, and
-    /// the whole budget.
+    /// Serving tasks: image, and what is left of the budget for tasks that fill.
     pub(super) victims: Vec<(&'a str, f64)>,
     /// Lasting tasks by image.
     pub(super) lasting: BTreeMap<&'a str, u16>,
