--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -42,7 +42,7 @@
         // It is the same submission again.
         return Ok(());
     }
-    if state.open().count() >= MAX_OPEN {
+    if state.open_count() >= MAX_OPEN {
         return Err(Refusal { reason: "full", retry_after_s: FULL_RETRY_S });
     }
     if is_too_large(state, submission, policy) {
--- a/crates/dispatch/src/answer.rs
+++ b/crates/dispatch/src/answer.rs
@@ -62,7 +62,7 @@
         return Reply::Invalid(e.detail);
     }
     if let Err(refusal) = admit(node, &submission, &target.policy) {
-        let (open, version) = node.state(|s| (s.open().count(), s.routes().number));
+        let (open, version) = node.state(|s| (s.open_count(), s.routes().number));
         let Refusal { reason, retry_after_s } = refusal;
         let submission = format!("{id:016x}");
         tracing::info!(decision = "submit", %submission, open, version, retry_after_s, outcome = reason);
--- a/crates/dispatch/src/awake.rs
+++ b/crates/dispatch/src/awake.rs
@@ -2,15 +2,12 @@
 //! still meanwhile, so after it a leader may believe in a lease that is over.
 
 use rustix::time::{ClockId, clock_gettime};
-use std::{
-    cell::Cell,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, time::Duration};
 
 /// Growth between the clock that counts a suspension and the one that doesn't
 /// that means one: far more than reading both takes.
 const SUSPENDED: Duration = Duration::from_millis(20);
-/// Longest time between the two readings for them to be comparable.
+/// Longest time that reading both may take for the readings to be comparable.
 const COMPARABLE: Duration = Duration::from_millis(5);
 
 /// Whether this host was suspended since the group last confirmed its leader.
@@ -24,13 +21,10 @@
 impl Awake {
     /// Reads the clocks; true where no suspension is in doubt.
     pub fn check(&self) -> bool {
-        let before = Instant::now();
-        let [counting, steady] = [ClockId::Boottime, ClockId::Monotonic].map(|id| {
-            let at = clock_gettime(id);
-            let whole = Duration::from_secs(u64::try_from(at.tv_sec).unwrap_or(0));
-            whole + Duration::from_nanos(u64::try_from(at.tv_nsec).unwrap_or(0))
-        });
-        if before.elapsed() <= COMPARABLE {
+        let before = read(ClockId::Monotonic);
+        let counting = read(ClockId::Boottime);
+        let steady = read(ClockId::Monotonic);
+        if steady.saturating_sub(before) <= COMPARABLE {
             self.note(counting.saturating_sub(steady));
         }
         !self.doubt.get()
@@ -58,3 +52,9 @@
         self.doubt.set(false);
     }
 }
+
+fn read(clock: ClockId) -> Duration {
+    let at = clock_gettime(clock);
+    let whole = Duration::from_secs(u64::try_from(at.tv_sec).unwrap_or(0));
+    whole + Duration::from_nanos(u64::try_from(at.tv_nsec).unwrap_or(0))
+}
--- a/crates/dispatch/src/lead.rs
+++ b/crates/dispatch/src/lead.rs
@@ -169,7 +169,7 @@
     let fresh = Rc::new(Leadership::new(term, node.settings.longest_lease, Instant::now()));
     fresh.fleet.borrow_mut().interference = node.state(|s| Interference::from_learned(s.learned()));
     node.leadership.replace(Some(fresh.clone()));
-    let (open, lives) = node.state(|s| (s.open().count(), s.lives().count()));
+    let (open, lives) = node.state(|s| (s.open_count(), s.lives().count()));
     tracing::info!(event = "leadership-gained", term, open, lives);
     node.metrics.count("leadership", "gained");
     Ok(fresh)
@@ -270,7 +270,7 @@
     let Some(leadership) = node.leadership.borrow().clone() else { return };
     let now = Instant::now();
     let due: Vec<SubmissionId> = node.state(|s| {
-        node.metrics.level("open", s.open().count());
+        node.metrics.level("open", s.open_count());
         let mut over = leadership.over.borrow_mut();
         over.retain(|id, _| s.record(*id).is_some());
         let ended = s.records().filter(|(_, r)| r.phase != Phase::Open);
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -16,8 +16,9 @@
 use cyclamenloft_http::{
     Request, Response, error_response, full, read_limited, server::Handler, text_response,
 };
-use cyclamenloft_placement::submission::{
-    Change, Outcome, RouteTable, SubmissionState, WorkerLife, waves::Wave,
+use cyclamenloft_placement::{
+    submission::{Change, Outcome, RouteTable, SubmissionState, WorkerLife, waves::Wave},
+    time::Timestamp,
 };
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica};
 use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, ReplicaId, Result};
@@ -27,7 +28,7 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 /// Name of the group on the wire.
@@ -348,14 +349,9 @@
     fail::fail_point!("wall-clock", |step: Option<String>| {
         // A test moves the clock by this many milliseconds.
         let step = step.and_then(|s| s.parse().ok()).unwrap_or(0);
-        true_wall_ms().saturating_add_signed(step)
+        Timestamp::read().unix_ms().saturating_add_signed(step)
     });
-    true_wall_ms()
-}
-
-fn true_wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    Timestamp::read().unix_ms()
 }
 
 /// The id of this replica's host.
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -70,14 +70,9 @@
         let orders = node
             .state(|s| leadership.fleet.borrow_mut().tend_waves(s, maintenance, now, wall_ms()));
         for order in orders {
-            self.agree(node, order).await?;
+            begin(node, order).await?;
         }
-        let ordered: Vec<(WaveNumber, MachineId)> = node.state(|s| {
-            let under_way =
-                s.waves().flat_map(|w| w.machines.iter().map(|(m, u)| (w.number, m, u)));
-            let ordered = under_way.filter(|(_, _, u)| matches!(u, Upkeep::Ordered { .. }));
-            ordered.map(|(wave, machine, _)| (wave, machine.clone())).collect()
-        });
+        let ordered = machines(node, |upkeep| matches!(upkeep, Upkeep::Ordered { .. }));
         let calls = ordered.iter().map(|(wave, machine)| order(node, self.token, *wave, machine));
         for ((wave, machine), answer) in
             ordered.iter().zip(futures_util::future::join_all(calls).await)
@@ -87,19 +82,6 @@
         self.list(node, now).await
     }
 
-    /// Agrees with the group that an upkeep is ordered, before it is.
-    async fn agree<P: Port>(&self, node: &Node<P>, order: UpkeepOrder) -> Result<()> {
-        let UpkeepOrder { wave, machine, life } = order;
-        let step = Upkeep::Ordered { life };
-        let change = Change::Upkeep { wave, machine: machine.clone(), step };
-        let outcome = match node.propose(change).await? {
-            Outcome::Done => "agreed",
-            _ => "void",
-        };
-        tracing::info!(decision = "upkeep", wave, %machine, life, outcome);
-        Ok(())
-    }
-
     async fn take<P: Port>(
         &mut self,
         node: &Node<P>,
@@ -119,18 +101,14 @@
             }
             UpkeepAnswer::Busy | UpkeepAnswer::Unanswered => return Ok(()),
         };
-        node.propose(Change::Upkeep { wave, machine: machine.clone(), step }).await?;
+        agree(node, wave, machine, step).await?;
         node.due.notify();
         Ok(())
     }
 
     /// Looks which machines are back, where some are down.
     async fn list<P: Port>(&mut self, node: &Node<P>, now: Instant) -> Result<()> {
-        let down: Vec<(WaveNumber, MachineId)> = node.state(|s| {
-            let all = s.waves().flat_map(|w| w.machines.iter().map(|(m, u)| (w.number, m, u)));
-            let down = all.filter(|(_, _, u)| **u == Upkeep::Begun);
-            down.map(|(wave, machine, _)| (wave, machine.clone())).collect()
-        });
+        let down = machines(node, |upkeep| upkeep == Upkeep::Begun);
         if down.is_empty() || self.listed.is_some_and(|at| now < at + LISTING) {
             return Ok(());
         }
@@ -152,8 +130,7 @@
             let gone = !known.contains(&*machine);
             if back || gone {
                 let outcome = if back { "back" } else { "gone" };
-                let step = Upkeep::Done;
-                node.propose(Change::Upkeep { wave, machine: machine.clone(), step }).await?;
+                agree(node, wave, &machine, Upkeep::Done).await?;
                 tracing::info!(decision = "upkeep", wave, %machine, outcome);
                 node.metrics.count("upkeep", outcome);
             }
@@ -162,6 +139,35 @@
     }
 }
 
+/// Machines of all waves whose upkeep is like this.
+fn machines<P: Port>(node: &Node<P>, is: impl Fn(Upkeep) -> bool) -> Vec<(WaveNumber, MachineId)> {
+    node.state(|s| {
+        let all = s.waves().flat_map(|w| w.machines.iter().map(|(m, u)| (w.number, m, *u)));
+        all.filter(|(_, _, u)| is(*u)).map(|(wave, machine, _)| (wave, machine.clone())).collect()
+    })
+}
+
+/// Agrees with the group on a step of a machine's upkeep.
+async fn agree<P: Port>(
+    node: &Node<P>,
+    wave: WaveNumber,
+    machine: &MachineId,
+    step: Upkeep,
+) -> Result<Outcome> {
+    node.propose(Change::Upkeep { wave, machine: machine.clone(), step }).await
+}
+
+/// Agrees with the group that an upkeep is ordered, before it is.
+async fn begin<P: Port>(node: &Node<P>, order: UpkeepOrder) -> Result<()> {
+    let UpkeepOrder { wave, machine, life } = order;
+    let outcome = match agree(node, wave, &machine, Upkeep::Ordered { life }).await? {
+        Outcome::Done => "agreed",
+        _ => "void",
+    };
+    tracing::info!(decision = "upkeep", wave, %machine, life, outcome);
+    Ok(())
+}
+
 async fn order<P: Port>(
     node: &Node<P>,
     token: Term,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -225,19 +225,22 @@
 async fn send<P: Port>(cx: &Context<P>, leadership: &Leadership, order: Order) {
     let now = Instant::now();
     let Some(lease_end_ms) = grant(leadership, cx.life, now) else { return };
-    let call = cx.node.state(|s| {
+    let (call, advised) = cx.node.state(|s| {
         let record = s.record(order.task.submission);
         let task = record.and_then(|r| r.task(order.task));
-        OrderCall {
+        let fleet = leadership.fleet.borrow();
+        let ticket = fleet.advice.ticket(order.task.step_id(), cx.life, now);
+        let call = OrderCall {
             order,
             token: leadership.token,
             payload: record.map(|r| r.spec.payload.clone()).unwrap_or_default(),
             checkpoint: task.map(|t| t.checkpoint.clone()).unwrap_or_default(),
-            ticket: ticket_of(cx, leadership, order, now).unwrap_or_default(),
+            ticket: ticket.unwrap_or_default().into(),
             lease_end_ms,
-        }
+        };
+        (call, record.is_some_and(|r| r.policy.advising.is_some()))
     });
-    let needs_ticket = order.kind == OrderKind::Start && is_advised(cx, order);
+    let needs_ticket = advised && order.kind == OrderKind::Start;
     let reply = if needs_ticket && call.ticket.is_empty() {
         OrderReply { answer: OrderAnswer::NoTicket, detail: "no ticket that is still valid".into() }
     } else {
@@ -262,18 +265,3 @@
         tracing::info!(event = "end-not-agreed", task = %order.task, error = %e);
     }
 }
-
-fn is_advised<P: Port>(cx: &Context<P>, order: Order) -> bool {
-    cx.node.state(|s| s.record(order.task.submission).is_some_and(|r| r.policy.advising.is_some()))
-}
-
-/// The advisor's ticket for an order, where there is one.
-fn ticket_of<P: Port>(
-    cx: &Context<P>,
-    leadership: &Leadership,
-    order: Order,
-    now: Instant,
-) -> Option<Box<str>> {
-    let fleet = leadership.fleet.borrow();
-    fleet.advice.ticket(order.task.step_id(), cx.life, now).map(Box::from)
-}
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -200,6 +200,12 @@
         self.open.iter().filter_map(|id| self.records.get(id))
     }
 
+    /// How many submissions are not over.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// The lives that may run tasks.
     pub fn lives(&self) -> impl Iterator<Item = (LifeId, &Life)> {
         self.lives.iter().map(|(id, life)| (*id, life))
