--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod pacing;
 pub mod planner;
+mod record;
 pub mod routes;
 pub mod spec;
 pub mod state;
