Carry out operators' calls on every replica

Cause: a replica that doesn't lead answered 307 or 503.

Change: crates/dispatch/src/forward.rs. A replica that doesn't lead forwards the call to the leader and answers itself; it tries again when another leader is elected, and answers from its own committed state when the change is there. Reads of the configuration and of waves wait for an index that the leader confirms. The same path serves workers' reports. A configuration that is too large for the log is now answered as invalid, not retried.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod telemetry;
 
 mod advise;
+mod forward;
 mod leader;
 mod maintenance;
 mod members;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -20,11 +20,14 @@
     Request, Response, error_response, full, read_limited, server::Handler, text_response,
 };
 use cyclamenloft_placement::{
-    submission::{Command, CommandResult, RouteTable, SubmissionState, WorkerInfo, waves::Wave},
+    submission::{
+        Command, CommandResult, RouteTable, SubmissionState, WorkerInfo,
+        waves::{Wave, WaveNumber},
+    },
     time::Timestamp,
 };
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica};
-use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, ReplicaId, Result};
+use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, LogIndex, ReplicaId, Result};
 use http::StatusCode;
 use std::{
     cell::RefCell,
@@ -53,10 +56,6 @@
 /// end any run.
 const MAX_LEASE: Duration = Duration::from_millis(7_000);
 
-/// Longest wait for the leader when a worker's report is forwarded. Workers try
-/// another replica after one second.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -151,13 +150,6 @@
         leads.then(|| self.leadership.borrow().clone())?
     }
 
-    /// Returns the leader's address if the leader is known and is another host.
-    #[must_use]
-    pub fn other_leader(&self) -> Option<Ipv4Addr> {
-        let leader = self.replica.status().leader?;
-        crate::transport::replica_ip(leader).filter(|ip| *ip != self.settings.ip)
-    }
-
     /// Returns the status of the group as this replica sees it.
     #[must_use]
     pub fn group_status(&self) -> GroupStatus {
@@ -178,12 +170,20 @@
     }
 
     /// Makes a configuration active unless the active one has the same or a higher
-    /// number.
+    /// number. Like the other changes and reads of workers and operators, it may be asked of
+    /// any replica and takes at most until `until`.
     ///
     /// # Errors
     ///
-    /// Those of a proposal to the group.
-    pub async fn configure(&self, routes: RouteTable) -> Result<()> {
+    /// Those of [`Self::carry_out`], and `BadRequest` if the configuration is too large.
+    pub async fn configure(&self, routes: RouteTable, until: Instant) -> Result<()> {
+        let number = routes.number;
+        let is_active = |s: &SubmissionState| s.routes().number >= number;
+        self.change(&PeerRequest::Configure(routes), is_active, until).await
+    }
+
+    /// Commits a configuration as the leader.
+    pub(crate) async fn commit_routes(&self, routes: RouteTable) -> Result<()> {
         let (number, queues) = (routes.number, routes.queues.len());
         let before = self.state(|s| s.routes().number);
         self.propose(Command::Configure(routes)).await?;
@@ -198,40 +198,98 @@
     ///
     /// # Errors
     ///
-    /// Those of a proposal to the group.
-    pub async fn newest_routes(&self) -> Result<RouteTable> {
+    /// Those of [`Self::carry_out`].
+    pub async fn newest_routes(&self, until: Instant) -> Result<RouteTable> {
+        self.catch_up(until).await?;
+        Ok(self.state(|s| s.routes().clone()))
+    }
+
+    /// Returns whether all maintenance of a wave is done, or `None` if the wave is unknown.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::carry_out`].
+    pub async fn is_wave_complete(
+        &self,
+        number: WaveNumber,
+        until: Instant,
+    ) -> Result<Option<bool>> {
+        self.catch_up(until).await?;
+        Ok(self.state(|s| s.wave(number).map(Wave::is_complete)))
+    }
+
+    /// Commits an entry as the leader and returns its index or a later one.
+    pub(crate) async fn read_index(&self) -> Result<LogIndex> {
         // A committed entry proves that no other leader has been elected in the
         // meantime, even if this host was suspended and its clocks had stopped.
         self.propose(Command::Barrier).await?;
-        Ok(self.state(|s| s.routes().clone()))
+        Ok(self.replica.status().applied)
+    }
+
+    /// Waits until this replica has applied every change that was acknowledged before the
+    /// call.
+    async fn catch_up(&self, until: Instant) -> Result<()> {
+        let response = self.carry_out(&PeerRequest::ReadIndex, |_| false, until).await?;
+        let PeerResponse::ReadIndex(index) = response else {
+            return Err(unexpected_response(&response));
+        };
+        loop {
+            let applied = self.replica.status().applied;
+            if applied >= index {
+                return Ok(());
+            }
+            let changed = self.replica.changed(applied);
+            if compio::time::timeout_at(until, changed).await.is_err() {
+                let detail = format!("applied up to entry {applied}, the group is at {index}");
+                return Err(Error::new(ErrorKind::NoQuorum, detail));
+            }
+        }
+    }
+
+    /// Carries out a change.
+    async fn change(
+        &self,
+        req: &PeerRequest,
+        is_done: impl Fn(&SubmissionState) -> bool,
+        until: Instant,
+    ) -> Result<()> {
+        match self.carry_out(req, is_done, until).await? {
+            PeerResponse::Done => Ok(()),
+            PeerResponse::Outdated => {
+                Err(Error::new(ErrorKind::Conflict, "a newer incarnation of the worker is known"))
+            }
+            PeerResponse::Invalid(detail) => Err(Error::new(ErrorKind::BadRequest, detail)),
+            other => Err(unexpected_response(&other)),
+        }
     }
 
     /// Records a worker's report about itself. When this returns, everything new in the
-    /// report has been committed; if another replica leads, the report was forwarded to
-    /// it.
+    /// report has been committed.
     ///
     /// # Errors
     ///
-    /// `Conflict` for a report of an incarnation that a newer one has replaced,
-    /// or those of a proposal to the group.
-    pub async fn report(&self, worker: WorkerInfo) -> Result<()> {
-        let (outdated, is_known) = self.state(|s| {
-            let known = s.newest_incarnation(&worker.id).map(|(_, incarnation)| {
-                let w = &incarnation.worker;
-                w.started_ms == worker.started_ms && *w == w.updated(&worker)
-            });
-            (s.is_outdated(&worker.id, worker.started_ms), known == Some(true))
-        });
-        if outdated {
+    /// `Conflict` for a report of an incarnation that a newer one has replaced, or those of
+    /// [`Self::carry_out`].
+    pub async fn report(&self, worker: WorkerInfo, until: Instant) -> Result<()> {
+        self.check_newest(&worker)?;
+        let req = PeerRequest::Report(worker.clone());
+        self.change(&req, |s| is_recorded(s, &worker), until).await
+    }
+
+    fn check_newest(&self, worker: &WorkerInfo) -> Result<()> {
+        if self.state(|s| s.is_outdated(&worker.id, worker.started_ms)) {
             let detail = format!("worker {}: a newer incarnation is known", worker.id);
             return Err(Error::new(ErrorKind::Conflict, detail));
         }
-        if is_known {
+        Ok(())
+    }
+
+    /// Commits a worker's report as the leader.
+    pub(crate) async fn register(&self, worker: WorkerInfo) -> Result<()> {
+        self.check_newest(&worker)?;
+        if self.state(|s| is_recorded(s, &worker)) {
             return Ok(());
         }
-        if !self.leads() {
-            return self.forward_to_leader(PeerRequest::Report(worker)).await;
-        }
         let (id, born_ms, draining) = (worker.id.clone(), worker.started_ms, worker.draining);
         let capacity = worker.capacity;
         self.propose(Command::Register(worker)).await?;
@@ -246,47 +304,39 @@
     ///
     /// # Errors
     ///
-    /// Those of a proposal to the group.
-    pub async fn deregister(&self, id: &str) -> Result<()> {
-        if !self.leads() {
-            return self.forward_to_leader(PeerRequest::Farewell(id.into())).await;
-        }
+    /// Those of [`Self::carry_out`].
+    pub async fn deregister(&self, id: &str, until: Instant) -> Result<()> {
+        let is_leaving = |s: &SubmissionState| {
+            s.newest_incarnation(id).is_some_and(|(_, incarnation)| incarnation.worker.leaving)
+        };
+        self.change(&PeerRequest::Farewell(id.into()), is_leaving, until).await
+    }
+
+    /// Commits, as the leader, that a worker is shutting down.
+    pub(crate) async fn register_leaving(&self, id: &str) -> Result<()> {
         let incarnation = self
             .state(|s| s.newest_incarnation(id).map(|(_, incarnation)| incarnation.worker.clone()));
         match incarnation {
             Some(worker) => {
-                self.report(WorkerInfo { draining: true, leaving: true, ..worker }).await
+                self.register(WorkerInfo { draining: true, leaving: true, ..worker }).await
             }
             None => Ok(()),
         }
     }
 
-    /// Forwards a worker's report, or its notice that it is shutting down, to the leader.
-    async fn forward_to_leader(&self, req: PeerRequest) -> Result<()> {
-        let no_leader = || Error::new(ErrorKind::NoQuorum, "no leader is known");
-        let me = own_id(self);
-        let leader = self.replica.status().leader.filter(|id| *id != me).ok_or_else(no_leader)?;
-        match self.peers.request(leader, &req, Instant::now() + FORWARD_TIMEOUT).await {
-            Ok(PeerResponse::Done) => Ok(()),
-            Ok(PeerResponse::Outdated) => {
-                Err(Error::new(ErrorKind::Conflict, "a newer incarnation of the worker is known"))
-            }
-            Ok(PeerResponse::NotLeader(_)) => Err(no_leader()),
-            Err(e) if e.kind == ErrorKind::NotReached => Err(no_leader()),
-            Ok(_) => Err(Error::new(
-                ErrorKind::ChangeUnknown,
-                "the leader does not know whether the change was committed",
-            )),
-            Err(e) => Err(Error::new(ErrorKind::ChangeUnknown, e.detail)),
-        }
-    }
-
     /// Starts a maintenance wave. Has no effect if the wave is already known.
     ///
     /// # Errors
     ///
-    /// Those of a proposal to the group.
-    pub async fn start_wave(&self, wave: Wave) -> Result<()> {
+    /// Those of [`Self::carry_out`].
+    pub async fn start_wave(&self, wave: Wave, until: Instant) -> Result<()> {
+        let number = wave.number;
+        let is_known = |s: &SubmissionState| s.wave(number).is_some();
+        self.change(&PeerRequest::StartWave(wave), is_known, until).await
+    }
+
+    /// Commits a maintenance wave as the leader.
+    pub(crate) async fn commit_wave(&self, wave: Wave) -> Result<()> {
         let (number, machines, cap) = (wave.number, wave.machines.len(), wave.cap);
         let deadline_ms = wave.deadline_ms;
         self.propose(Command::Wave(wave)).await?;
@@ -353,6 +403,18 @@
     }
 }
 
+/// Returns whether everything in a worker's report has been committed.
+fn is_recorded(state: &SubmissionState, worker: &WorkerInfo) -> bool {
+    state.newest_incarnation(&worker.id).is_some_and(|(_, incarnation)| {
+        let known = &incarnation.worker;
+        known.started_ms == worker.started_ms && *known == known.updated(worker)
+    })
+}
+
+fn unexpected_response(response: &PeerResponse) -> Error {
+    Error::new(ErrorKind::ChangeUnknown, format!("unexpected response of the leader: {response:?}"))
+}
+
 /// Returns the wall-clock time, in milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
     fail::fail_point!("wall-clock", |step: Option<String>| {
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -2,10 +2,10 @@
 //! postcard.
 
 use cyclamenloft_placement::submission::{
-    Step, Submission, SubmissionId, WorkerInfo, state::Phase,
+    RouteTable, Step, Submission, SubmissionId, WorkerInfo, state::Phase, waves::Wave,
 };
 use cyclamenloft_types::{
-    ConfigNumber, DomainName, Error, ErrorKind, ReplicaId, Result, Term, WorkerId,
+    ConfigNumber, DomainName, Error, ErrorKind, LogIndex, ReplicaId, Result, Term, WorkerId,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -63,6 +63,13 @@
     /// A worker's notice that it is shutting down, forwarded by a replica that
     /// doesn't lead.
     Farewell(WorkerId),
+    /// Makes a configuration active unless the active one is at least as new.
+    Configure(RouteTable),
+    /// Starts a maintenance wave unless it is known.
+    StartWave(Wave),
+    /// Asks for an index up to which every acknowledged change is in the log. A replica that
+    /// has applied that entry can answer reads.
+    ReadIndex,
     /// Submits to the queue that `host` and `path` select.
     Submit {
         /// Host that the client named.
@@ -124,6 +131,8 @@
     Standing(GroupStatus),
     /// The request was carried out and its effect is durable.
     Done,
+    /// Answers [`PeerRequest::ReadIndex`].
+    ReadIndex(LogIndex),
     /// The state of a submission.
     Progress(Progress),
     /// The number of accepted submissions of a queue of which no task has started.
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -20,8 +20,14 @@
         PeerRequest::Where => PeerResponse::Standing(node.group_status()),
         PeerRequest::Join(id) => members::add_learner(node, id).await,
         _ if !node.leads() => PeerResponse::NotLeader(node.replica.status().leader),
-        PeerRequest::Report(worker) => report_response(node.report(worker).await),
-        PeerRequest::Farewell(id) => report_response(node.deregister(&id).await),
+        PeerRequest::Report(worker) => change_response(node.register(worker).await),
+        PeerRequest::Farewell(id) => change_response(node.register_leaving(&id).await),
+        PeerRequest::Configure(routes) => change_response(node.commit_routes(routes).await),
+        PeerRequest::StartWave(wave) => change_response(node.commit_wave(wave).await),
+        PeerRequest::ReadIndex => match node.read_index().await {
+            Ok(index) => PeerResponse::ReadIndex(index),
+            Err(e) => failure_response(&e),
+        },
         PeerRequest::Submit { host, path, draft } => submit(node, &host, &path, draft).await,
         PeerRequest::Read { host, path } => node.state(|s| read(s, &host, &path)),
         PeerRequest::Cancel { host, path } => cancel(node, &host, &path).await,
@@ -142,11 +148,12 @@
     response
 }
 
-/// Returns the response to a worker's report about itself.
-fn report_response(result: cyclamenloft_types::Result<()>) -> PeerResponse {
+/// Returns the response to a change that is not a client's.
+fn change_response(result: cyclamenloft_types::Result<()>) -> PeerResponse {
     match result {
         Ok(()) => PeerResponse::Done,
         Err(e) if e.kind == ErrorKind::Conflict => PeerResponse::Outdated,
+        Err(e) if e.kind == ErrorKind::BadRequest => PeerResponse::Invalid(e.detail),
         Err(e) => failure_response(&e),
     }
 }
