Replace a lost voter within the time to catch up, and let it join again

Cause: a core machine may be removed for good and another added with an empty disk, which has to count within catch_up_s (4 to 6 s). A voter was replaced after 15 s without progress; in an idle group never, since a lost voter lacks no entries there. A voter that was removed while suspended or cut off never came back: its own log still lists it, so it didn't ask to join. The leader's planning rounds waited for each membership change, and up to 0.3 s a second for the failure domain of a dead member.

Change: crates/dispatch/src/membership.rs decides without network; a learner that has caught up replaces a voter that has been silent for half of catch_up_s. Replicas that hear no leader for 3 s ask to join.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -4,7 +4,6 @@
 //! order is sent.
 
 use crate::{
-    members::MemberMonitor,
     node::{Node, wall_ms},
     notify::Notify,
     port::Port,
@@ -31,8 +30,8 @@
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(8);
 /// Time between two checks by a follower whether it has become the leader.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two checks of the members and of the submissions whose
-/// retention time has passed.
+/// Time between two checks of the waiting tasks, the learned interference and the submissions
+/// whose retention time has passed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of log lines about waiting tasks per second.
@@ -83,8 +82,6 @@
 
 /// Runs the leader's rounds whenever this replica is the leader.
 pub(crate) async fn run<P: Port>(node: Rc<Node<P>>) {
-    let mut monitor = MemberMonitor::default();
-    let mut next_housekeeping = Instant::now();
     loop {
         let now = Instant::now();
         if !node.replica.leads(now) {
@@ -119,13 +116,6 @@
                 continue;
             }
         };
-        if now >= next_housekeeping {
-            next_housekeeping = now + HOUSEKEEPING_INTERVAL;
-            monitor.maintain(&node, now).await;
-            log_waiting(&node);
-            persist_learned(&node).await;
-            remove_ended(&node).await;
-        }
         // The pause is at least twice the planning time, so that planning takes
         // at most a third of the time, whatever the number of workers.
         compio::time::sleep(MIN_ROUND_INTERVAL.max(planning_time * 2)).await;
@@ -134,6 +124,19 @@
     }
 }
 
+/// Does what is due once a second while this replica leads, beside the rounds, which should
+/// not wait for its commits. Runs until the task is cancelled.
+pub(crate) async fn housekeep<P: Port>(node: Rc<Node<P>>) {
+    loop {
+        compio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        if node.leads() {
+            log_waiting(&node);
+            persist_learned(&node).await;
+            remove_ended(&node).await;
+        }
+    }
+}
+
 /// Commits the learned interference model, for use by the next leader.
 async fn persist_learned<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -1,24 +1,20 @@
 //! Membership of the group: replicas that start at a new address join as
-//! learners, become voters once they have caught up, and replace unresponsive
-//! voters.
+//! learners, and the leader makes the changes that [`MembershipPolicy`] asks for.
 
 use crate::{
+    membership::{MembershipChange, MembershipPolicy},
     node::{Node, own_id},
     port::Port,
     protocol::{GroupStatus, PeerRequest, PeerResponse},
     transport::replica_id,
 };
-use cyclamenloft_replication::{MemberKind, MemberStatus, Status};
-use cyclamenloft_types::{DomainName, ReplicaId};
+use cyclamenloft_replication::{MemberKind, MemberStatus, Role};
+use cyclamenloft_types::ReplicaId;
 use std::{
-    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-/// Maximum number of voters: five tolerate the loss of two hosts, or of a failure
-/// domain that holds two.
-const MAX_VOTERS: usize = 5;
 /// Pause between two attempts to join.
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for an answer while joining.
@@ -26,22 +22,30 @@
 /// Longest wait for a member to report its failure domain; the next attempt
 /// follows a second later.
 const DOMAIN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without progress after which a member counts as unresponsive: a learner
-/// is no longer promoted, and a voter may be removed. It is far longer than a
-/// restart, a suspension or a network partition of a few seconds.
-const REPLACE_AFTER: Duration = Duration::from_secs(15);
+/// Time between two checks of the members by the leader.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks by a member whether it still is one.
+const MEMBER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a leader after which a member asks to be added: far longer than an election.
+/// A replica that was removed while it was unreachable isn't told so.
+const REJOIN_AFTER: Duration = Duration::from_secs(3);
 
-/// Asks the seeds and the members to add this host whenever it isn't a member, unless it is
-/// one of the hosts that form the group.
+/// Asks the seeds and the members to add this host whenever it isn't a member, or may have
+/// been removed. A host that forms the group doesn't ask before the group exists.
 pub(crate) async fn join<P: Port>(node: Rc<Node<P>>) {
     let me = own_id(&node);
     let seeds: Vec<ReplicaId> = node.settings.seeds.iter().map(|ip| replica_id(*ip)).collect();
     let forms_group = node.settings.first_start && seeds.contains(&me);
     let mut join_peers = JoinPeers::new(me, seeds);
+    let started = Instant::now();
     loop {
-        let is_member = node.replica.status().members.iter().any(|m| m.id == me);
-        if is_member || forms_group {
-            compio::time::sleep(REPLACE_AFTER).await;
+        let status = node.replica.status();
+        let is_member = status.members.iter().any(|m| m.id == me);
+        let is_forming = forms_group && status.members.is_empty();
+        let heard_at = status.leader_heard_at.unwrap_or(started);
+        let is_led = status.role == Role::Leader || Instant::now() < heard_at + REJOIN_AFTER;
+        if is_forming || (is_member && is_led) {
+            compio::time::sleep(MEMBER_CHECK_INTERVAL).await;
             continue;
         }
         if let Some(to) = join_peers.next() {
@@ -103,30 +107,21 @@
     PeerResponse::Standing(node.group_status())
 }
 
-/// The leader's record of the members' progress and failure domains.
-#[derive(Default)]
-pub(crate) struct MemberMonitor {
-    /// Match index of each member, and the last time at which it changed or had reached the
-    /// commit index.
-    progress: BTreeMap<ReplicaId, (u64, Instant)>,
-    /// Failure domains of the members that have reported theirs.
-    domains: BTreeMap<ReplicaId, DomainName>,
-}
-
-/// A membership change that should be made now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum MembershipChange {
-    Promote(ReplicaId),
-    Remove(ReplicaId),
-}
-
-impl MemberMonitor {
-    /// Promotes learners to voters, and removes unresponsive voters while there
-    /// are more than three voters.
-    pub(crate) async fn maintain<P: Port>(&mut self, node: &Node<P>, now: Instant) {
+/// Makes the membership changes that are due while this replica leads. Runs until the task
+/// is cancelled.
+pub(crate) async fn maintain<P: Port>(node: Rc<Node<P>>) {
+    let mut policy = MembershipPolicy::new(node.settings.replacement_delay);
+    loop {
+        compio::time::sleep(CHECK_INTERVAL).await;
+        if !node.leads() {
+            policy.reset();
+            continue;
+        }
+        fetch_domains(&node, &mut policy).await;
         let status = node.replica.status();
-        self.fetch_domains(node, &status, now).await;
-        let Some(change) = self.next_change(&status, own_id(node), now) else { return };
+        let Some(change) = policy.next_change(&status, own_id(&node), Instant::now()) else {
+            continue;
+        };
         let result = match change {
             MembershipChange::Promote(id) => node.replica.promote(id, MemberKind::Voter).await,
             MembershipChange::Remove(id) => node.replica.remove(id).await,
@@ -138,72 +133,26 @@
             }
         }
     }
+}
 
-    /// Queries the failure domain of each member for which it is unknown.
-    async fn fetch_domains<P: Port>(&mut self, node: &Node<P>, status: &Status, now: Instant) {
-        let unknown = status.members.iter().filter(|m| !self.domains.contains_key(&m.id));
-        let queries = unknown.map(|m| async {
-            let is_self = m.id == own_id(node);
-            let response = match is_self {
-                true => Ok(PeerResponse::Standing(node.group_status())),
-                false => node.peers.request(m.id, &PeerRequest::Where, now + DOMAIN_TIMEOUT).await,
-            };
-            match response {
-                Ok(PeerResponse::Standing(group_status)) => Some((m.id, group_status.domain)),
-                _ => None,
-            }
-        });
-        let answers: Vec<_> = futures_util::future::join_all(queries).await;
-        self.domains.extend(answers.into_iter().flatten());
-    }
-
-    /// Returns the number of other voters in the failure domain of a member. Membership
-    /// changes keep this number low, so that no domain holds more voters than the group can
-    /// lose.
-    fn voters_in_same_domain(&self, status: &Status, id: ReplicaId) -> usize {
-        let domain = self.domains.get(&id);
-        let is_other_voter = |m: &&MemberStatus| m.kind != MemberKind::Learner && m.id != id;
-        let others = status.members.iter().filter(is_other_voter);
-        others.filter(|m| domain.is_some() && self.domains.get(&m.id) == domain).count()
-    }
-
-    fn next_change(
-        &mut self,
-        status: &Status,
-        me: ReplicaId,
-        now: Instant,
-    ) -> Option<MembershipChange> {
-        for m in &status.members {
-            let matched = m.matched.unwrap_or(0);
-            let last_progress = self.progress.entry(m.id).or_insert((matched, now));
-            if last_progress.0 != matched || matched >= status.committed {
-                *last_progress = (matched, now);
-            }
-        }
-        self.progress.retain(|id, _| status.members.iter().any(|m| m.id == *id));
-        let is_unresponsive = |id: ReplicaId| {
-            id != me && self.progress.get(&id).is_some_and(|(_, at)| now >= *at + REPLACE_AFTER)
+/// Queries the failure domain of each responsive member for which it is unknown.
+async fn fetch_domains<P: Port>(node: &Node<P>, policy: &mut MembershipPolicy) {
+    let status = node.replica.status();
+    let until = Instant::now() + DOMAIN_TIMEOUT;
+    let is_unknown = |m: &&MemberStatus| m.responsive && !policy.knows_domain(m.id);
+    let queries = status.members.iter().filter(is_unknown).map(|m| async {
+        let is_self = m.id == own_id(node);
+        let response = match is_self {
+            true => Ok(PeerResponse::Standing(node.group_status())),
+            false => node.peers.request(m.id, &PeerRequest::Where, until).await,
         };
-        let voters: Vec<_> =
-            status.members.iter().filter(|m| m.kind != MemberKind::Learner).collect();
-        let ready: Vec<_> = status
-            .members
-            .iter()
-            .filter(|m| {
-                m.kind == MemberKind::Learner && m.becomes.is_none() && !is_unresponsive(m.id)
-            })
-            .collect();
-        let unresponsive_voter = voters.iter().find(|m| is_unresponsive(m.id));
-        let can_grow = voters.len() < MAX_VOTERS && (ready.len() >= 2 || voters.len() % 2 == 0);
-        let candidate =
-            ready.iter().min_by_key(|m| (self.voters_in_same_domain(status, m.id), m.id));
-        match (unresponsive_voter, candidate) {
-            (Some(unresponsive_voter), _) if voters.len() > 3 => {
-                Some(MembershipChange::Remove(unresponsive_voter.id))
-            }
-            (Some(_), Some(learner)) => Some(MembershipChange::Promote(learner.id)),
-            (None, Some(learner)) if can_grow => Some(MembershipChange::Promote(learner.id)),
+        match response {
+            Ok(PeerResponse::Standing(group_status)) => Some((m.id, group_status.domain)),
             _ => None,
         }
+    });
+    let answers: Vec<_> = futures_util::future::join_all(queries).await;
+    for (id, domain) in answers.into_iter().flatten() {
+        policy.record_domain(id, domain);
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/membership.rs
@@ -0,0 +1,121 @@
+//! Decides which learners become voters and which voters are removed. No network; the
+//! present time is an argument.
+
+use cyclamenloft_replication::{MemberKind, MemberStatus, Status};
+use cyclamenloft_types::{DomainName, ReplicaId};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Maximum number of voters: five tolerate the loss of two hosts, or of a failure
+/// domain that holds two.
+const MAX_VOTERS: usize = 5;
+/// Number of voters below which an unresponsive one is not removed without a replacement.
+const MIN_VOTERS: usize = 3;
+/// How long a voter without a replacement may be unresponsive before it is removed. It is far
+/// longer than a restart, a suspension or a network partition of a few seconds.
+const REMOVAL_DELAY: Duration = Duration::from_secs(15);
+
+/// A membership change that should be made now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipChange {
+    /// Makes a learner a voter.
+    Promote(ReplicaId),
+    /// Removes a member.
+    Remove(ReplicaId),
+}
+
+/// The leader's policy on the group's members.
+#[derive(Debug)]
+pub struct MembershipPolicy {
+    replacement_delay: Duration,
+    /// Match index of each member, and the last time at which the member was responsive and
+    /// the index had changed or had reached the commit index.
+    progress: BTreeMap<ReplicaId, (u64, Instant)>,
+    /// Failure domains of the members that have reported theirs.
+    domains: BTreeMap<ReplicaId, DomainName>,
+}
+
+impl MembershipPolicy {
+    /// Creates a policy by which a learner that has caught up replaces a voter that has been
+    /// unresponsive for `replacement_delay`.
+    #[must_use]
+    pub fn new(replacement_delay: Duration) -> Self {
+        Self { replacement_delay, progress: BTreeMap::new(), domains: BTreeMap::new() }
+    }
+
+    /// Forgets the members' progress, which only a leader observes.
+    pub fn reset(&mut self) {
+        self.progress.clear();
+    }
+
+    /// Returns whether the failure domain of a member is known.
+    #[must_use]
+    pub fn knows_domain(&self, id: ReplicaId) -> bool {
+        self.domains.contains_key(&id)
+    }
+
+    /// Records the failure domain of a member.
+    pub fn record_domain(&mut self, id: ReplicaId, domain: DomainName) {
+        self.domains.insert(id, domain);
+    }
+
+    /// Returns the change that should be made now, if any. `me` is the leader.
+    pub fn next_change(
+        &mut self,
+        status: &Status,
+        me: ReplicaId,
+        now: Instant,
+    ) -> Option<MembershipChange> {
+        self.observe(status, now);
+        let silent_for = |id: ReplicaId, delay: Duration| {
+            id != me && self.progress.get(&id).is_some_and(|(_, at)| now >= *at + delay)
+        };
+        let is_voter = |m: &&MemberStatus| m.kind != MemberKind::Learner;
+        let voters: Vec<_> = status.members.iter().filter(is_voter).collect();
+        let is_ready = |m: &&MemberStatus| {
+            m.kind == MemberKind::Learner
+                && m.becomes.is_none()
+                && m.responsive
+                && !silent_for(m.id, self.replacement_delay)
+        };
+        let ready: Vec<_> = status.members.iter().filter(is_ready).collect();
+        let replaceable = voters.iter().find(|m| silent_for(m.id, self.replacement_delay));
+        let removable = voters.iter().find(|m| silent_for(m.id, REMOVAL_DELAY));
+        // An even number of voters tolerates no more losses than one voter less.
+        let is_even = voters.len() % 2 == 0;
+        let can_grow = voters.len() < MAX_VOTERS && (ready.len() >= 2 || is_even);
+        let can_shrink = voters.len() > MIN_VOTERS;
+        let remaining = voters.iter().filter(|m| replaceable.is_none_or(|r| r.id != m.id));
+        let remaining: Vec<_> = remaining.map(|m| m.id).collect();
+        let candidate = ready.iter().min_by_key(|m| (self.in_same_domain(&remaining, m.id), m.id));
+        match (replaceable, candidate) {
+            (Some(voter), learner) if can_shrink && (is_even || learner.is_some()) => {
+                Some(MembershipChange::Remove(voter.id))
+            }
+            (Some(_), Some(learner)) => Some(MembershipChange::Promote(learner.id)),
+            (None, Some(learner)) if can_grow => Some(MembershipChange::Promote(learner.id)),
+            _ => removable.filter(|_| can_shrink).map(|voter| MembershipChange::Remove(voter.id)),
+        }
+    }
+
+    fn observe(&mut self, status: &Status, now: Instant) {
+        for m in &status.members {
+            let matched = m.matched.unwrap_or(0);
+            let last_progress = self.progress.entry(m.id).or_insert((matched, now));
+            let is_current = m.responsive && matched >= status.committed;
+            if last_progress.0 != matched || is_current {
+                *last_progress = (matched, now);
+            }
+        }
+        self.progress.retain(|id, _| status.members.iter().any(|m| m.id == *id));
+    }
+
+    /// Returns how many of `voters` are in the failure domain of a learner. Membership changes
+    /// keep this number low, so that no domain holds more voters than the group can lose.
+    fn in_same_domain(&self, voters: &[ReplicaId], learner: ReplicaId) -> usize {
+        let Some(domain) = self.domains.get(&learner) else { return 0 };
+        voters.iter().filter(|id| self.domains.get(id) == Some(domain)).count()
+    }
+}
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -79,6 +79,8 @@
     pub retention: Duration,
     /// How long a machine is down during its maintenance.
     pub maintenance: Duration,
+    /// How long a voter may be unresponsive before a learner that has caught up replaces it.
+    pub replacement_delay: Duration,
 }
 
 /// One replica and the state that its tasks share.
@@ -135,6 +137,8 @@
         compio::runtime::spawn(advise::run(node.clone())).detach();
         compio::runtime::spawn(maintenance::run(node.clone())).detach();
         compio::runtime::spawn(members::join(node.clone())).detach();
+        compio::runtime::spawn(members::maintain(node.clone())).detach();
+        compio::runtime::spawn(leader::housekeep(node.clone())).detach();
         Ok(node)
     }
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,7 @@
-//! Tests of the checks that a leader makes before it proposes a command.
+//! Tests of the decisions that a leader makes beside its plans.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod admission;
+mod membership;
 mod suspension;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -44,6 +44,10 @@
     pub term: Term,
     /// The leader, if one is known.
     pub leader: Option<ReplicaId>,
+    /// When this replica last heard from the leader; `None` before the first time and on the
+    /// leader itself.
+    #[serde(skip)]
+    pub leader_heard_at: Option<Instant>,
     /// Last entry known to be committed.
     pub committed: LogIndex,
     /// Last entry applied to the state.
@@ -70,6 +74,9 @@
     /// Last entry known to be durable on the member, or `None` if this replica
     /// isn't leader or hasn't heard from the member.
     pub matched: Option<LogIndex>,
+    /// Whether the member has answered the leader within the last election timeout; false
+    /// if this replica isn't leader.
+    pub responsive: bool,
 }
 
 struct Inner<M: StateMachine> {
@@ -322,18 +329,22 @@
 
     fn status(&self) -> Status {
         let members = self.membership().into_iter().flat_map(|m| m.members());
+        let now = Instant::now();
+        let leads = self.leader_state.is_some();
         let member = |m: &MemberRecord| MemberStatus {
             id: m.id,
             incarnation: m.incarnation,
             kind: m.kind,
             becomes: m.restore,
             matched: self.matched(m.identity()),
+            responsive: leads && self.responded_recently(m.identity(), now),
         };
         Status {
             incarnation: self.me.incarnation,
             role: self.role,
             term: self.hard_state.term,
             leader: self.leader,
+            leader_heard_at: self.leader_heard_at.filter(|_| self.leader_state.is_none()),
             committed: self.commit,
             applied: self.applied,
             durable: self.durable,
