--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod admission;
 mod membership;
 mod suspension;
+mod telemetry;
