placement: look up interference weights by index, cheap checks of a worker first

Cause: on the large site the leader's processor binds.

Change: models have an index that is looked up once a worker and round; a worker without room is left out first; the pace is worked out only where best-effort tasks run. Decisions are the same.

--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -140,8 +140,9 @@
         interference: &Interference,
         now: Instant,
     ) {
+        let model = interference.model_index(image);
         let added: f64 =
-            used.iter().map(|(i, part)| interference.weight(image, Some(*i)) * part).sum();
+            used.iter().map(|(i, part)| interference.model_weight(model, Some(*i)) * part).sum();
         let base = f64::from(self.metric).ln() - added;
         let former = self.base_ln.unwrap_or(base);
         // A rise of the base is adopted faster than a fall.
--- a/crates/placement/src/submission/fleet/tails.rs
+++ b/crates/placement/src/submission/fleet/tails.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        interference::Interference,
+        interference::{Interference, ModelIndex},
         pacing::{self, Victim},
         spec::TaskId,
         state::{Incarnation, SubmissionState},
@@ -61,7 +61,6 @@
         interference: &Interference,
         now: Instant,
     ) {
-        let victims = self.victims(state, now);
         let best_effort: Vec<(TaskId, Option<usize>, f64)> = self
             .runs
             .keys()
@@ -71,16 +70,24 @@
                 Some((*task, interference.known_index(step.image.as_deref()), part))
             })
             .collect();
-        let pressure = |image: &str, index, part| interference.weight(image, index) * part;
+        if best_effort.is_empty() {
+            return;
+        }
+        let victims: Vec<(Option<ModelIndex>, Victim)> = self
+            .victims(state, now)
+            .into_iter()
+            .map(|(image, victim)| (interference.model_index(image), victim))
+            .collect();
+        let pressure = |model, index, part| interference.model_weight(model, index) * part;
         let all: Vec<f64> = victims
             .iter()
-            .map(|(image, _)| best_effort.iter().map(|(_, i, c)| pressure(image, *i, *c)).sum())
+            .map(|(model, _)| best_effort.iter().map(|(_, i, c)| pressure(*model, *i, *c)).sum())
             .collect();
         for (task, index, part) in &best_effort {
             let pressures = victims
                 .iter()
                 .zip(&all)
-                .map(|((image, victim), all)| (*victim, pressure(image, *index, *part), *all));
+                .map(|((model, victim), all)| (*victim, pressure(*model, *index, *part), *all));
             let allowed = pacing::allowed_pace(pressures);
             if let Some(run) = self.runs.get_mut(task) {
                 run.wanted_pace.update(allowed, now);
--- a/crates/placement/src/submission/interference.rs
+++ b/crates/placement/src/submission/interference.rs
@@ -37,6 +37,9 @@
 /// [`Interference::index`]. Images beyond `MAX_IMAGES` share the last index.
 pub type ImageIndex = usize;
 
+/// Index of a latency-critical image's model, assigned when the image is first observed.
+pub type ModelIndex = usize;
+
 /// CPU time that best-effort images use, as shares of the worker.
 pub type CpuUse = Vec<(ImageIndex, f64)>;
 
@@ -136,7 +139,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
     images: BTreeMap<Box<str>, ImageIndex>,
-    models: BTreeMap<Box<str>, Model>,
+    model_indexes: BTreeMap<Box<str>, ModelIndex>,
+    models: Vec<Model>,
 }
 
 impl Interference {
@@ -147,7 +151,7 @@
         for pair in pairs {
             let index = interference.index(Some(&pair.best_effort));
             let weight = f64::from(pair.weight_millis) / 1000.0;
-            let model = interference.models.entry(pair.serving.clone()).or_insert_with(Model::new);
+            let model = interference.model_mut(&pair.serving);
             model.weights[index] = weight;
             model.priors[index] = weight;
         }
@@ -158,7 +162,8 @@
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn learned(&self) -> Vec<LearnedPair> {
-        let pairs = self.models.iter().flat_map(|(serving, model)| {
+        let pairs = self.model_indexes.iter().flat_map(|(serving, model)| {
+            let model = &self.models[*model];
             self.images.iter().map(move |(best_effort, index)| LearnedPair {
                 serving: serving.clone(),
                 best_effort: best_effort.clone(),
@@ -189,20 +194,44 @@
     /// that best-effort images use on its worker.
     pub fn observe(&mut self, serving: &str, used: &CpuUse, tail_ms: f64, now: Instant) {
         let images = self.images.len().min(MAX_IMAGES);
-        if !self.models.contains_key(serving) {
-            self.models.insert(serving.into(), Model::new());
-        }
-        if let Some(model) = self.models.get_mut(serving) {
-            model.observe(used, tail_ms.max(0.5).ln());
-            model.solve_if_due(images, now);
-        }
+        let model = self.model_mut(serving);
+        model.observe(used, tail_ms.max(0.5).ln());
+        model.solve_if_due(images, now);
+    }
+
+    fn model_mut(&mut self, serving: &str) -> &mut Model {
+        let index = match self.model_indexes.get(serving) {
+            Some(index) => *index,
+            None => {
+                self.models.push(Model::new());
+                self.model_indexes.insert(serving.into(), self.models.len() - 1);
+                self.models.len() - 1
+            }
+        };
+        &mut self.models[index]
+    }
+
+    /// Returns the index of a latency-critical image's model, if there is one.
+    #[must_use]
+    pub fn model_index(&self, serving: &str) -> Option<ModelIndex> {
+        self.model_indexes.get(serving).copied()
     }
 
     /// Returns by how much the logarithm of the latency-critical image's tail
     /// latency would grow if the best-effort image used the whole worker.
     #[must_use]
     pub fn weight(&self, serving: &str, best_effort: Option<ImageIndex>) -> f64 {
-        match (self.models.get(serving), best_effort) {
+        self.model_weight(self.model_index(serving), best_effort)
+    }
+
+    /// Returns the same as [`Self::weight`] for an image whose model index is known.
+    #[must_use]
+    pub fn model_weight(
+        &self,
+        serving: Option<ModelIndex>,
+        best_effort: Option<ImageIndex>,
+    ) -> f64 {
+        match (serving.and_then(|index| self.models.get(index)), best_effort) {
             (Some(model), Some(index)) => model.weights[index],
             _ => PRIOR_MEAN,
         }
--- a/crates/placement/src/submission/planner/bin.rs
+++ b/crates/placement/src/submission/planner/bin.rs
@@ -2,7 +2,7 @@
 
 use super::super::{
     fleet::{Fleet, runs_on},
-    interference::Interference,
+    interference::{Interference, ModelIndex},
     pacing::NEGLIGIBLE_LN,
     spec::{Step, TaskId},
     state::{Incarnation, IncarnationId, SubmissionState},
@@ -57,9 +57,9 @@
     pub(super) used_cpu: f64,
     /// CPU time demanded by best-effort tasks, in thousandths of a core.
     pub(super) best_effort_cpu: f64,
-    /// Images of the latency-critical tasks on the worker, each with the rest
-    /// of that task's interference budget.
-    pub(super) victims: Vec<(&'a str, f64)>,
+    /// Models of the latency-critical tasks' images, each with the rest of the
+    /// task's interference budget.
+    pub(super) victims: Vec<(Option<ModelIndex>, f64)>,
     /// Number of long-running tasks, by image.
     pub(super) long_runs: BTreeMap<&'a str, u16>,
     /// Number of runs, by submission, occurrence and step.
@@ -99,7 +99,9 @@
                 let victims = v.victims(state, now);
                 victims
                     .into_iter()
-                    .map(|(image, victim)| (image, victim.sustained_budget()))
+                    .map(|(image, victim)| {
+                        (fleet.interference.model_index(image), victim.sustained_budget())
+                    })
                     .collect()
             }),
             long_runs: BTreeMap::new(),
@@ -132,8 +134,8 @@
         if step.fills {
             let index = interference.known_index(step.image.as_deref());
             let part = cpu / self.capacity();
-            for (image, left) in &mut self.victims {
-                *left -= interference.weight(image, index) * part;
+            for (model, left) in &mut self.victims {
+                *left -= interference.model_weight(*model, index) * part;
             }
         }
         *self.runs_by_step.entry((task.submission, task.occurrence, task.step)).or_default() += 1;
@@ -165,8 +167,8 @@
         let index = interference.known_index(step.image.as_deref());
         let part = f64::from(step.demand.cpu_millis) / self.capacity();
         let (mut sum, mut in_budget) = (0.0, true);
-        for (image, left) in &self.victims {
-            let add = interference.weight(image, index) * part;
+        for (model, left) in &self.victims {
+            let add = interference.model_weight(*model, index) * part;
             if add >= NEGLIGIBLE_LN {
                 in_budget &= add <= *left;
                 sum += add / left.max(0.1);
@@ -182,6 +184,10 @@
         interference: &Interference,
         check: BudgetCheck,
     ) -> bool {
+        // The checks are in the order of their cost.
+        if !step.reserved().fits_in(&self.free) {
+            return false;
+        }
         let apart = step.max_per_worker == 0 || self.count_of_step(task) < step.max_per_worker;
         let labeled = step
             .label
@@ -194,14 +200,14 @@
             }
             BudgetCheck::Skip => true,
         };
-        let has_room = !step.fills || self.has_best_effort_room(step) && in_budget();
         let proven = !self.probation || !self.probed;
         let excluded = match self.reserved_from {
             Some(ReservedFrom::All) => !step.fills,
             Some(ReservedFrom::Short) => !step.fills && !step.lasting,
             None => false,
         };
-        !excluded && apart && labeled && has_room && proven && step.reserved().fits_in(&self.free)
+        let has_room = || !step.fills || self.has_best_effort_room(step) && in_budget();
+        !excluded && proven && apart && labeled && has_room()
     }
 
     /// Returns the number of tasks of the step that have room on the worker.
