dispatch: planning takes a fifth of the time; slow checks four times a second

Cause: the leader's processor binds on the large site.

Change: runs without progress and runs to move are looked for four times a second, since both show over seconds; workers' tasks are started and ended only when the set of incarnations has changed; the pause between two rounds is four times what planning took, before twice. What housekeeping drops with ended submissions is dropped once a second.

Tests: the_version_of_the_incarnations_changes_with_their_set_alone.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -12,11 +12,13 @@
 use compio::runtime::JoinHandle;
 use cyclamenloft_placement::submission::{
     Command, CommandResult, Fleet, IncarnationId, SubmissionId, SubmissionState,
-    interference::Interference, planner, state::Phase,
+    interference::Interference,
+    planner,
+    state::{IncarnationsVersion, Phase},
 };
 use cyclamenloft_types::{Result, Term};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -28,6 +30,12 @@
 /// Minimum time between two rounds, so that changes that arrive together are committed
 /// together. A commit takes about twice this time.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(8);
+/// Minimum pause between two rounds as a multiple of the time that planning took, so that
+/// planning takes at most a fifth of the time, whatever the number of workers.
+const PAUSE_FACTOR: u32 = 4;
+/// Time between two checks for runs that make no progress or would run better elsewhere, both
+/// of which show over seconds.
+const WITHDRAW_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two checks by a follower whether it has become the leader.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two checks of the waiting tasks, the learned interference and the submissions
@@ -52,6 +60,9 @@
     pub fleet: RefCell<Fleet>,
     worker_tasks: RefCell<BTreeMap<IncarnationId, WorkerTasks>>,
     ended_since: RefCell<BTreeMap<SubmissionId, Instant>>,
+    /// The incarnations for which tasks were started last.
+    known_incarnations: Cell<IncarnationsVersion>,
+    next_withdrawal: Cell<Instant>,
 }
 
 impl Leadership {
@@ -61,6 +72,8 @@
             fleet: RefCell::new(Fleet::new(longest_lease, now)),
             worker_tasks: RefCell::default(),
             ended_since: RefCell::default(),
+            known_incarnations: Cell::default(),
+            next_withdrawal: Cell::new(now),
         }
     }
 
@@ -116,9 +129,7 @@
                 continue;
             }
         };
-        // The pause is at least twice the planning time, so that planning takes
-        // at most a third of the time, whatever the number of workers.
-        compio::time::sleep(MIN_ROUND_INTERVAL.max(planning_time * 2)).await;
+        compio::time::sleep(MIN_ROUND_INTERVAL.max(planning_time * PAUSE_FACTOR)).await;
         let _ = compio::time::timeout(MAX_ROUND_INTERVAL, node.decision_due.changed(change_count))
             .await;
     }
@@ -130,6 +141,9 @@
     loop {
         compio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         if node.leads() {
+            if let Some(leadership) = &*node.leadership.borrow() {
+                node.state(|s| leadership.fleet.borrow_mut().retain(s));
+            }
             log_waiting(&node);
             persist_learned(&node).await;
             remove_ended(&node).await;
@@ -207,8 +221,12 @@
 /// whose worker is leaving.
 fn withdraw<P: Port>(node: &Node<P>, leadership: &Leadership) {
     let now = Instant::now();
-    let stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, now));
-    let moved = node.state(|s| planner::moves(s, &leadership.fleet.borrow(), now));
+    let (mut stuck, mut moved) = (Vec::new(), Vec::new());
+    if now >= leadership.next_withdrawal.get() {
+        leadership.next_withdrawal.set(now + WITHDRAW_INTERVAL);
+        stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, now));
+        moved = node.state(|s| planner::moves(s, &leadership.fleet.borrow(), now));
+    }
     for (incarnation, task) in &moved {
         leadership.fleet.borrow_mut().withdraw(*incarnation, *task, now);
     }
@@ -254,6 +272,10 @@
 /// are gone.
 fn sync_worker_tasks<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) {
     node.state(|s| {
+        let version = s.incarnations_version();
+        if leadership.known_incarnations.replace(version) == version {
+            return;
+        }
         leadership.fleet.borrow_mut().retain(s);
         let mut worker_tasks = leadership.worker_tasks.borrow_mut();
         worker_tasks.retain(|id, _| s.incarnation(*id).is_some());
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -377,8 +377,11 @@
     ) -> Vec<(IncarnationId, Checkpoints)> {
         let mut over = Vec::new();
         for (id, view) in &mut self.views {
-            let Some(incarnation) = state.incarnation(*id) else { continue };
             let silent = !view.is_reachable(now);
+            if !silent && !view.declared_lost {
+                continue;
+            }
+            let Some(incarnation) = state.incarnation(*id) else { continue };
             // A worker that has announced its exit and is now unreachable has
             // exited, and its runs have ended with it.
             let ended = incarnation.worker.leaving && now >= view.reachable_until + LEAVE_GRACE;
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -21,6 +21,15 @@
 /// are allowed.
 pub const MAX_COPIES: usize = 2;
 
+/// Identifies the set of incarnations of a state: equal values mean an equal set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct IncarnationsVersion {
+    /// Number of the last incarnation that began.
+    last: IncarnationId,
+    /// Number of incarnations that haven't ended. An ended one never returns.
+    count: usize,
+}
+
 /// Configuration, submissions, workers and maintenance waves of one placement
 /// group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,6 +97,12 @@
         self.incarnations.iter().map(|(id, incarnation)| (*id, incarnation))
     }
 
+    /// Returns a value that changes with the set of incarnations.
+    #[must_use]
+    pub fn incarnations_version(&self) -> IncarnationsVersion {
+        IncarnationsVersion { last: self.next_incarnation, count: self.incarnations.len() }
+    }
+
     /// Returns the incarnation with this number, unless it has ended.
     #[must_use]
     pub fn incarnation(&self, id: IncarnationId) -> Option<&Incarnation> {
--- a/crates/placement/tests/all/submission/state.rs
+++ b/crates/placement/tests/all/submission/state.rs
@@ -203,3 +203,25 @@
     assert_eq!(prefix("/elsewhere/1"), None);
     assert!(routes.route("another", "/queue/1").is_none());
 }
+
+/// A leader starts and ends its tasks for workers only when this version changes.
+#[test]
+fn the_version_of_the_incarnations_changes_with_their_set_alone() {
+    let mut g = Group::new();
+    let mut versions = vec![g.state.incarnations_version()];
+    g.submit(1, vec![step(1)]);
+    assert!(g.place(task(0, 0), 1));
+    g.end(task(0, 0), 1, EndReason::Done);
+    g.apply(Command::Register(worker("wa", 4)));
+    assert_eq!(g.state.incarnations_version(), versions[0], "the set of incarnations is the same");
+    g.apply(Command::Register(worker("wb", 4)));
+    versions.push(g.state.incarnations_version());
+    g.apply(Command::Lost { incarnation: 1, checkpoints: vec![] });
+    versions.push(g.state.incarnations_version());
+    let restarted = WorkerInfo { started_ms: 1_000_000, ..worker("wb", 4) };
+    g.apply(Command::Register(restarted));
+    versions.push(g.state.incarnations_version());
+    for (i, version) in versions.iter().enumerate() {
+        assert!(!versions[..i].contains(version), "{versions:?}");
+    }
+}
