placement: keep what matters of a run's step with the leader's view of it

Cause: for each poll the step of each of the worker's runs was looked up in the state some eight times: for its progress, tail latencies, pace, and whether to watch it closely. By the call graph of the leader on the large site, that is a good part of the 10% that processing a poll's answer takes.

Change: the view of a run holds the few parts of the step that are needed while it runs.

Tests: the tests of the submission module, unchanged but for an argument that is gone.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -224,7 +224,7 @@
     let (mut stuck, mut moved) = (Vec::new(), Vec::new());
     if now >= leadership.next_withdrawal.get() {
         leadership.next_withdrawal.set(now + WITHDRAW_INTERVAL);
-        stuck = node.state(|s| leadership.fleet.borrow_mut().withdraw_stuck(s, now));
+        stuck = leadership.fleet.borrow_mut().withdraw_stuck(now);
         moved = node.state(|s| planner::moves(s, &leadership.fleet.borrow(), now));
     }
     for (incarnation, task) in &moved {
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -141,7 +141,7 @@
         let idle =
             cx.node.state(|s| s.incarnation(cx.incarnation).is_none_or(|l| l.runs.is_empty()));
         let view = fleet.view_mut(cx.incarnation, sent);
-        let close_watch = cx.node.state(|s| view.needs_close_watch(s));
+        let close_watch = view.needs_close_watch();
         let responsive = view.synced && view.is_reachable(sent);
         let wait = match (responsive, idle, close_watch) {
             (false, ..) => Duration::ZERO,
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -206,7 +206,7 @@
             }
         }
         if let Some(view) = self.views.get_mut(&id) {
-            view.observe_tails(state, incarnation, &mut self.interference, now);
+            view.observe_tails(incarnation, &mut self.interference, now);
         }
         ends
     }
@@ -230,7 +230,8 @@
         let mut next: Option<Order> = None;
         for task in &incarnation.runs {
             let Some((record, run)) = record_run(state, id, *task) else { continue };
-            let run_view = view.run_view(*task, run.attempt, now);
+            let step = &record.spec.steps[usize::from(task.step)];
+            let run_view = view.run_view(*task, run.attempt, step, now);
             let Some(kind) = run_view.wanted_order(record, *task, draining, now) else { continue };
             // Stops come first, since they free room that starts may need.
             if kind == OrderKind::Stop || next.is_none() {
@@ -323,11 +324,7 @@
 
     /// Withdraws runs that make no progress on a reachable worker, and returns
     /// them.
-    pub fn withdraw_stuck(
-        &mut self,
-        state: &SubmissionState,
-        now: Instant,
-    ) -> Vec<(IncarnationId, TaskId)> {
+    pub fn withdraw_stuck(&mut self, now: Instant) -> Vec<(IncarnationId, TaskId)> {
         let mut stuck = Vec::new();
         for (id, view) in &mut self.views {
             if !view.synced || !view.is_reachable(now) {
@@ -335,8 +332,7 @@
             }
             let mut found = false;
             for (task, run) in &mut view.runs {
-                let Some(step) = step_of(state, *task) else { continue };
-                if run.is_stuck(step, now) {
+                if run.is_stuck(now) {
                     run.withdrawn = true;
                     found = true;
                     stuck.push((*id, *task));
@@ -358,8 +354,7 @@
         {
             let Some(view) = self.views.get_mut(&id) else { continue };
             for (task, run) in &mut view.runs {
-                let runs_indefinitely = step_of(state, *task).is_some_and(|s| s.lasting);
-                if runs_indefinitely && !run.withdrawn && incarnation.runs.contains(task) {
+                if run.step.lasting && !run.withdrawn && incarnation.runs.contains(task) {
                     run.withdrawn = true;
                     moved.push((id, *task));
                 }
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -33,9 +33,38 @@
 /// observation.
 const BASE_FALL_GAIN: f64 = 0.4;
 
+/// The parts of a task's step that matter while the task runs. They are kept with the run,
+/// because they are needed for each of a worker's runs whenever the worker is polled.
+#[derive(Clone, Debug)]
+pub(super) struct RunStep {
+    /// Whether the task runs indefinitely.
+    pub(super) lasting: bool,
+    /// Whether the task is best-effort.
+    pub(super) fills: bool,
+    /// Target of a latency-critical task's tail latency.
+    pub(super) target_ms: Option<u32>,
+    /// Processor demand, in thousandths of a core.
+    pub(super) cpu_millis: f64,
+    /// Name of the image; empty if the step names none.
+    pub(super) image: Box<str>,
+}
+
+impl From<&Step> for RunStep {
+    fn from(step: &Step) -> Self {
+        Self {
+            lasting: step.lasting,
+            fills: step.fills,
+            target_ms: step.target_ms,
+            cpu_millis: f64::from(step.demand.cpu_millis),
+            image: step.image.clone().unwrap_or_default(),
+        }
+    }
+}
+
 /// The leader's view of one run.
 #[derive(Clone, Debug)]
 pub(super) struct RunView {
+    pub(super) step: RunStep,
     pub(super) attempt: AttemptNumber,
     /// Time at which the worker accepted the start.
     pub(super) started: Option<Instant>,
@@ -66,8 +95,9 @@
 }
 
 impl RunView {
-    pub(super) fn new(attempt: AttemptNumber, now: Instant) -> Self {
+    pub(super) fn new(attempt: AttemptNumber, step: &Step, now: Instant) -> Self {
         Self {
+            step: step.into(),
             attempt,
             started: None,
             start_unconfirmed: false,
@@ -121,9 +151,8 @@
         if self.started.is_none() {
             return Some(OrderKind::Start);
         }
-        let best_effort = record.spec.steps[usize::from(task.step)].fills;
         let pace = self.wanted_pace.percent();
-        (best_effort && self.listed && self.pace != pace).then_some(OrderKind::Pace(pace))
+        (self.step.fills && self.listed && self.pace != pace).then_some(OrderKind::Pace(pace))
     }
 
     /// Returns whether the run is ready to serve requests, so that its reported
@@ -134,13 +163,12 @@
 
     pub(super) fn observe_tail(
         &mut self,
-        image: &str,
         target_ms: u32,
         used: &CpuUse,
         interference: &Interference,
         now: Instant,
     ) {
-        let model = interference.model_index(image);
+        let model = interference.model_index(&self.step.image);
         let added: f64 =
             used.iter().map(|(i, part)| interference.model_weight(model, Some(*i)) * part).sum();
         let base = f64::from(self.metric).ln() - added;
@@ -161,8 +189,8 @@
         }
     }
 
-    pub(super) fn is_stuck(&self, step: &Step, now: Instant) -> bool {
-        let after = if step.fills { BEST_EFFORT_STUCK_AFTER } else { STUCK_AFTER };
+    pub(super) fn is_stuck(&self, now: Instant) -> bool {
+        let after = if self.step.fills { BEST_EFFORT_STUCK_AFTER } else { STUCK_AFTER };
         let paced = self.pace != 100 || self.wanted_pace.percent() < 100;
         self.listed && !self.withdrawn && !paced && now >= self.progress_at + after
     }
--- a/crates/placement/src/submission/fleet/tails.rs
+++ b/crates/placement/src/submission/fleet/tails.rs
@@ -4,13 +4,11 @@
 
 use super::{
     super::{
-        interference::{Interference, ModelIndex},
+        interference::{ImageIndex, Interference, ModelIndex},
         pacing::{self, Victim},
         spec::TaskId,
-        state::{Incarnation, SubmissionState},
+        state::Incarnation,
     },
-    run::RunView,
-    step_of,
     worker::WorkerView,
 };
 use std::{
@@ -25,57 +23,41 @@
 impl WorkerView {
     pub(super) fn observe_tails(
         &mut self,
-        state: &SubmissionState,
         incarnation: &Incarnation,
         interference: &mut Interference,
         now: Instant,
     ) {
         let capacity = f64::from(incarnation.worker.capacity.cpu_millis.max(1));
         let mut used: BTreeMap<usize, f64> = BTreeMap::new();
-        for (task, run) in &self.runs {
-            let Some(step) = step_of(state, *task).filter(|s| s.fills && run.listed) else {
-                continue;
-            };
-            let index = interference.index(step.image.as_deref());
+        for run in self.runs.values().filter(|run| run.step.fills && run.listed) {
+            let index = interference.index(Some(&run.step.image));
             *used.entry(index).or_default() += f64::from(run.metric) / capacity;
         }
         let used = used.into_iter().collect();
-        for (task, run) in &mut self.runs {
-            let Some(step) = step_of(state, *task) else { continue };
-            if let Some(target) = step.target_ms
-                && run.is_serving()
-            {
-                let serving = step.image.as_deref().unwrap_or_default();
-                interference.observe(serving, &used, f64::from(run.metric), now);
-                run.observe_tail(serving, target, &used, interference, now);
-            }
+        for run in self.runs.values_mut().filter(|run| run.is_serving()) {
+            let Some(target_ms) = run.step.target_ms else { continue };
+            interference.observe(&run.step.image, &used, f64::from(run.metric), now);
+            run.observe_tail(target_ms, &used, interference, now);
         }
-        self.pace_best_effort(state, capacity, interference, now);
+        self.pace_best_effort(capacity, interference, now);
     }
 
     /// Sets the wanted pace of each best-effort task.
-    fn pace_best_effort(
-        &mut self,
-        state: &SubmissionState,
-        capacity: f64,
-        interference: &Interference,
-        now: Instant,
-    ) {
-        let best_effort: Vec<(TaskId, Option<usize>, f64)> = self
+    fn pace_best_effort(&mut self, capacity: f64, interference: &Interference, now: Instant) {
+        let best_effort: Vec<(TaskId, Option<ImageIndex>, f64)> = self
             .runs
-            .keys()
-            .filter_map(|task| {
-                let step = step_of(state, *task).filter(|s| s.fills)?;
-                let part = f64::from(step.demand.cpu_millis) / capacity;
-                Some((*task, interference.known_index(step.image.as_deref()), part))
+            .iter()
+            .filter(|(_, run)| run.step.fills)
+            .map(|(task, run)| {
+                let index = interference.known_index(Some(&run.step.image));
+                (*task, index, run.step.cpu_millis / capacity)
             })
             .collect();
         if best_effort.is_empty() {
             return;
         }
         let victims: Vec<(Option<ModelIndex>, Victim)> = self
-            .victims(state, now)
-            .into_iter()
+            .victims(now)
             .map(|(image, victim)| (interference.model_index(image), victim))
             .collect();
         let pressure = |model, index, part| interference.model_weight(model, index) * part;
@@ -96,27 +78,14 @@
     }
 
     /// Returns the latency-critical tasks on the worker, with their images.
-    pub(in super::super) fn victims<'a>(
-        &self,
-        state: &'a SubmissionState,
-        now: Instant,
-    ) -> Vec<(&'a str, Victim)> {
-        let victim = |(task, run): (&TaskId, &RunView)| {
-            let step = step_of(state, *task)?;
-            let target_ln = f64::from(step.target_ms?).ln();
+    pub(in super::super) fn victims(&self, now: Instant) -> impl Iterator<Item = (&str, Victim)> {
+        self.runs.values().filter_map(move |run| {
+            let target_ln = f64::from(run.step.target_ms?).ln();
             let over_for =
                 run.over_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
             let base_ln = run.base_ln.unwrap_or(target_ln + DEFAULT_BASE_FRACTION.ln());
-            Some((
-                step.image.as_deref().unwrap_or_default(),
-                Victim {
-                    base_ln,
-                    peak_ln: run.peak_ln.map_or(base_ln, |(peak, _)| peak),
-                    target_ln,
-                    over_for,
-                },
-            ))
-        };
-        self.runs.iter().filter_map(victim).collect()
+            let peak_ln = run.peak_ln.map_or(base_ln, |(peak, _)| peak);
+            Some((&*run.step.image, Victim { base_ln, peak_ln, target_ln, over_for }))
+        })
     }
 }
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -5,12 +5,13 @@
         command::{Checkpoints, EndReason, RunEnd},
         health::Health,
         lease::WorkerLease,
-        spec::TaskId,
+        spec::{Step, TaskId},
         state::{IncarnationId, SubmissionState},
     },
     messages::ListedRun,
+    record_run,
     run::RunView,
-    run_of, step_of,
+    run_of,
 };
 use cyclamenloft_types::AttemptNumber;
 use std::{
@@ -69,11 +70,12 @@
         &mut self,
         task: TaskId,
         attempt: AttemptNumber,
+        step: &Step,
         now: Instant,
     ) -> &mut RunView {
-        let run = self.runs.entry(task).or_insert_with(|| RunView::new(attempt, now));
+        let run = self.runs.entry(task).or_insert_with(|| RunView::new(attempt, step, now));
         if run.attempt != attempt {
-            *run = RunView::new(attempt, now);
+            *run = RunView::new(attempt, step, now);
         }
         run
     }
@@ -85,13 +87,14 @@
         seen: &ListedRun,
         now: Instant,
     ) {
-        let known = run_of(state, id, seen.task).filter(|r| r.attempt == seen.attempt);
-        if known.is_none() {
+        let known = record_run(state, id, seen.task).filter(|(_, r)| r.attempt == seen.attempt);
+        let Some((record, _)) = known else {
             self.strays.insert((seen.task, seen.attempt));
             return;
-        }
-        let runs_indefinitely = step_of(state, seen.task).is_some_and(|s| s.lasting);
-        let run = self.run_view(seen.task, seen.attempt, now);
+        };
+        let step = &record.spec.steps[usize::from(seen.task.step)];
+        let runs_indefinitely = step.lasting;
+        let run = self.run_view(seen.task, seen.attempt, step, now);
         run.record_listed(now);
         let progressed = seen.percent != run.percent || seen.checkpoint != run.checkpoint;
         let became_ready = runs_indefinitely && seen.percent == 100 && run.percent < 100;
@@ -108,11 +111,8 @@
 
     /// Returns whether the worker has any run except long-running tasks that
     /// are ready. On a worker on probation, such a run is the probe.
-    pub(in super::super) fn is_probed(&self, state: &SubmissionState) -> bool {
-        self.runs.iter().any(|(task, run)| {
-            let runs_indefinitely = step_of(state, *task).is_some_and(|s| s.lasting);
-            !(runs_indefinitely && run.percent == 100)
-        })
+    pub(in super::super) fn is_probed(&self) -> bool {
+        self.runs.values().any(|run| !(run.step.lasting && run.percent == 100))
     }
 
     pub(super) fn record_end(&mut self, end: &RunEnd, now: Instant) {
@@ -158,10 +158,10 @@
     /// one is over its target, or best-effort tasks are throttled or run next
     /// to latency-critical ones.
     #[must_use]
-    pub fn needs_close_watch(&self, state: &SubmissionState) -> bool {
+    pub fn needs_close_watch(&self) -> bool {
         let slowed = |r: &RunView| r.pace < 100 || r.wanted_pace.percent() < 100;
         let serves = self.runs.values().any(|r| r.base_ln.is_some());
-        let best_effort = || self.runs.keys().any(|t| step_of(state, *t).is_some_and(|s| s.fills));
+        let best_effort = || self.runs.values().any(|r| r.step.fills);
         self.runs.values().any(|r| r.over_since.is_some() || slowed(r)) || (serves && best_effort())
     }
 
--- a/crates/placement/src/submission/planner/bin.rs
+++ b/crates/placement/src/submission/planner/bin.rs
@@ -96,9 +96,7 @@
             used_cpu: 0.0,
             best_effort_cpu: 0.0,
             victims: view.map_or_else(Vec::new, |v| {
-                let victims = v.victims(state, now);
-                victims
-                    .into_iter()
+                v.victims(now)
                     .map(|(image, victim)| {
                         (fleet.interference.model_index(image), victim.sustained_budget())
                     })
@@ -107,7 +105,7 @@
             long_runs: BTreeMap::new(),
             runs_by_step: BTreeMap::new(),
             probation: view.is_some_and(|v| v.health.on_probation()),
-            probed: view.is_some_and(|v| v.is_probed(state)),
+            probed: view.is_some_and(|v| v.is_probed()),
             short_reserved: Resources::ZERO,
             reserved_from: None,
         };
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -351,7 +351,7 @@
                 self.propose(Command::Lost { incarnation, checkpoints });
             }
         }
-        self.fleet.withdraw_stuck(&self.state, now);
+        self.fleet.withdraw_stuck(now);
         self.fleet.drain_workers(&self.state);
         for (incarnation, task) in planner::moves(&self.state, &self.fleet, now) {
             self.fleet.withdraw(incarnation, task, now);
