dispatch: runs that met the same decision share a log line

Change: crates/dispatch/src/run_log.rs. The placements of a round are one line, orders that workers took and ends are gathered for up to 0.1 s by kind, outcome and token, up to 4 KiB a line. An order that wasn't taken keeps its own line with detail and lease. explain finds runs in shared lines by submission, step, task or worker, and shows only those. Counters take static labels without a copy.

Left out of the lines: lease end of orders that were taken (it follows from the polls).

Tests: explain::*_in_shared_lines (4), run_log::* (2).

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -7,11 +7,12 @@
     node::{Node, wall_ms},
     notify::Notify,
     port::Port,
+    run_log::{MAX_RUNS_BYTES, RunName, push_name},
     worker,
 };
 use compio::runtime::JoinHandle;
 use cyclamenloft_placement::submission::{
-    Command, CommandResult, Fleet, IncarnationId, SubmissionId, SubmissionState,
+    Command, CommandResult, Fleet, IncarnationId, Placement, SubmissionId, SubmissionState,
     interference::Interference,
     planner,
     state::{IncarnationsVersion, Phase},
@@ -254,20 +255,34 @@
         return Ok(planning_time);
     };
     let commit_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
-    for p in &placed {
-        let worker = node.state(|s| s.incarnation(p.incarnation).map(|l| l.worker.id.clone()));
-        let worker = worker.as_deref().unwrap_or("");
-        tracing::info!(
-            decision = "place", task = %p.task, attempt = p.attempt, worker, life = p.incarnation,
-            commit_us, outcome = "placed"
-        );
-        leadership.wake(p.incarnation);
-    }
+    log_placed(node, &placed, leadership.token, commit_us);
+    placed.iter().for_each(|p| leadership.wake(p.incarnation));
     node.metrics.count_many("place", "placed", placed.len() as u64);
     node.metrics.count_many("place", "void", (proposed_count - placed.len()) as u64);
     Ok(planning_time)
 }
 
+fn log_placed<P: Port>(node: &Node<P>, placed: &[Placement], token: Term, commit_us: u64) {
+    let line = |runs: &str| {
+        tracing::info!(decision = "place", commit_us, token, runs, outcome = "placed");
+    };
+    let mut runs = String::new();
+    node.state(|s| {
+        for p in placed {
+            let worker = s.incarnation(p.incarnation).map_or("", |i| &*i.worker.id);
+            let Placement { task, attempt, incarnation } = *p;
+            push_name(&mut runs, RunName { task, attempt, worker, incarnation, took: None });
+            if runs.len() >= MAX_RUNS_BYTES {
+                line(&runs);
+                runs.clear();
+            }
+        }
+    });
+    if !runs.is_empty() {
+        line(&runs);
+    }
+}
+
 /// Starts tasks for each new incarnation and cancels those of incarnations that
 /// are gone.
 fn sync_worker_tasks<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod notify;
 pub mod port;
 pub mod protocol;
+pub mod run_log;
 pub mod suspension;
 pub mod telemetry;
 
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -12,7 +12,7 @@
     },
     registry::Registry,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{borrow::Cow, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Upper bound of the first bucket of a histogram, in seconds: shorter than a call inside a
 /// failure domain.
@@ -25,16 +25,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EventLabels {
     /// What was done, such as `submit` or `start`.
-    pub what: String,
+    pub what: Cow<'static, str>,
     /// The outcome, such as `accepted`.
-    pub outcome: String,
+    pub outcome: Cow<'static, str>,
 }
 
 /// Labels of a duration or a gauge.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct MetricLabels {
     /// What is measured, such as `commit`.
-    pub what: String,
+    pub what: Cow<'static, str>,
 }
 
 /// The metrics of a process.
@@ -62,25 +62,30 @@
 
 impl Metrics {
     /// Counts an event.
-    pub fn count(&self, what: &str, outcome: &str) {
+    pub fn count(&self, what: impl Into<Cow<'static, str>>, outcome: impl Into<Cow<'static, str>>) {
         self.count_many(what, outcome, 1);
     }
 
     /// Counts `events` events with the same labels.
-    pub fn count_many(&self, what: &str, outcome: &str, events: u64) {
+    pub fn count_many(
+        &self,
+        what: impl Into<Cow<'static, str>>,
+        outcome: impl Into<Cow<'static, str>>,
+        events: u64,
+    ) {
         let event = EventLabels { what: what.into(), outcome: outcome.into() };
         self.events.get_or_create(&event).inc_by(events);
     }
 
     /// Records how long something took.
-    pub fn time(&self, what: &str, duration: Duration) {
+    pub fn time(&self, what: impl Into<Cow<'static, str>>, duration: Duration) {
         self.durations
             .get_or_create(&MetricLabels { what: what.into() })
             .observe(duration.as_secs_f64());
     }
 
     /// Sets a gauge.
-    pub fn level(&self, what: &str, value: usize) {
+    pub fn level(&self, what: impl Into<Cow<'static, str>>, value: usize) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
         self.gauges.get_or_create(&MetricLabels { what: what.into() }).set(value);
     }
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -13,6 +13,7 @@
         encode,
     },
     requests,
+    run_log::{self, RunLog},
     suspension::SuspensionDetector,
     transport::{LogTransport, Peers, replica_id},
 };
@@ -33,7 +34,7 @@
     cell::RefCell,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -96,6 +97,8 @@
     pub(crate) decision_due: Notify,
     /// Counters and histograms.
     pub metrics: Rc<Metrics>,
+    /// Log lines about runs.
+    pub(crate) run_log: RunLog,
 }
 
 impl<P: Port> Node<P> {
@@ -132,7 +135,9 @@
             suspension: SuspensionDetector::default(),
             decision_due: Notify::default(),
             metrics,
+            run_log: RunLog::default(),
         });
+        compio::runtime::spawn(flush_run_log(Rc::downgrade(&node))).detach();
         compio::runtime::spawn(leader::run(node.clone())).detach();
         compio::runtime::spawn(advise::run(node.clone())).detach();
         compio::runtime::spawn(maintenance::run(node.clone())).detach();
@@ -376,6 +381,15 @@
     pub async fn shut_down(&self) {
         self.leadership.replace(None);
         self.replica.shut_down().await;
+        self.run_log.flush();
+    }
+}
+
+async fn flush_run_log<P: Port>(node: Weak<Node<P>>) {
+    while let Some(node) = node.upgrade() {
+        node.run_log.flush();
+        drop(node);
+        compio::time::sleep(run_log::MAX_DELAY).await;
     }
 }
 
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -6,12 +6,13 @@
     node::Node,
     notify::Notify,
     port::{OrderCall, OrderResponse, PollCall, Port},
+    run_log::{LineKey, RunName},
 };
 use cyclamenloft_placement::submission::{
-    Command, CommandResult, IncarnationId, Observation, RunEnd,
+    Command, CommandResult, IncarnationId, Observation, RunEnd, TaskId,
     fleet::{Order, OrderAnswer, OrderKind},
 };
-use cyclamenloft_types::{ErrorKind, Result, WorkerId};
+use cyclamenloft_types::{AttemptNumber, ErrorKind, Result, WorkerId};
 use std::{
     cell::Cell,
     rc::{Rc, Weak},
@@ -69,13 +70,21 @@
         self.node.leads().then_some(leadership)
     }
 
+    fn run_name(
+        &self,
+        task: TaskId,
+        attempt: AttemptNumber,
+        took: Option<Duration>,
+    ) -> RunName<'_> {
+        RunName { task, attempt, worker: &self.worker, incarnation: self.incarnation, took }
+    }
+
     async fn commit_ends(&self, leadership: &Leadership, ends: Vec<RunEnd>) -> Result<()> {
         for end in &ends {
             let reason = end.reason.as_str();
-            tracing::info!(
-                decision = "end", task = %end.task, attempt = end.attempt,
-                worker = %self.worker, outcome = reason
-            );
+            let token = leadership.token;
+            let key = LineKey { decision: "end", kind: "", outcome: reason, token };
+            self.node.run_log.record(key, self.run_name(end.task, end.attempt, None));
             self.node.metrics.count("end", reason);
         }
         let outcome =
@@ -261,12 +270,22 @@
     cx.node.metrics.time("order", elapsed);
     let answer = response.answer;
     let end = leadership.fleet.borrow_mut().answered(cx.incarnation, order, answer, Instant::now());
-    let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
-    tracing::info!(
-        decision = "order", task = %order.task, attempt = order.attempt, kind = ?order.kind,
-        worker = %cx.worker, token = call.token, lease_end_ms, elapsed_us,
-        outcome = ?answer, detail = %response.detail
-    );
+    let kind = match order.kind {
+        OrderKind::Start => "Start",
+        OrderKind::Stop => "Stop",
+        OrderKind::Pace(_) => "Pace",
+    };
+    if answer == OrderAnswer::Taken {
+        let key = LineKey { decision: "order", kind, outcome: "Taken", token: call.token };
+        cx.node.run_log.record(key, cx.run_name(order.task, order.attempt, Some(elapsed)));
+    } else {
+        let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        tracing::info!(
+            decision = "order", task = %order.task, attempt = order.attempt, kind,
+            worker = %cx.worker, token = call.token, lease_end_ms, elapsed_us,
+            outcome = ?answer, detail = %response.detail
+        );
+    }
     cx.node
         .metrics
         .count("order", if answer == OrderAnswer::Taken { "taken" } else { "not-taken" });
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -4,5 +4,6 @@
 
 mod admission;
 mod membership;
+mod run_log;
 mod suspension;
 mod telemetry;
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -12,6 +12,9 @@
 /// Fields that an output line shows at its beginning or omits.
 const SUMMARY_KEYS: [&str; 5] = ["timestamp", "decision", "event", "outcome", "level"];
 
+/// Field with the runs that share a line, each as `TASK#ATTEMPT@WORKER/INCARNATION`.
+const RUNS_KEY: &str = "runs";
+
 pub(super) fn command() -> Command {
     Command::new("explain")
         .about("Shows the log lines about one submission, task, worker or host")
@@ -64,7 +67,7 @@
         let Ok(Value::Object(fields)) = serde_json::from_str(&line[start..]) else { continue };
         if matches_id(&fields, id) {
             let time = text(&fields, "timestamp");
-            matches.push((time, format_line(&fields)));
+            matches.push((time, format_line(fields, id)));
         }
     }
     Ok(())
@@ -78,7 +81,21 @@
             || value.strip_prefix(id).is_some_and(|rest| rest.starts_with('.'))
             || value.strip_suffix(id).is_some_and(|rest| rest.ends_with('/'))
     };
-    fields.values().filter_map(Value::as_str).any(is_match)
+    fields.values().filter_map(Value::as_str).any(is_match) || !runs_of(fields, id).is_empty()
+}
+
+/// Returns the runs in the field [`RUNS_KEY`] that are of the submission, step, task or worker
+/// with this id.
+fn runs_of(fields: &Map<String, Value>, id: &str) -> Box<str> {
+    let runs = fields.get(RUNS_KEY).and_then(Value::as_str).unwrap_or_default();
+    let is_match = |run: &&str| {
+        let Some((task, attempt)) = run.split_once('#') else { return false };
+        let worker = attempt.split_once('@').map_or("", |(_, worker)| worker);
+        let worker = worker.split(['/', '+']).next().unwrap_or_default();
+        worker == id || task.strip_prefix(id).is_some_and(|r| r.is_empty() || r.starts_with('.'))
+    };
+    let matching: Vec<&str> = runs.split_whitespace().filter(is_match).collect();
+    matching.join(" ").into()
 }
 
 fn text(fields: &Map<String, Value>, key: &str) -> String {
@@ -90,8 +107,13 @@
 }
 
 /// Formats one line for a reader: time, decision and outcome, then all other
-/// fields.
-fn format_line(fields: &Map<String, Value>) -> String {
+/// fields. Of the runs that share the line only those that match `id` are shown.
+fn format_line(mut fields: Map<String, Value>, id: &str) -> String {
+    let runs = runs_of(&fields, id);
+    if !runs.is_empty() {
+        fields.insert(RUNS_KEY.into(), Value::String(runs.into()));
+    }
+    let fields = &fields;
     let what = format!("{}{}", text(fields, "decision"), text(fields, "event"));
     let mut line =
         format!("{} {what:10} {:12}", text(fields, "timestamp"), text(fields, "outcome"));
--- a/tests/all/explain.rs
+++ b/tests/all/explain.rs
@@ -13,6 +13,9 @@
 {"timestamp":"2026-05-23T15:45:24.400Z","level":"INFO","decision":"place","task":"0000000000000001.0.0.0","attempt":1,"worker":"i-1","outcome":"placed"}
 {"timestamp":"2026-05-23T15:45:24.900Z","level":"INFO","decision":"answer","method":"GET","path":"/q/b0bf6bdd2f54fae6","status":200,"outcome":"failed"}
 {"timestamp":"2026-05-23T15:45:24.901Z","level":"INFO","decision":"answer","detail":"b0bf6bdd2f54fae6 in a text
+{"timestamp":"2026-05-23T15:45:25.100Z","level":"INFO","decision":"place","commit_us":19563,"token":3,"runs":"c0ffee.0.0.0#1@i-5/18 c0ffee.0.0.1#1@i-6/19 decaf0.0.0.1#2@i-5/18","outcome":"placed"}
+{"timestamp":"2026-05-23T15:45:25.200Z","level":"INFO","decision":"order","kind":"Start","token":3,"runs":"c0ffee.0.0.0#1@i-5/18+8ms decaf0.0.0.1#2@i-5/18+9ms","outcome":"Taken"}
+{"timestamp":"2026-05-23T15:45:25.300Z","level":"INFO","decision":"end","kind":"","token":3,"runs":"decaf0.0.0.1#2@i-5/18","outcome":"done"}
 not a line at all b0bf6bdd2f54fae6
 "#;
 
@@ -48,6 +51,35 @@
     assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1);
 }
 
+/// Defines tests of the runs that are shown of the lines that several runs share.
+macro_rules! shared_lines {
+    ($($name:ident: $id:literal => [$($runs:literal),*];)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let text = String::from_utf8(explain(&[$id]).stdout).unwrap();
+                let shown = |l: &str| l.split_once(" runs=").unwrap().1.split(" token=").next().unwrap().to_owned();
+                let shown: Vec<String> = text.lines().map(shown).collect();
+                assert_eq!(shown, [$($runs),*], "{text}");
+            }
+        )*
+    };
+}
+
+shared_lines! {
+    runs_of_a_submission_are_found_in_shared_lines: "c0ffee" =>
+        ["c0ffee.0.0.0#1@i-5/18 c0ffee.0.0.1#1@i-6/19", "c0ffee.0.0.0#1@i-5/18+8ms"];
+    a_run_of_a_task_is_found_in_shared_lines: "decaf0.0.0.1" =>
+        ["decaf0.0.0.1#2@i-5/18", "decaf0.0.0.1#2@i-5/18+9ms", "decaf0.0.0.1#2@i-5/18"];
+    runs_on_a_worker_are_found_in_shared_lines: "i-6" => ["c0ffee.0.0.1#1@i-6/19"];
+}
+
+#[test]
+fn an_id_that_is_part_of_another_one_is_not_found_in_shared_lines() {
+    assert!(!explain(&["i-"]).status.success());
+    assert!(!explain(&["c0ff"]).status.success());
+}
+
 #[test]
 fn an_id_that_no_line_mentions_is_an_error() {
     let out = explain(&["ffffffffffffffff"]);
