Keep more voters than twice the losses to tolerate

Cause, found when reading the change to replaced voters: a core cut in halves for some seconds has two of five voters silent. With removals after 2 to 3 s the other half went down to three voters, which commit on two disks.

Change: a removal leaves at least twice as many voters as losses to tolerate (fault_tolerance.machines), so a majority is always one more than those.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -110,7 +110,8 @@
 /// Makes the membership changes that are due while this replica leads. Runs until the task
 /// is cancelled.
 pub(crate) async fn maintain<P: Port>(node: Rc<Node<P>>) {
-    let mut policy = MembershipPolicy::new(node.settings.replacement_delay);
+    let mut policy =
+        MembershipPolicy::new(node.settings.replacement_delay, node.settings.tolerated_losses);
     loop {
         compio::time::sleep(CHECK_INTERVAL).await;
         if !node.leads() {
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -11,7 +11,7 @@
 /// Maximum number of voters: five tolerate the loss of two hosts, or of a failure
 /// domain that holds two.
 const MAX_VOTERS: usize = 5;
-/// Number of voters below which an unresponsive one is not removed without a replacement.
+/// Smallest number of voters that a removal may leave.
 const MIN_VOTERS: usize = 3;
 /// How long a voter without a replacement may be unresponsive before it is removed. It is far
 /// longer than a restart, a suspension or a network partition of a few seconds.
@@ -30,6 +30,9 @@
 #[derive(Debug)]
 pub struct MembershipPolicy {
     replacement_delay: Duration,
+    /// Number of voters that a removal must leave, so that a majority of them is more than the
+    /// disks that may be lost at once.
+    min_voters: usize,
     /// Match index of each member, and the last time at which the member was responsive and
     /// the index had changed or had reached the commit index.
     progress: BTreeMap<ReplicaId, (u64, Instant)>,
@@ -39,10 +42,12 @@
 
 impl MembershipPolicy {
     /// Creates a policy by which a learner that has caught up replaces a voter that has been
-    /// unresponsive for `replacement_delay`.
+    /// unresponsive for `replacement_delay`. The group must keep its state if
+    /// `tolerated_losses` disks are lost at once.
     #[must_use]
-    pub fn new(replacement_delay: Duration) -> Self {
-        Self { replacement_delay, progress: BTreeMap::new(), domains: BTreeMap::new() }
+    pub fn new(replacement_delay: Duration, tolerated_losses: usize) -> Self {
+        let min_voters = MIN_VOTERS.max(tolerated_losses * 2).min(MAX_VOTERS);
+        Self { replacement_delay, min_voters, progress: BTreeMap::new(), domains: BTreeMap::new() }
     }
 
     /// Forgets the members' progress, which only a leader observes.
@@ -86,7 +91,7 @@
         // An even number of voters tolerates no more losses than one voter less.
         let is_even = voters.len() % 2 == 0;
         let can_grow = voters.len() < MAX_VOTERS && (ready.len() >= 2 || is_even);
-        let can_shrink = voters.len() > MIN_VOTERS;
+        let can_shrink = voters.len() > self.min_voters;
         let remaining = voters.iter().filter(|m| replaceable.is_none_or(|r| r.id != m.id));
         let remaining: Vec<_> = remaining.map(|m| m.id).collect();
         let candidate = ready.iter().min_by_key(|m| (self.in_same_domain(&remaining, m.id), m.id));
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -82,6 +82,8 @@
     pub maintenance: Duration,
     /// How long a voter may be unresponsive before a learner that has caught up replaces it.
     pub replacement_delay: Duration,
+    /// Number of disks that may be lost at once without a loss of state.
+    pub tolerated_losses: usize,
 }
 
 /// One replica and the state that its tasks share.
--- a/crates/dispatch/tests/all/membership.rs
+++ b/crates/dispatch/tests/all/membership.rs
@@ -53,26 +53,30 @@
 }
 
 /// Returns the change that is due after members have been in this state for `elapsed`.
-fn change_after(members: &[Seen], elapsed: Duration) -> Option<MembershipChange> {
-    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY);
+fn change_after(
+    members: &[Seen],
+    tolerated_losses: usize,
+    elapsed: Duration,
+) -> Option<MembershipChange> {
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, tolerated_losses);
     let began = Instant::now();
     policy.next_change(&status(members), LEADER, began);
     policy.next_change(&status(members), LEADER, began + elapsed)
 }
 
 macro_rules! changes {
-    ($($name:ident: $members:expr, after $ms:literal ms => $change:expr;)*) => {
+    (tolerating $losses:literal: $($name:ident: $members:expr, after $ms:literal ms => $change:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                let change = change_after(&$members, Duration::from_millis($ms));
+                let change = change_after(&$members, $losses, Duration::from_millis($ms));
                 assert_eq!(change, $change);
             }
         )*
     };
 }
 
-changes! {
+changes! { tolerating 1:
     three_voters_stay: [voter(1), voter(2), voter(3)], after 60_000 ms => None;
     one_learner_beside_three_voters_waits:
         [voter(1), voter(2), voter(3), learner(4)], after 60_000 ms => None;
@@ -99,11 +103,24 @@
         [voter(1), voter(2), voter(3), voter(4), silent(5)], after 15_000 ms => Some(Remove(5));
 }
 
+// A majority of three voters is two disks, both of which may be lost.
+changes! { tolerating 2:
+    four_voters_of_which_one_is_silent_stay_four:
+        [voter(1), voter(2), voter(3), silent(4)], after 60_000 ms => None;
+    a_learner_is_added_to_four_voters_of_which_one_is_silent:
+        [voter(1), voter(2), voter(3), silent(4), learner(5)], after 2_000 ms => Some(Promote(5));
+    five_voters_become_four_to_replace_one:
+        [voter(1), voter(2), voter(3), silent(4), silent(5), learner(6)], after 2_000 ms
+        => Some(Remove(4));
+    five_voters_of_which_two_are_silent_become_four_late:
+        [voter(1), voter(2), voter(3), silent(4), silent(5)], after 15_000 ms => Some(Remove(4));
+}
+
 /// Nothing is committed while the group is idle, so a lost voter lacks no entries.
 #[test]
 fn a_voter_lost_from_an_idle_group_is_replaced() {
     let mut members = status(&[voter(1), voter(2), voter(3), learner(4)]);
-    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY);
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
     let began = Instant::now();
     assert_eq!(policy.next_change(&members, LEADER, began), None);
     members.members[2].responsive = false;
@@ -115,7 +132,7 @@
 fn a_voter_that_answers_but_stores_nothing_is_replaced() {
     let mut members = status(&[voter(1), voter(2), voter(3), learner(4)]);
     members.members[2].matched = Some(40);
-    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY);
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
     let began = Instant::now();
     assert_eq!(policy.next_change(&members, LEADER, began), None);
     assert_eq!(policy.next_change(&members, LEADER, began + REPLACEMENT_DELAY), Some(Promote(4)));
@@ -125,7 +142,7 @@
 #[test]
 fn a_new_leader_gives_every_voter_the_whole_delay() {
     let members = status(&[voter(1), voter(2), silent(3), learner(4)]);
-    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY);
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
     let began = Instant::now();
     policy.next_change(&members, LEADER, began);
     policy.reset();
@@ -138,7 +155,7 @@
 #[test]
 fn a_learner_of_the_domain_with_fewest_voters_is_preferred() {
     let members = status(&[voter(1), voter(2), silent(3), learner(4), learner(5)]);
-    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY);
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
     for (id, domain) in [(1, "a"), (2, "b"), (3, "c"), (4, "a"), (5, "c")] {
         policy.record_domain(id, domain.into());
     }
