Logs go to standard output itself; a configuration that is too large is refused at once

Cause 1: the block writer wrote to a duplicate of standard output. Cause 2: since replicas forward operators' calls, a configuration over the size of a log entry was tried again until the operator had gone (503); before it was refused at once (413). A follower couldn't forward it at all (512 KiB a request).

Change: the blocks go through the standard output's own handle, which writes a block of whole lines with one call. Too large is answered as invalid (400); requests between processes may have 8 MiB.

--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -13,9 +13,9 @@
 pub const ASK_PATH: &str = "/ask";
 /// Path on which a replica accepts messages of the replicated log.
 pub const LOG_PATH: &str = "/log";
-/// Largest request or response, in bytes: large enough for the steps and the payload of a
-/// submission.
-pub const MAX_REQUEST_BYTES: usize = 512 << 10;
+/// Largest request or response, in bytes: twice the largest configuration that an operator may
+/// send, since it is forwarded as text and in its decoded form.
+pub const MAX_REQUEST_BYTES: usize = 8 << 20;
 
 /// A submission as a client sends it. Its queue and id are derived from the path of the
 /// client's request.
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -153,7 +153,9 @@
     match result {
         Ok(()) => PeerResponse::Done,
         Err(e) if e.kind == ErrorKind::Conflict => PeerResponse::Outdated,
-        Err(e) if e.kind == ErrorKind::BadRequest => PeerResponse::Invalid(e.detail),
+        Err(e) if matches!(e.kind, ErrorKind::BadRequest | ErrorKind::TooLarge) => {
+            PeerResponse::Invalid(e.detail)
+        }
         Err(e) => failure_response(&e),
     }
 }
--- a/crates/dispatch/src/telemetry.rs
+++ b/crates/dispatch/src/telemetry.rs
@@ -3,9 +3,7 @@
 
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use std::{
-    fs::File,
     io::{self, BufWriter, Write},
-    os::fd::AsFd,
     thread,
     time::Duration,
 };
@@ -23,7 +21,8 @@
 const BLOCK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Writes lines in blocks. A line that is written on its own costs a system call and a wake-up
-/// of the writer's thread, which is more than it costs to format it.
+/// of the writer's thread, which is more than it costs to format it. A block consists of whole
+/// lines, so standard output, which flushes at the end of a line, writes it with one call.
 #[derive(Debug)]
 pub struct BlockWriter<W: Write> {
     blocks: BufWriter<W>,
@@ -72,15 +71,10 @@
 pub fn start(filter: &str) -> Result<LogGuard> {
     let env_filter = EnvFilter::try_new(filter)
         .map_err(|e| Error::new(ErrorKind::BadSetting, format!("log filter {filter:?}: {e}")))?;
-    // Standard output itself flushes after each line.
-    let stdout = io::stdout()
-        .as_fd()
-        .try_clone_to_owned()
-        .map_err(|e| Error::new(ErrorKind::Internal, format!("standard output: {e}")))?;
     let (writer, worker) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_QUEUED_LINES)
-        .finish(BlockWriter::new(File::from(stdout), BLOCK_INTERVAL));
+        .finish(BlockWriter::new(io::stdout(), BLOCK_INTERVAL));
     let dropped = writer.error_counter();
     tracing_subscriber::fmt()
         .with_env_filter(env_filter)
