placement: a task that a lost worker had done is done

Change: an end done of a run that the group no longer has counts, if the task is open and the attempt was given out. Other ends of such runs change nothing, as before.

Ruled out: an election (one leader from 4.0 s on), a lost entry.

Tests: a_task_that_a_lost_worker_had_done_is_done, a_late_end_counts_once_beside_a_second_run, a_late_failure_of_a_lost_worker_does_not_count.

--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -193,7 +193,9 @@
         }
         let mut ends = Vec::new();
         for end in &seen.ended {
-            if run_of(state, id, end.task).is_some_and(|r| r.attempt == end.attempt) {
+            let is_known = run_of(state, id, end.task).is_some_and(|r| r.attempt == end.attempt);
+            let record = state.record(end.task.submission);
+            if is_known || record.is_some_and(|r| r.accepts_late_end(end)) {
                 view.record_end(end, now);
                 ends.push(end.clone());
             }
--- a/crates/placement/src/submission/record.rs
+++ b/crates/placement/src/submission/record.rs
@@ -92,6 +92,16 @@
             .get_mut(usize::from(id.index))
     }
 
+    /// Returns whether the end counts although the group no longer has the run, because its
+    /// worker was declared lost. The work of such a run is done nevertheless, and the worker
+    /// may forget the end once it is acknowledged.
+    #[must_use]
+    pub fn accepts_late_end(&self, end: &RunEnd) -> bool {
+        let lasting = self.spec.steps.get(usize::from(end.task.step)).is_none_or(|s| s.lasting);
+        let is_open = |t: &Task| !t.done && end.attempt <= t.attempt;
+        end.reason == EndReason::Done && !lasting && self.task(end.task).is_some_and(is_open)
+    }
+
     /// Applies the end of one gang member to the others: its success, its failure
     /// and its checkpoint count for the whole gang.
     pub(super) fn propagate_end(&mut self, end: &RunEnd, finished: bool) {
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -319,12 +319,15 @@
         let max_attempts = record.policy.max_attempts.max(1);
         let (k, step) = (end.task.occurrence as usize, usize::from(end.task.step));
         let reserved = record.spec.steps[step].reserved();
+        let is_late_end = record.accepts_late_end(end);
         let task = record.task_mut(end.task)?;
-        let at = task
-            .runs
-            .iter()
-            .position(|r| r.incarnation == incarnation && r.attempt == end.attempt)?;
-        task.runs.swap_remove(at);
+        let at =
+            task.runs.iter().position(|r| r.incarnation == incarnation && r.attempt == end.attempt);
+        match at {
+            Some(at) => drop(task.runs.swap_remove(at)),
+            None if is_late_end => {}
+            None => return None,
+        }
         if !end.checkpoint.is_empty() {
             task.checkpoint = end.checkpoint.clone();
         }
@@ -341,7 +344,9 @@
         if record.spec.steps[step].gang {
             record.propagate_end(end, finished);
         }
-        self.release(incarnation, end.task, reserved);
+        if at.is_some() {
+            self.release(incarnation, end.task, reserved);
+        }
         let record = self.records.get_mut(&end.task.submission)?;
         if record.phase != Phase::Open {
             return None;
--- a/crates/placement/tests/all/submission/state.rs
+++ b/crates/placement/tests/all/submission/state.rs
@@ -225,3 +225,60 @@
         assert!(!versions[..i].contains(version), "{versions:?}");
     }
 }
+
+/// A worker that was cut off finished a task before its lease expired, and lists the end when
+/// it registers again, after it was declared lost. The task must not start again after the end
+/// is acknowledged.
+#[test]
+fn a_task_that_a_lost_worker_had_done_is_done() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    assert!(g.place(task(0, 0), 1));
+    g.apply(Command::Lost { incarnation: 1, checkpoints: vec![] });
+    g.apply(Command::Register(worker("wa", 4)));
+    let end =
+        RunEnd { task: task(0, 0), attempt: 1, reason: EndReason::Done, checkpoint: "".into() };
+    let ended = Command::Ended { incarnation: 2, ends: vec![end] };
+    assert_eq!(g.apply(ended), CommandResult::Over(vec![1]));
+    let restarted = Placement { task: task(0, 0), attempt: 2, incarnation: 2 };
+    assert_eq!(g.apply(Command::Place(vec![restarted])), CommandResult::Placed(vec![]));
+    assert_eq!(g.state.record(1).unwrap().phase, Phase::Complete);
+}
+
+/// The task was placed again before the end was listed: the second run is no longer needed and
+/// its own end changes nothing.
+#[test]
+fn a_late_end_counts_once_beside_a_second_run() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(2)]);
+    assert!(g.place(task(0, 0), 1));
+    g.apply(Command::Register(worker("wb", 4)));
+    g.apply(Command::Lost { incarnation: 1, checkpoints: vec![] });
+    let second = Placement { task: task(0, 0), attempt: 2, incarnation: 2 };
+    assert_eq!(g.apply(Command::Place(vec![second])), CommandResult::Placed(vec![second]));
+    g.apply(Command::Register(worker("wa", 4)));
+    let end = |attempt, reason| RunEnd { task: task(0, 0), attempt, reason, checkpoint: "".into() };
+    g.apply(Command::Ended { incarnation: 3, ends: vec![end(1, EndReason::Done)] });
+    assert!(g.state.record(1).unwrap().task(task(0, 0)).unwrap().done);
+    g.apply(Command::Ended { incarnation: 2, ends: vec![end(2, EndReason::Stopped)] });
+    let record = g.state.record(1).unwrap();
+    assert_eq!(record.left[0][0], 1, "the other task of the step is still to be done");
+    assert_eq!(g.state.incarnation(2).unwrap().reserved.cpu_millis, 0);
+    assert_eq!(g.state.incarnation(3).unwrap().reserved.cpu_millis, 0);
+}
+
+#[test]
+fn a_late_failure_of_a_lost_worker_does_not_count() {
+    let mut g = Group::new();
+    g.submit(1, vec![step(1)]);
+    assert!(g.place(task(0, 0), 1));
+    g.apply(Command::Lost { incarnation: 1, checkpoints: vec![] });
+    g.apply(Command::Register(worker("wa", 4)));
+    for (attempt, reason) in [(1, EndReason::Failed), (1, EndReason::Stopped), (2, EndReason::Done)]
+    {
+        let end = RunEnd { task: task(0, 0), attempt, reason, checkpoint: "".into() };
+        g.apply(Command::Ended { incarnation: 2, ends: vec![end] });
+    }
+    let record = g.state.record(1).unwrap();
+    assert_eq!((record.phase, record.task(task(0, 0)).unwrap().failures), (Phase::Open, 0));
+}
