interference: learn from changes between two reports

Best-effort tasks are throttled while a serving task's own load is high, so their use is high while the tail is low, and the regression on the values took that for a small weight. Change: the regression relates the changes of a task's tail latency and of the images' CPU use between two reports; observations decay in 40 s, not 12.

--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        interference::{CpuUse, Interference},
+        interference::{Interference, TailReport},
         pacing::Pace,
         spec::{Step, TaskId},
         state::{Phase, Record},
@@ -86,6 +86,8 @@
     /// Logarithm of a latency-critical task's base tail latency, that is,
     /// without the interference of best-effort tasks.
     pub(super) base_ln: Option<f64>,
+    /// Last report of a latency-critical task.
+    pub(super) last_report: Option<TailReport>,
     /// Recent maximum of `base_ln`, and when it was updated.
     pub(super) peak_ln: Option<(f64, Instant)>,
     /// Time since which the tail latency has been over its target.
@@ -111,6 +113,7 @@
             pace: 100,
             wanted_pace: Pace::default(),
             base_ln: None,
+            last_report: None,
             peak_ln: None,
             over_since: None,
             not_before: now,
@@ -161,17 +164,22 @@
         self.listed && self.percent == 100 && self.metric > 0
     }
 
+    /// Processes the report of a latency-critical task.
     pub(super) fn observe_tail(
         &mut self,
         target_ms: u32,
-        used: &CpuUse,
-        interference: &Interference,
-        now: Instant,
+        report: TailReport,
+        interference: &mut Interference,
     ) {
+        let now = report.at;
+        if let Some(before) = &self.last_report {
+            interference.observe(&self.step.image, before, &report);
+        }
         let model = interference.model_index(&self.step.image);
-        let added: f64 =
-            used.iter().map(|(i, part)| interference.model_weight(model, Some(*i)) * part).sum();
+        let added = |(i, part): &(_, f64)| interference.model_weight(model, Some(*i)) * part;
+        let added: f64 = report.used.iter().map(added).sum();
         let base = f64::from(self.metric).ln() - added;
+        self.last_report = Some(report);
         let former = self.base_ln.unwrap_or(base);
         // A rise of the base is adopted faster than a fall.
         let gain = if base > former { BASE_RISE_GAIN } else { BASE_FALL_GAIN };
--- a/crates/placement/src/submission/fleet/tails.rs
+++ b/crates/placement/src/submission/fleet/tails.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        interference::{ImageIndex, Interference, ModelIndex},
+        interference::{CpuUse, ImageIndex, Interference, ModelIndex, TailReport},
         pacing::{self, Victim},
         spec::TaskId,
         state::Incarnation,
@@ -33,11 +33,12 @@
             let index = interference.index(Some(&run.step.image));
             *used.entry(index).or_default() += f64::from(run.metric) / capacity;
         }
-        let used = used.into_iter().collect();
+        let used: CpuUse = used.into_iter().collect();
         for run in self.runs.values_mut().filter(|run| run.is_serving()) {
             let Some(target_ms) = run.step.target_ms else { continue };
-            interference.observe(&run.step.image, &used, f64::from(run.metric), now);
-            run.observe_tail(target_ms, &used, interference, now);
+            let tail_ms = f64::from(run.metric);
+            let report = TailReport { used: used.clone(), tail_ms, at: now };
+            run.observe_tail(target_ms, report, interference);
         }
         self.pace_best_effort(capacity, interference, now);
     }
--- a/crates/placement/src/submission/interference.rs
+++ b/crates/placement/src/submission/interference.rs
@@ -4,7 +4,12 @@
 //! The logarithm of a latency-critical task's tail latency grows linearly with
 //! the share of the worker that each best-effort image uses. One linear
 //! regression for each latency-critical image therefore estimates all its pairs
-//! at once. Old observations decay within seconds.
+//! at once. Old observations decay.
+//!
+//! The regression relates the changes between two reports of a task. The tail
+//! latency also follows the task's own load, and best-effort tasks are throttled
+//! while it is high; a regression on the values themselves would take the
+//! throttling for a small weight.
 
 use serde::{Deserialize, Serialize};
 use std::{
@@ -15,9 +20,6 @@
 /// Maximum number of best-effort images that the model distinguishes. Further
 /// images share the last index. The sites run nine.
 const MAX_IMAGES: usize = 32;
-/// Dimensions of a regression: the images and the constant term, which is the
-/// tail latency without any of them.
-const DIMENSIONS: usize = MAX_IMAGES + 1;
 /// Weight of a pair that was never observed: the growth of the tail latency's
 /// logarithm if the image used the whole worker. It is the mean over the image
 /// pairs on the users' sites: for a third of the pairs the logarithm grows by
@@ -29,9 +31,13 @@
 /// Minimum time between two computations of a regression's weights.
 const SOLVE_PERIOD: Duration = Duration::from_millis(500);
 /// Time constant with which observations decay: after this time, one counts for
-/// about a third. Interference changes within seconds, but each pair is observed
-/// on many workers at once.
-const DECAY_TIME: Duration = Duration::from_secs(12);
+/// about a third. A rarely placed image is seldom observed, and must not be
+/// forgotten between two placements.
+const DECAY_TIME: Duration = Duration::from_secs(40);
+
+/// Longest time between two reports whose difference is observed. The load of a
+/// latency-critical task changes in longer times.
+const MAX_REPORT_GAP: Duration = Duration::from_millis(1_500);
 
 /// Index of a best-effort image in the weights of a model, assigned by
 /// [`Interference::index`]. Images beyond `MAX_IMAGES` share the last index.
@@ -43,12 +49,38 @@
 /// CPU time that best-effort images use, as shares of the worker.
 pub type CpuUse = Vec<(ImageIndex, f64)>;
 
+/// What a worker reported about a latency-critical task.
+#[derive(Clone, Debug)]
+pub struct TailReport {
+    /// CPU time that the best-effort images on the worker use.
+    pub used: CpuUse,
+    /// The task's tail latency in milliseconds.
+    pub tail_ms: f64,
+    /// Time of the report.
+    pub at: Instant,
+}
+
+impl TailReport {
+    fn tail_ln(&self) -> f64 {
+        self.tail_ms.max(0.5).ln()
+    }
+
+    /// Returns the change of the CPU time that each image uses since `before`.
+    fn change_of_use(&self, before: &Self) -> CpuUse {
+        let mut change: BTreeMap<ImageIndex, f64> = self.used.iter().copied().collect();
+        for (image, part) in &before.used {
+            *change.entry(*image).or_default() -= part;
+        }
+        change.into_iter().collect()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Model {
     /// Decayed sums of products of the inputs.
-    products: Vec<[f64; DIMENSIONS]>,
-    /// Decayed sums of inputs times the logarithm of the tail latency.
-    moments: [f64; DIMENSIONS],
+    products: Vec<[f64; MAX_IMAGES]>,
+    /// Decayed sums of inputs times the change of the tail latency's logarithm.
+    moments: [f64; MAX_IMAGES],
     weights: [f64; MAX_IMAGES],
     /// Weights assumed for pairs that were never observed.
     priors: [f64; MAX_IMAGES],
@@ -58,21 +90,19 @@
 impl Model {
     fn new() -> Self {
         Self {
-            products: vec![[0.0; DIMENSIONS]; DIMENSIONS],
-            moments: [0.0; DIMENSIONS],
+            products: vec![[0.0; MAX_IMAGES]; MAX_IMAGES],
+            moments: [0.0; MAX_IMAGES],
             weights: [PRIOR_MEAN; MAX_IMAGES],
             priors: [PRIOR_MEAN; MAX_IMAGES],
             solved: None,
         }
     }
 
-    fn observe(&mut self, used: &CpuUse, tail_ln: f64) {
-        let bias = (MAX_IMAGES, 1.0);
-        let inputs = || used.iter().copied().chain([bias]);
-        for (i, x) in inputs() {
-            self.moments[i] += x * tail_ln;
-            for (k, z) in inputs() {
-                self.products[i][k] += x * z;
+    fn observe(&mut self, change: &CpuUse, tail_ln_change: f64) {
+        for (i, x) in change {
+            self.moments[*i] += x * tail_ln_change;
+            for (k, z) in change {
+                self.products[*i][*k] += x * z;
             }
         }
     }
@@ -94,18 +124,12 @@
 
     /// Returns the weights of the known images, by Gauss-Jordan elimination.
     fn solution(&self, images: usize) -> Vec<f64> {
-        let n = images + 1;
-        let column = |i: usize| if i == images { MAX_IMAGES } else { i };
+        let n = images;
         let mut rows: Vec<Vec<f64>> = (0..n)
             .map(|i| {
-                let row = (0..n).map(|k| self.products[column(i)][column(k)]);
-                let mut row: Vec<f64> = row.chain([self.moments[column(i)]]).collect();
-                if i < images {
-                    row[i] += PRIOR_STRENGTH;
-                    row[n] += PRIOR_STRENGTH * self.priors[i];
-                } else {
-                    row[i] += 1e-6;
-                }
+                let mut row = self.products[i][..n].to_vec();
+                row.push(self.moments[i] + PRIOR_STRENGTH * self.priors[i]);
+                row[i] += PRIOR_STRENGTH;
                 row
             })
             .collect();
@@ -190,13 +214,15 @@
         self.images.get(image.unwrap_or_default()).copied()
     }
 
-    /// Records the tail latency of a latency-critical task and the CPU time
-    /// that best-effort images use on its worker.
-    pub fn observe(&mut self, serving: &str, used: &CpuUse, tail_ms: f64, now: Instant) {
+    /// Learns from two successive reports of one task of a latency-critical image.
+    pub fn observe(&mut self, serving: &str, before: &TailReport, after: &TailReport) {
+        if after.at.saturating_duration_since(before.at) > MAX_REPORT_GAP {
+            return;
+        }
         let images = self.images.len().min(MAX_IMAGES);
         let model = self.model_mut(serving);
-        model.observe(used, tail_ms.max(0.5).ln());
-        model.solve_if_due(images, now);
+        model.observe(&after.change_of_use(before), after.tail_ln() - before.tail_ln());
+        model.solve_if_due(images, after.at);
     }
 
     fn model_mut(&mut self, serving: &str) -> &mut Model {
