pacing: the most interfering tasks are slowed first, minor ones only at the target

Of the paces that keep all tails, the ones that do most work slow the tasks first that add most for their CPU demand. Change: one decision for all best-effort tasks of a worker. Tasks whose image would add less than 0.7 if it used the whole worker are slowed only to keep the target itself, others to keep 0.8 of it.

--- a/crates/placement/src/submission/fleet/tails.rs
+++ b/crates/placement/src/submission/fleet/tails.rs
@@ -57,21 +57,17 @@
         if best_effort.is_empty() {
             return;
         }
-        let victims: Vec<(Option<ModelIndex>, Victim)> = self
+        let effects = |model: Option<ModelIndex>| -> Vec<f64> {
+            let weight = |index: &Option<ImageIndex>| interference.model_weight(model, *index);
+            best_effort.iter().map(|(_, index, part)| weight(index) * part).collect()
+        };
+        let victims: Vec<(Victim, Vec<f64>)> = self
             .victims(now)
-            .map(|(image, victim)| (interference.model_index(image), victim))
+            .map(|(image, victim)| (victim, effects(interference.model_index(image))))
             .collect();
-        let pressure = |model, index, part| interference.model_weight(model, index) * part;
-        let all: Vec<f64> = victims
-            .iter()
-            .map(|(model, _)| best_effort.iter().map(|(_, i, c)| pressure(*model, *i, *c)).sum())
-            .collect();
-        for (task, index, part) in &best_effort {
-            let pressures = victims
-                .iter()
-                .zip(&all)
-                .map(|((model, victim), all)| (*victim, pressure(*model, *index, *part), *all));
-            let allowed = pacing::allowed_pace(pressures);
+        let parts: Vec<f64> = best_effort.iter().map(|(_, _, part)| *part).collect();
+        let allowed = pacing::allowed_paces(&victims, &parts);
+        for ((task, ..), allowed) in best_effort.iter().zip(allowed) {
             if let Some(run) = self.runs.get_mut(task) {
                 run.wanted_pace.update(allowed, now);
             }
--- a/crates/placement/src/submission/pacing.rs
+++ b/crates/placement/src/submission/pacing.rs
@@ -1,9 +1,9 @@
 //! Throttling of best-effort tasks, so that the latency-critical tasks on the
 //! same worker keep their latency targets.
 //!
-//! The pace of a best-effort task is limited by the latency-critical task with
-//! the smallest budget left for it. A task that raises no tail latency isn't
-//! throttled.
+//! If a latency-critical task's budget doesn't cover all best-effort tasks on its
+//! worker, those that interfere most for their CPU demand are slowed first. A
+//! task that raises no tail latency isn't throttled.
 
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,10 @@
 /// Growth of a tail latency's logarithm below which it is ignored. It corresponds
 /// to 2% of the tail latency.
 pub const NEGLIGIBLE_LN: f64 = 0.02;
+/// Growth of a tail latency's logarithm by a task that used the whole worker, up to
+/// which the task is slowed only to keep the target itself: such tasks do most of
+/// the work, and slowing them gains little.
+const MINOR_WEIGHT: f64 = 0.7;
 /// Time over the target after which all tasks that interfere are paused: well
 /// before the users' limit of some seconds.
 const PAUSE_AFTER: Duration = Duration::from_millis(1_800);
@@ -52,6 +56,12 @@
         (self.target_ln + TARGET_FRACTION.ln() - self.base_ln).max(0.0)
     }
 
+    /// Returns by how much the logarithm of the tail latency is below its target.
+    #[must_use]
+    pub fn headroom(&self) -> f64 {
+        (self.target_ln - self.base_ln).max(0.0)
+    }
+
     /// Returns the budget for a base half way between the present one and the
     /// recent peak. A task that is placed on the victim's worker may add up to this
     /// much while it runs.
@@ -62,26 +72,49 @@
     }
 }
 
-/// Returns the pace that a best-effort task is allowed, in percent. For each
-/// victim, `pressures` yields what this task and what all best-effort tasks
-/// together add to the logarithm of the tail latency at full pace.
+/// Returns the paces that the best-effort tasks on a worker are allowed, in
+/// percent. `parts` has the share of the worker's CPUs that each task demands. For
+/// each victim, `effects` has what each task adds to the logarithm of the tail
+/// latency at full pace.
 #[must_use]
-pub fn allowed_pace(pressures: impl Iterator<Item = (Victim, f64, f64)>) -> u8 {
-    let mut share: f64 = 1.0;
-    for (victim, own, all) in pressures {
+pub fn allowed_paces(victims: &[(Victim, Vec<f64>)], parts: &[f64]) -> Vec<u8> {
+    let mut paces = vec![1.0; parts.len()];
+    for (victim, effects) in victims {
         if victim.over_for >= PAUSE_ALL_AFTER {
-            // The learned weight of the pair may be wrong, so even a task that
-            // seems harmless is paused.
-            return 0;
+            // The learned weights may be wrong, so even tasks that seem harmless
+            // are paused.
+            return vec![0; parts.len()];
         }
-        if own < NEGLIGIBLE_LN {
+        if victim.over_for >= PAUSE_AFTER {
+            let interfering = effects.iter().zip(&mut paces).filter(|(e, _)| **e >= NEGLIGIBLE_LN);
+            interfering.for_each(|(_, pace)| *pace = 0.0);
             continue;
         }
-        let fits = if all > 0.0 { victim.budget() / all } else { 1.0 };
-        let paused = victim.over_for >= PAUSE_AFTER;
-        share = share.min(if paused { 0.0 } else { fits });
+        slow_to_budget(victim.budget(), MINOR_WEIGHT, effects, parts, &mut paces);
+        slow_to_budget(victim.headroom(), 0.0, effects, parts, &mut paces);
+    }
+    paces.into_iter().map(percent).collect()
+}
+
+/// Lowers the paces until what the tasks add together is within the budget. Tasks
+/// with a smaller weight than `min_weight` keep their pace.
+fn slow_to_budget(budget: f64, min_weight: f64, effects: &[f64], parts: &[f64], paces: &mut [f64]) {
+    let total: f64 = effects.iter().zip(&*paces).map(|(effect, pace)| effect * pace).sum();
+    let mut excess = total - budget;
+    let weight = |i: usize| effects[i] / parts[i].max(f64::EPSILON);
+    let slowable = |i: &usize| effects[*i] >= NEGLIGIBLE_LN && weight(*i) >= min_weight;
+    let mut order: Vec<usize> = (0..effects.len()).filter(slowable).collect();
+    order.sort_by(|a, b| weight(*b).total_cmp(&weight(*a)));
+    // Tasks of one image have the same weight and are slowed alike.
+    for alike in order.chunk_by(|a, b| (weight(*a) - weight(*b)).abs() < 1e-9) {
+        if excess <= 0.0 {
+            return;
+        }
+        let added: f64 = alike.iter().map(|i| effects[*i] * paces[*i]).sum();
+        let keep = if added > 0.0 { ((added - excess) / added).max(0.0) } else { 1.0 };
+        alike.iter().for_each(|i| paces[*i] *= keep);
+        excess -= added * (1.0 - keep);
     }
-    percent(share)
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
