planner: submissions that have begun go before new ones

Cause: with less room than work the earliest objective went first, so each submission was held until its objective was near, and many were done in part and late. Change: of one priority and of those that can still be in time, what has begun goes first. A start that needs time to spare (1.3 times its estimates) was measured beside it and is left out.

--- a/crates/placement/src/submission/planner/rank.rs
+++ b/crates/placement/src/submission/planner/rank.rs
@@ -61,21 +61,22 @@
 
 /// Returns the sort key of a submission. Submissions are ordered by priority. Of
 /// one priority, starving long-running ones come first, the oldest before the
-/// others; then those that can meet their objective, by the objective; then the
-/// rest.
+/// others; then those that can meet their objective; then the rest. Of these,
+/// those that have begun come first, so that with less room than work some
+/// submissions finish rather than many in part, and then the earliest objective.
 pub(super) fn rank(
     record: &Record,
     starving: &BTreeSet<SubmissionId>,
     wall_ms: u64,
-) -> (u8, bool, Timeliness, u64, u64) {
+) -> (u8, bool, Timeliness, bool, u64, u64) {
     let (priority, seq) = (record.policy.priority, record.seq);
     if starving.contains(&record.spec.id) {
-        return (priority, false, Timeliness::OnTime, record.at_ms, seq);
+        return (priority, false, Timeliness::OnTime, false, record.at_ms, seq);
     }
     if record.spec.steps.iter().any(|s| s.lasting) {
         // A long-running submission earns its payoff for as long as it runs,
         // and has no objective.
-        return (priority, true, Timeliness::Late, record.at_ms, seq);
+        return (priority, true, Timeliness::Late, false, record.at_ms, seq);
     }
-    (priority, true, timeliness(record, wall_ms), objective_ms(record), seq)
+    (priority, true, timeliness(record, wall_ms), !record.begun, objective_ms(record), seq)
 }
--- a/crates/placement/tests/all/submission/planning.rs
+++ b/crates/placement/tests/all/submission/planning.rs
@@ -228,6 +228,24 @@
     assert_eq!(timeliness(record, 1_400), Timeliness::Late);
 }
 
+/// Submissions arrive faster than they are done, each with an earlier objective than the one
+/// before. Guards against all being done in part, and late.
+#[test]
+fn a_submission_that_has_begun_goes_before_new_ones() {
+    let mut w = Cluster::new([worker("wa", 2)]);
+    let steps = vec![step(2), Step { depends_on: vec![0], ..step(2) }];
+    w.submit(submission(1, steps.clone()));
+    w.run(200);
+    for id in 2..5 {
+        let policy = QueuePolicy { target_ms: 0, ..policy() };
+        w.apply(Command::Submit { submission: submission(id, steps.clone()), policy, at_ms: 0 });
+    }
+    w.run(8_000);
+    let order: Vec<u64> = w.starts.iter().map(|s| s.0.submission).collect();
+    assert_eq!(&order[..4], [1, 1, 1, 1], "{order:?}");
+    assert!(order.chunk_by(|a, b| a == b).all(|c| c.len() == 4), "{order:?}");
+}
+
 /// Guards against tasks of a queue with low priority that are placed before those
 /// of one with high priority.
 #[test]
