Log lines of waiting tasks tell whether processors or interference are short

Cause: a line wait showed workers with room for what a task reserves, which is no processors for best-effort work, so 150 to 700 tasks waited beside 41 of 43 workers with room and the line didn't say why.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -175,7 +175,8 @@
     for w in first {
         tracing::info!(
             decision = "wait", task = %w.task, waited_ms = w.waited_ms, need = %w.need,
-            widest_free = %w.widest_free, usable = w.usable, roomy = w.roomy, fills = w.fills, waiting = count,
+            widest_free = %w.widest_free, usable = w.usable, roomy = w.roomy, unfilled = w.unfilled,
+            tolerant = w.tolerant, fills = w.fills, waiting = count,
             outcome = "no-room"
         );
     }
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -190,6 +190,11 @@
     /// Number of usable workers with room for the task, regardless of all other
     /// constraints.
     pub roomy: usize,
+    /// Of these, the workers whose unused CPUs aren't taken by other best-effort
+    /// tasks. For a task that isn't best-effort, all of them.
+    pub unfilled: usize,
+    /// Of these, the workers whose latency-critical tasks tolerate the task.
+    pub tolerant: usize,
     /// Whether the task is best-effort.
     pub fills: bool,
 }
@@ -218,13 +223,20 @@
                 if waiting.len() >= most {
                     return true;
                 }
+                let roomy = bins.iter().filter(|b| step.reserved().fits_in(&b.free));
+                let unfilled =
+                    roomy.clone().filter(|b| !step.fills || b.has_best_effort_room(step));
+                let tolerates =
+                    |b: &&Bin<'_>| !step.fills || b.pressure(step, &fleet.interference).1;
                 waiting.push(Waiting {
                     task,
                     waited_ms: wall_ms.saturating_sub(record.at_ms),
                     need: step.reserved(),
                     widest_free,
                     usable: bins.len(),
-                    roomy: bins.iter().filter(|b| step.reserved().fits_in(&b.free)).count(),
+                    roomy: roomy.count(),
+                    unfilled: unfilled.clone().count(),
+                    tolerant: unfilled.filter(tolerates).count(),
                     fills: step.fills,
                 });
                 true
--- a/crates/placement/tests/all/submission/interference.rs
+++ b/crates/placement/tests/all/submission/interference.rs
@@ -4,7 +4,7 @@
 use super::cluster::{Cluster, step, submission, worker};
 use cyclamenloft_placement::submission::{
     Command, Fleet, ListedRun, Observation, Placement, Step, TaskId,
-    interference::{CpuUse, Interference, TailReport},
+    interference::{CpuUse, Interference, LearnedPair, TailReport},
     pacing::{Pace, Victim, allowed_paces},
     planner,
 };
@@ -251,3 +251,45 @@
     let tails: Vec<u32> = [4, 14, 14, 4].into_iter().chain(calm).collect();
     assert_eq!(placed_beside(&tails), 1);
 }
+
+/// A best-effort task waits because no latency-critical task tolerates it, although CPUs are
+/// unused. The record of the waiting task must tell that from a lack of CPUs.
+#[test]
+fn a_waiting_task_tells_whether_cpus_or_budgets_are_short() {
+    let serving = Step {
+        lasting: true,
+        image: Some("serving".into()),
+        target_ms: Some(18),
+        demand: Resources::new(1_000, 1_000, 0),
+        ..step(1)
+    };
+    let best_effort = |cpu_millis| Step {
+        fills: true,
+        image: Some("loud".into()),
+        demand: Resources::new(cpu_millis, 1_000, 0),
+        ..step(1)
+    };
+    let mut w = Cluster::new([worker("wa", 4), worker("wb", 4)]);
+    w.submit(submission(1, vec![serving]));
+    w.submit(submission(2, vec![best_effort(4_000)]));
+    let place = |submission, incarnation| {
+        let task = TaskId { submission, occurrence: 0, step: 0, index: 0 };
+        Placement { task, attempt: 1, incarnation }
+    };
+    w.apply(Command::Place(vec![place(1, 1), place(2, 2)]));
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Duration::from_secs(3), now);
+    let pair =
+        LearnedPair { serving: "serving".into(), best_effort: "loud".into(), weight_millis: 5_000 };
+    fleet.interference = Interference::from_learned(&[pair]);
+    for (incarnation, submission, metric) in [(1, 1, 17), (2, 2, 4_000)] {
+        let task = place(submission, incarnation).task;
+        let listed = ListedRun { task, attempt: 1, checkpoint: "".into(), percent: 100, metric };
+        let seen = Observation { started_ms: 1, clock_ms: 0, running: vec![listed], ended: vec![] };
+        fleet.observe(&w.state, incarnation, &seen, now, now);
+    }
+    w.submit(submission(3, vec![best_effort(2_000)]));
+    let (count, waiting) = planner::waiting(&w.state, &fleet, 1, now, 0);
+    let found = waiting.first().map(|w| (w.usable, w.roomy, w.unfilled, w.tolerant));
+    assert_eq!((count, found), (1, Some((2, 2, 1, 0))));
+}
