--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -26,8 +26,8 @@
 /// second.
 const BUSY_WAIT: Duration = Duration::from_millis(1_000);
 /// How long a poll waits while a tail latency is near its target or tasks are throttled.
-/// Workers average the latency over half a second, so two polls see most of a rise.
-const CLOSE_WATCH_WAIT: Duration = Duration::from_millis(250);
+/// Workers average the latency over half a second, so some polls see each rise early.
+const CLOSE_WATCH_WAIT: Duration = Duration::from_millis(150);
 /// The minimum time between two polls of a worker is this value times the number of known
 /// workers. A poll takes about 0.15 ms of the leader's CPU time, and polls may use a sixth of
 /// a core.
