Tests: the pace cases check that each task has a pace

Cause: the cases of paces! written in compare paces and ranges in pairs, so a result with too few paces would pass; the former check had one pace. Change: the lengths are compared too. One comment said what the test doesn't do. Conclusion: the cases are as strict as the former ones.

--- a/crates/placement/tests/all/submission/interference.rs
+++ b/crates/placement/tests/all/submission/interference.rs
@@ -122,6 +122,7 @@
         #[test]
         fn $name() {
             let paces = allowed_paces(&[($victim, $effects.to_vec())], &$parts);
+            assert_eq!(paces.len(), $ranges.len(), "{paces:?}");
             let fits = paces.iter().zip(&$ranges).all(|(pace, range)| range.contains(pace));
             assert!(fits, "{paces:?}");
         }
--- a/crates/placement/tests/all/submission/planning.rs
+++ b/crates/placement/tests/all/submission/planning.rs
@@ -228,8 +228,8 @@
     assert_eq!(timeliness(record, 1_400), Timeliness::Late);
 }
 
-/// Submissions arrive faster than they are done, each with an earlier objective than the one
-/// before. Guards against all being done in part, and late.
+/// Submissions arrive faster than they are done, and those that come later have an earlier
+/// objective. Guards against all being done in part, and late.
 #[test]
 fn a_submission_that_has_begun_goes_before_new_ones() {
     let mut w = Cluster::new([worker("wa", 2)]);
