dispatch: a line each second on how busy the leader is

Neither the log nor the metrics told a full processor from full rounds: the number of rounds, how many ended at their limit of placements, how long planning took and how late the process handles what is due.

event=load has these once a second while a replica leads; "lag" is also a histogram.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -4,6 +4,7 @@
 //! order is sent.
 
 use crate::{
+    load::{LAG_INTERVAL, LoadReport},
     node::{Node, wall_ms},
     notify::Notify,
     port::Port,
@@ -21,7 +22,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -145,6 +146,7 @@
             if let Some(leadership) = &*node.leadership.borrow() {
                 node.state(|s| leadership.fleet.borrow_mut().retain(s));
             }
+            log_load(&node, node.load.take());
             log_waiting(&node);
             persist_learned(&node).await;
             remove_ended(&node).await;
@@ -164,6 +166,36 @@
     }
 }
 
+/// Measures how late this process handles what is due, while this replica leads.
+pub(crate) async fn measure_lag<P: Port>(node: Weak<Node<P>>) {
+    let mut due = Instant::now();
+    while let Some(node) = node.upgrade() {
+        let now = Instant::now();
+        let lag = now.saturating_duration_since(due);
+        if node.leadership.borrow().is_some() {
+            node.load.record_lag(lag);
+            node.metrics.time("lag", lag);
+        }
+        drop(node);
+        due = now + LAG_INTERVAL;
+        compio::time::sleep_until(due).await;
+    }
+}
+
+/// Logs how busy the leader was in the last second.
+fn log_load<P: Port>(node: &Node<P>, load: LoadReport) {
+    let as_ms = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    let open = node.state(|s| s.open_count());
+    tracing::info!(
+        event = "load",
+        rounds = load.rounds,
+        full_rounds = load.full_rounds,
+        planning_ms = as_ms(load.planning),
+        max_lag_ms = as_ms(load.max_lag),
+        open
+    );
+}
+
 /// Logs the waiting tasks, most important first.
 fn log_waiting<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
@@ -248,6 +280,7 @@
         .state(|s| planner::plan(s, &mut leadership.fleet.borrow_mut(), Instant::now(), wall_ms()));
     let planning_time = began.elapsed();
     node.metrics.time("plan", planning_time);
+    node.load.record_round(planning_time, proposed.len() >= planner::MAX_PLACED);
     if proposed.is_empty() {
         return Ok(planning_time);
     }
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -4,6 +4,7 @@
 use crate::{
     advise,
     leader::{self, Leadership},
+    load::Load,
     maintenance, members,
     metrics::Metrics,
     notify::Notify,
@@ -99,6 +100,8 @@
     pub(crate) decision_due: Notify,
     /// Counters and histograms.
     pub metrics: Rc<Metrics>,
+    /// How busy this replica is as the leader.
+    pub(crate) load: Load,
     /// Log lines about runs.
     pub(crate) run_log: RunLog,
 }
@@ -137,6 +140,7 @@
             suspension: SuspensionDetector::default(),
             decision_due: Notify::default(),
             metrics,
+            load: Load::default(),
             run_log: RunLog::default(),
         });
         compio::runtime::spawn(flush_run_log(Rc::downgrade(&node))).detach();
@@ -146,6 +150,7 @@
         compio::runtime::spawn(members::join(node.clone())).detach();
         compio::runtime::spawn(members::maintain(node.clone())).detach();
         compio::runtime::spawn(leader::housekeep(node.clone())).detach();
+        compio::runtime::spawn(leader::measure_lag(Rc::downgrade(&node))).detach();
         Ok(node)
     }
 
