dispatch: replicas call the workers of their failure domains for the leader

Cause: the leader made every call to all 1,100 workers itself, one order and one poll over HTTP for each run, while the four other replicas used 0.05 cores each. Beyond some 1,700 starts a second everything queued in front of it, and what is placed last finished least.

The leader now hands the calls to a replica of the worker's domain, in batches, and gets the answers back in batches. It still decides everything; a call states lease, token and order. Each session has a token of its own, higher than all before and shared by no two replicas, so a worker rejects what a former holder still sends, and the view of a worker is read anew before the next one orders. A replica that is silent for a second loses its session; the leader then calls the workers itself. A leader whose timers are late by 20 ms for three seconds hands over the workers of its own domain too.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -8,6 +8,7 @@
     node::{Node, wall_ms},
     notify::Notify,
     port::Port,
+    relay::{self, Relays, WorkerCaller},
     run_log::{MAX_RUNS_BYTES, RunName, push_name},
     worker,
 };
@@ -57,9 +58,11 @@
 
 /// State that a replica keeps while it leads.
 pub(crate) struct Leadership {
-    /// The term, which is the fencing token.
+    /// The term, from which the fencing tokens of calls to workers are derived.
     pub token: Term,
     pub fleet: RefCell<Fleet>,
+    /// The replicas that call workers.
+    pub relays: Relays,
     worker_tasks: RefCell<BTreeMap<IncarnationId, WorkerTasks>>,
     ended_since: RefCell<BTreeMap<SubmissionId, Instant>>,
     /// The incarnations for which tasks were started last.
@@ -72,6 +75,7 @@
         Self {
             token,
             fleet: RefCell::new(Fleet::new(longest_lease, now)),
+            relays: Relays::new(token),
             worker_tasks: RefCell::default(),
             ended_since: RefCell::default(),
             known_incarnations: Cell::default(),
@@ -145,6 +149,9 @@
         if node.leads() {
             if let Some(leadership) = &*node.leadership.borrow() {
                 node.state(|s| leadership.fleet.borrow_mut().retain(s));
+                if node.load.is_overloaded() {
+                    leadership.relays.record_overload();
+                }
             }
             log_load(&node, node.load.take());
             log_waiting(&node);
@@ -227,6 +234,7 @@
     leadership.fleet.borrow_mut().interference =
         node.state(|s| Interference::from_learned(s.learned()));
     node.leadership.replace(Some(leadership.clone()));
+    compio::runtime::spawn(relay::maintain(node.clone(), Rc::downgrade(&leadership))).detach();
     let (open, incarnations) = node.state(|s| (s.open_count(), s.incarnations().count()));
     tracing::info!(event = "leadership-gained", term, open, lives = incarnations);
     node.metrics.count("leadership", "gained");
@@ -331,13 +339,12 @@
         for (id, incarnation) in s.incarnations() {
             worker_tasks.entry(id).or_insert_with(|| {
                 let wake = Rc::new(Notify::default());
-                let connection = Rc::new(node.port.connection(&incarnation.worker));
                 let cx = worker::Context {
                     node: node.clone(),
                     leadership: Rc::downgrade(leadership),
                     incarnation: id,
                     worker: incarnation.worker.id.clone(),
-                    connection,
+                    caller: Rc::new(WorkerCaller::new(&incarnation.worker)),
                     wake: wake.clone(),
                 };
                 let polls = compio::runtime::spawn(worker::poll(cx.clone()));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod notify;
 pub mod port;
 pub mod protocol;
+pub mod relay;
 pub mod run_log;
 pub mod suspension;
 pub mod telemetry;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -13,7 +13,7 @@
         ASK_PATH, GroupStatus, LOG_PATH, MAX_REQUEST_BYTES, PeerRequest, PeerResponse, decode,
         encode,
     },
-    requests,
+    relay, requests,
     run_log::{self, RunLog},
     suspension::SuspensionDetector,
     transport::{LogTransport, Peers, replica_id},
@@ -96,6 +96,8 @@
     pub(crate) leadership: RefCell<Option<Rc<Leadership>>>,
     /// Detects suspensions of this host.
     pub(crate) suspension: SuspensionDetector,
+    /// Calls workers for the leader.
+    pub(crate) agent: relay::Agent<P>,
     /// Signals a change that may require a new decision.
     pub(crate) decision_due: Notify,
     /// Counters and histograms.
@@ -138,6 +140,7 @@
             port,
             leadership: RefCell::new(None),
             suspension: SuspensionDetector::default(),
+            agent: relay::Agent::default(),
             decision_due: Notify::default(),
             metrics,
             load: Load::default(),
@@ -423,8 +426,11 @@
 
 impl<P: Port> PeerHandler<P> {
     async fn handle_request(&self, body: &[u8]) -> Result<Vec<u8>> {
-        let req: PeerRequest = decode(body)?;
-        encode(&requests::handle_request(&self.0, req).await)
+        let response = match decode(body)? {
+            PeerRequest::Relay(req) => relay::handle(&self.0, req).await,
+            req => requests::handle_request(&self.0, req).await,
+        };
+        encode(&response)
     }
 }
 
--- a/crates/dispatch/src/port.rs
+++ b/crates/dispatch/src/port.rs
@@ -1,8 +1,9 @@
 //! The interface through which the leader calls workers, the advisor and the
 //! machine service, independent of the protocol.
 
+use crate::relay::WorkerEndpoint;
 use cyclamenloft_placement::submission::{
-    Observation, WorkerInfo,
+    Observation,
     fleet::{Order, OrderAnswer},
     spec::StepId,
     waves::{MachineId, WaveNumber},
@@ -147,7 +148,7 @@
     type Connection: 'static;
 
     /// Creates the connections to an incarnation, without sending anything.
-    fn connection(&self, worker: &WorkerInfo) -> Self::Connection;
+    fn connection(&self, worker: &WorkerEndpoint) -> Self::Connection;
 
     /// Polls the worker. Returns the runs that it lists and the number of the
     /// last listed end.
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Requests of entry hosts and replicas to a replica, and the responses, encoded with
 //! postcard.
 
+use crate::relay::{RelayRequest, RelayedAnswer};
 use cyclamenloft_placement::submission::{
     RouteTable, Step, Submission, SubmissionId, WorkerInfo, state::Phase, waves::Wave,
 };
@@ -94,6 +95,8 @@
         /// Path that the client named.
         path: Box<str>,
     },
+    /// Asks a replica that doesn't lead to call workers for the leader.
+    Relay(RelayRequest),
 }
 
 /// The progress of a submission, as reported to clients.
@@ -139,7 +142,8 @@
     Pending(u64),
     /// There is no such submission.
     Gone,
-    /// The report is of an incarnation that a newer one has replaced.
+    /// The report is of an incarnation that a newer one has replaced, or the session isn't
+    /// the newest one.
     Outdated,
     /// There is no such queue.
     NoQueue,
@@ -158,6 +162,10 @@
     NotLeader(Option<ReplicaId>),
     /// The request may or may not have been carried out.
     Unsure,
+    /// Answers [`RelayRequest::Open`]. Contains the failure domain of the replica.
+    RelayOpened(DomainName),
+    /// Answers [`RelayRequest::Answers`].
+    Answers(Vec<RelayedAnswer>),
 }
 
 /// Encodes a request or a response.
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -31,6 +31,8 @@
         PeerRequest::Submit { host, path, draft } => submit(node, &host, &path, draft).await,
         PeerRequest::Read { host, path } => node.state(|s| read(s, &host, &path)),
         PeerRequest::Cancel { host, path } => cancel(node, &host, &path).await,
+        // The leader doesn't relay calls.
+        PeerRequest::Relay(_) => PeerResponse::Outdated,
     }
 }
 
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -6,6 +6,7 @@
     node::Node,
     notify::Notify,
     port::{OrderCall, OrderResponse, PollCall, Port},
+    relay::WorkerCaller,
     run_log::{LineKey, RunName},
 };
 use cyclamenloft_placement::submission::{
@@ -37,6 +38,8 @@
 /// Longest pause after a failed poll, so that a worker that is reachable again is used
 /// soon.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for which a new leader waits for its sessions before it calls workers itself.
+const RELAYS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that an order task sleeps without being woken.
 const MAX_ORDER_IDLE: Duration = Duration::from_millis(2_000);
 
@@ -46,7 +49,7 @@
     pub leadership: Weak<Leadership>,
     pub incarnation: IncarnationId,
     pub worker: WorkerId,
-    pub connection: Rc<P::Connection>,
+    pub caller: Rc<WorkerCaller<P>>,
     pub wake: Rc<Notify>,
 }
 
@@ -57,7 +60,7 @@
             leadership: self.leadership.clone(),
             incarnation: self.incarnation,
             worker: self.worker.clone(),
-            connection: self.connection.clone(),
+            caller: self.caller.clone(),
             wake: self.wake.clone(),
         }
     }
@@ -110,6 +113,11 @@
 pub(crate) async fn poll<P: Port>(cx: Context<P>) {
     let acknowledged = Cell::new(0);
     let mut failures = 0u32;
+    if let Some(leadership) = cx.leadership() {
+        // A call by this replica would cost the worker's next holder another one.
+        let ready = leadership.relays.ready();
+        let _ = compio::time::timeout(RELAYS_TIMEOUT, ready).await;
+    }
     loop {
         let Some(leadership) = cx.leadership() else {
             compio::time::sleep(MIN_RETRY_PAUSE).await;
@@ -145,11 +153,15 @@
     acknowledged: &Cell<u64>,
 ) -> Result<()> {
     let sent = Instant::now();
+    let (route, is_new_holder) = cx.caller.choose_route(&cx.node.port, &leadership.relays);
     let wait = {
         let mut fleet = leadership.fleet.borrow_mut();
         let idle =
             cx.node.state(|s| s.incarnation(cx.incarnation).is_none_or(|l| l.runs.is_empty()));
         let view = fleet.view_mut(cx.incarnation, sent);
+        // The former holder's calls may still be carried out until the worker has seen the new
+        // token.
+        view.synced &= !is_new_holder;
         let close_watch = view.needs_close_watch();
         let responsive = view.synced && view.is_reachable(sent);
         let wait = match (responsive, idle, close_watch) {
@@ -166,12 +178,14 @@
     };
     let lease_end_ms = grant_lease(leadership, cx.incarnation, sent);
     let call =
-        PollCall { lease_end_ms, token: leadership.token, acknowledged: acknowledged.get(), wait };
+        PollCall { lease_end_ms, token: route.token(), acknowledged: acknowledged.get(), wait };
     cx.node.metrics.count("look", "sent");
-    let result = cx.node.port.poll(&cx.connection, call).await;
+    let result = cx.caller.poll(&cx.node.port, &route, call).await;
     let now = Instant::now();
     let (observation, last_end) = match result {
         Ok(answer) => answer,
+        // Nothing is known about the worker if the replica that was to call it is silent.
+        Err(_) if route.is_closed() => return Ok(()),
         Err(e) => {
             leadership.fleet.borrow_mut().unreachable(cx.incarnation, now);
             return Err(e);
@@ -244,6 +258,7 @@
 
 async fn send_order<P: Port>(cx: &Context<P>, leadership: &Leadership, order: Order) {
     let now = Instant::now();
+    let Some(route) = cx.caller.route() else { return };
     let Some(lease_end_ms) = grant_lease(leadership, cx.incarnation, now) else { return };
     let (call, has_advisor) = cx.node.state(|s| {
         let record = s.record(order.task.submission);
@@ -252,7 +267,7 @@
         let ticket = fleet.advice.ticket(order.task.step_id(), cx.incarnation, now);
         let call = OrderCall {
             order,
-            token: leadership.token,
+            token: route.token(),
             payload: record.map(|r| r.spec.payload.clone()).unwrap_or_default(),
             checkpoint: task.map(|t| t.checkpoint.clone()).unwrap_or_default(),
             ticket: ticket.unwrap_or_default().into(),
@@ -261,10 +276,11 @@
         (call, record.is_some_and(|r| r.policy.advisor.is_some()))
     });
     let needs_ticket = has_advisor && order.kind == OrderKind::Start;
+    let token = call.token;
     let response = if needs_ticket && call.ticket.is_empty() {
         OrderResponse { answer: OrderAnswer::NoTicket, detail: "there is no valid ticket".into() }
     } else {
-        cx.node.port.order(&cx.connection, &call).await
+        cx.caller.order(&cx.node.port, &route, call).await
     };
     let elapsed = now.elapsed();
     cx.node.metrics.time("order", elapsed);
@@ -276,13 +292,13 @@
         OrderKind::Pace(_) => "Pace",
     };
     if answer == OrderAnswer::Taken {
-        let key = LineKey { decision: "order", kind, outcome: "Taken", token: call.token };
+        let key = LineKey { decision: "order", kind, outcome: "Taken", token };
         cx.node.run_log.record(key, cx.run_name(order.task, order.attempt, Some(elapsed)));
     } else {
         let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         tracing::info!(
             decision = "order", task = %order.task, attempt = order.attempt, kind,
-            worker = %cx.worker, token = call.token, lease_end_ms, elapsed_us,
+            worker = %cx.worker, token, lease_end_ms, elapsed_us,
             outcome = ?answer, detail = %response.detail
         );
     }
--- /dev/null
+++ b/crates/dispatch/tests/all/holders.rs
@@ -0,0 +1,103 @@
+//! Which replica calls a worker, and under which token.
+
+use cyclamenloft_dispatch::relay::holders::{Holder, Holders, term_of};
+use cyclamenloft_types::{ReplicaId, Term};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const TERM: Term = 7;
+
+/// What happens to a leader's sessions.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A replica accepts a session.
+    Open(ReplicaId),
+    /// The oldest session of a replica ends.
+    Close(ReplicaId),
+    /// A worker of the domain is polled.
+    Poll(usize),
+    /// The leader is overloaded.
+    Overload,
+}
+
+/// Returns the domain of a replica: two replicas share one.
+fn domain(replica: ReplicaId) -> Box<str> {
+    format!("d{}", replica / 2).into()
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..4u64).prop_map(Event::Open),
+        (0..4u64).prop_map(Event::Close),
+        (0..6usize).prop_map(Event::Poll),
+        Just(Event::Overload),
+    ]
+}
+
+proptest! {
+    /// Guards against orders of a replica that no longer calls a worker: the worker must have
+    /// seen a higher token from the next one, and no token may belong to two replicas.
+    #[test]
+    fn the_token_of_a_worker_rises_with_each_change_of_its_holder(
+        events in prop::collection::vec(event(), 1..200),
+    ) {
+        let mut holders = Holders::new(TERM);
+        let mut sessions: Vec<(ReplicaId, Term)> = Vec::new();
+        let mut current: BTreeMap<usize, Holder> = BTreeMap::new();
+        let mut owners: BTreeMap<Term, Option<ReplicaId>> = BTreeMap::new();
+        for event in events {
+            match event {
+                Event::Open(replica) if !holders.has_session(&domain(replica)) => {
+                    let token = holders.issue();
+                    holders.opened(domain(replica), replica, token);
+                    sessions.push((replica, token));
+                }
+                Event::Open(_) => {}
+                Event::Overload => holders.record_overload(),
+                Event::Close(replica) => {
+                    if let Some(at) = sessions.iter().position(|(r, _)| *r == replica) {
+                        holders.closed(sessions.remove(at).1);
+                    }
+                }
+                Event::Poll(worker) => {
+                    let before = current.get(&worker).copied();
+                    let name = format!("w{worker}");
+                    let next = holders.holder(&format!("d{}", worker % 3), &name, before);
+                    prop_assert!(before.is_none_or(|b| b == next || b.token < next.token));
+                    prop_assert_eq!(term_of(next.token), TERM);
+                    let owner = *owners.entry(next.token).or_insert(next.replica);
+                    prop_assert_eq!(owner, next.replica);
+                    let is_open = |r| sessions.contains(&(r, next.token));
+                    prop_assert!(next.replica.is_none_or(is_open), "a session that has ended");
+                    current.insert(worker, next);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_token_of_the_next_term_is_higher_than_all_of_this_one() {
+    let mut holders = Holders::new(TERM);
+    let last = (0..10_000).map(|_| holders.issue()).last().unwrap();
+    assert!(Holders::new(TERM + 1).holder("d0", "w0", None).token > last);
+}
+
+/// Guards against an overloaded leader that still calls the workers of its own domain.
+#[test]
+fn an_overloaded_leader_calls_no_worker_itself() {
+    let mut holders = Holders::new(TERM);
+    for replica in [2, 4] {
+        let token = holders.issue();
+        holders.opened(domain(replica), replica, token);
+    }
+    let names: Vec<String> = (0..200).map(|n| format!("w{n}")).collect();
+    let own: Vec<Holder> = names.iter().map(|w| holders.holder("d0", w, None)).collect();
+    assert!(own.iter().all(|h| h.replica.is_none()));
+    holders.record_overload();
+    let mut counts: BTreeMap<Option<ReplicaId>, usize> = BTreeMap::new();
+    for (name, own) in names.iter().zip(own) {
+        *counts.entry(holders.holder("d0", name, Some(own)).replica).or_default() += 1;
+    }
+    assert!(!counts.contains_key(&None) && counts.values().all(|n| *n >= 70), "{counts:?}");
+}
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod admission;
+mod holders;
 mod load;
 mod membership;
 mod run_log;
--- a/crates/placement/src/submission/fleet/messages.rs
+++ b/crates/placement/src/submission/fleet/messages.rs
@@ -2,9 +2,10 @@
 
 use super::super::{command::RunEnd, spec::TaskId};
 use cyclamenloft_types::AttemptNumber;
+use serde::{Deserialize, Serialize};
 
 /// A run that a worker lists in its answer to a poll.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// The task.
     pub task: TaskId,
@@ -20,7 +21,7 @@
 }
 
 /// A worker's answer to a poll.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observation {
     /// Start time of the incarnation that answered, in milliseconds since the
     /// Unix epoch.
@@ -34,7 +35,7 @@
 }
 
 /// Kind of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderKind {
     /// Start the run.
     Start,
@@ -45,7 +46,7 @@
 }
 
 /// An order to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// The task.
     pub task: TaskId,
@@ -56,7 +57,7 @@
 }
 
 /// Result of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderAnswer {
     /// The worker has accepted the order.
     Taken,
