dispatch: the commit of placements is part of the pause after planning

A round was planning, then the commit (40 to 100 ms under load), then a pause of four times the planning, one after another; rounds were full with 256 placements, so their number a second bounded the starts (event=load: full_rounds).

The pause bounds planning to a fifth of the time, and nothing is planned during the commit either, so it now counts as pause.

No test of its own: the effect is in time only, and the field full_rounds of the line shows it.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -30,11 +30,12 @@
 /// Longest time between two rounds when nothing changes, and thus the longest
 /// delay in reacting to a deadline or a stuck task.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum time between two rounds, so that changes that arrive together are committed
+/// Minimum pause after a round, so that changes that arrive together are committed
 /// together. A commit takes about twice this time.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(8);
-/// Minimum pause between two rounds as a multiple of the time that planning took, so that
-/// planning takes at most a fifth of the time, whatever the number of workers.
+/// Minimum time from the end of planning to the next round, as a multiple of the time that
+/// planning took, so that planning takes at most a fifth of the time, whatever the number of
+/// workers. The commit of the placements is part of that time.
 const PAUSE_FACTOR: u32 = 4;
 /// Time between two checks for runs that make no progress or would run better elsewhere, both
 /// of which show over seconds.
@@ -127,15 +128,15 @@
             Ok(leadership) => run_round(&node, &leadership).await,
             Err(e) => Err(e),
         };
-        let planning_time = match result {
-            Ok(planning_time) => planning_time,
+        let round = match result {
+            Ok(round) => round,
             Err(e) => {
                 tracing::info!(event = "round-failed", error = %e);
                 compio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
                 continue;
             }
         };
-        compio::time::sleep(MIN_ROUND_INTERVAL.max(planning_time * PAUSE_FACTOR)).await;
+        compio::time::sleep_until(round.next_at()).await;
         let _ = compio::time::timeout(MAX_ROUND_INTERVAL, node.decision_due.changed(change_count))
             .await;
     }
@@ -241,8 +242,24 @@
     Ok(leadership)
 }
 
-/// Runs one round and returns how long the planning took.
-async fn run_round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<Duration> {
+/// When a round planned and ended.
+#[derive(Clone, Copy, Debug)]
+struct RoundTimes {
+    planned_at: Instant,
+    planning: Duration,
+    ended_at: Instant,
+}
+
+impl RoundTimes {
+    /// Returns the earliest time of the next round.
+    fn next_at(self) -> Instant {
+        let after_planning = self.planned_at + self.planning * PAUSE_FACTOR;
+        after_planning.max(self.ended_at + MIN_ROUND_INTERVAL)
+    }
+}
+
+/// Runs one round.
+async fn run_round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<RoundTimes> {
     sync_worker_tasks(node, leadership);
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().declare_lost(s, now));
@@ -256,7 +273,8 @@
         node.metrics.count("worker", "lost");
     }
     withdraw(node, leadership);
-    place(node, leadership).await
+    let (planned_at, planning) = place(node, leadership).await?;
+    Ok(RoundTimes { planned_at, planning, ended_at: Instant::now() })
 }
 
 /// Withdraws runs that are stuck, that would progress faster elsewhere, or
@@ -282,26 +300,31 @@
     }
 }
 
-async fn place<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<Duration> {
+/// Plans and commits placements. Returns when the planning ended and how long it took.
+async fn place<P: Port>(
+    node: &Rc<Node<P>>,
+    leadership: &Rc<Leadership>,
+) -> Result<(Instant, Duration)> {
     let began = Instant::now();
     let proposed = node
         .state(|s| planner::plan(s, &mut leadership.fleet.borrow_mut(), Instant::now(), wall_ms()));
-    let planning_time = began.elapsed();
+    let planned_at = Instant::now();
+    let planning_time = planned_at.saturating_duration_since(began);
     node.metrics.time("plan", planning_time);
     node.load.record_round(planning_time, proposed.len() >= planner::MAX_PLACED);
     if proposed.is_empty() {
-        return Ok(planning_time);
+        return Ok((planned_at, planning_time));
     }
     let proposed_count = proposed.len();
     let CommandResult::Placed(placed) = node.propose(Command::Place(proposed)).await? else {
-        return Ok(planning_time);
+        return Ok((planned_at, planning_time));
     };
     let commit_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
     log_placed(node, &placed, leadership.token, commit_us);
     placed.iter().for_each(|p| leadership.wake(p.incarnation));
     node.metrics.count_many("place", "placed", placed.len() as u64);
     node.metrics.count_many("place", "void", (proposed_count - placed.len()) as u64);
-    Ok(planning_time)
+    Ok((planned_at, planning_time))
 }
 
 fn log_placed<P: Port>(node: &Node<P>, placed: &[Placement], token: Term, commit_us: u64) {
