relay: a replica gets its workers back 4 s after its session ended

The delay was counted from the opening of the session, so a replica whose link failed after a while got its workers back within half a second, and on a bad link it would have taken turns with the leader at each second. It is now counted from the end. The line event=overloaded tells when the leader hands over its own domain's workers.

--- a/crates/dispatch/src/relay/holders.rs
+++ b/crates/dispatch/src/relay/holders.rs
@@ -73,9 +73,9 @@
     }
 
     /// Records that the leader is too busy to call workers itself. From now on, workers without
-    /// a session in their domain are divided over all sessions.
-    pub fn record_overload(&mut self) {
-        self.overloaded = true;
+    /// a session in their domain are divided over all sessions. Returns whether that is new.
+    pub fn record_overload(&mut self) -> bool {
+        !std::mem::replace(&mut self.overloaded, true)
     }
 
     /// Returns the holder that a worker of `domain` should have, given the one it has.
--- a/crates/dispatch/src/relay/session.rs
+++ b/crates/dispatch/src/relay/session.rs
@@ -29,9 +29,9 @@
 const SESSION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between two checks whether sessions are to be opened.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the end of a session before another one is opened with the same replica: the
-/// longest lease, so that a replica whose link is bad doesn't take turns with the leader.
-const REOPEN_DELAY: Duration = Duration::from_secs(7);
+/// Time after the end of a session before another one is opened with the same replica, so that
+/// a replica whose link is bad doesn't take turns with the leader.
+const REOPEN_DELAY: Duration = Duration::from_secs(4);
 /// Shortest time between two messages with calls to a replica. Calls that arrive sooner share a
 /// message.
 const SEND_INTERVAL: Duration = Duration::from_millis(8);
@@ -109,6 +109,8 @@
 pub(crate) struct Relays {
     holders: RefCell<Holders>,
     sessions: RefCell<BTreeMap<Term, Rc<Session>>>,
+    /// When the last session with each replica ended.
+    ended_at: RefCell<BTreeMap<ReplicaId, Instant>>,
     /// Notified when the first attempt to open sessions has ended.
     ready: Notify,
 }
@@ -118,6 +120,7 @@
         Self {
             holders: RefCell::new(Holders::new(term)),
             sessions: RefCell::default(),
+            ended_at: RefCell::default(),
             ready: Notify::default(),
         }
     }
@@ -141,7 +144,13 @@
 
     /// Records that the leader is too busy to call workers itself.
     pub fn record_overload(&self) {
-        self.holders.borrow_mut().record_overload();
+        if self.holders.borrow_mut().record_overload() {
+            tracing::info!(event = "overloaded", sessions = self.sessions.borrow().len());
+        }
+    }
+
+    fn has_ended_recently(&self, replica: ReplicaId, now: Instant) -> bool {
+        self.ended_at.borrow().get(&replica).is_some_and(|at| now < *at + REOPEN_DELAY)
     }
 
     fn add(&self, domain: DomainName, session: &Rc<Session>) {
@@ -149,7 +158,8 @@
         self.sessions.borrow_mut().insert(session.token, session.clone());
     }
 
-    fn end(&self, session: &Session) {
+    fn end(&self, session: &Session, now: Instant) {
+        self.ended_at.borrow_mut().insert(session.replica, now);
         self.sessions.borrow_mut().remove(&session.token);
         self.holders.borrow_mut().closed(session.token);
         session.close();
@@ -166,7 +176,6 @@
 /// for as long as the leadership lasts.
 pub(crate) async fn maintain<P: Port>(node: Rc<Node<P>>, leadership: Weak<Leadership>) {
     let mut domains: BTreeMap<ReplicaId, DomainName> = BTreeMap::new();
-    let mut not_before: BTreeMap<ReplicaId, Instant> = BTreeMap::new();
     while let Some(leadership) = leadership.upgrade() {
         let now = Instant::now();
         let me = own_id(&node);
@@ -179,21 +188,17 @@
             let domain = domains.get(id);
             *id != me
                 && !domain.is_some_and(has_session)
-                && not_before.get(id).is_none_or(|at| now >= *at)
+                && !leadership.relays.has_ended_recently(*id, now)
         };
         let wanted = status.members.iter().map(|m| m.id).filter(is_wanted).collect::<Vec<_>>();
         let attempts = wanted.into_iter().map(|id| open(&node, &leadership, id));
         for (id, domain) in futures_util::future::join_all(attempts).await {
-            let Some((domain, session)) = domain else {
-                not_before.insert(id, now + CHECK_INTERVAL);
-                continue;
-            };
+            let Some((domain, session)) = domain else { continue };
             domains.insert(id, domain.clone());
             let has_session = leadership.relays.holders.borrow().has_session(&domain);
             if domain == node.settings.domain || has_session || !node.leads() {
                 continue;
             }
-            not_before.insert(id, now + REOPEN_DELAY);
             leadership.relays.add(domain.clone(), &session);
             tracing::info!(event = "relay-opened", replica = id, %domain, token = session.token);
             let run = run(node.clone(), Rc::downgrade(&leadership), session);
@@ -231,7 +236,7 @@
         Either::Right((reason, _)) => reason,
     };
     match leadership.upgrade() {
-        Some(leadership) => leadership.relays.end(&session),
+        Some(leadership) => leadership.relays.end(&session, Instant::now()),
         None => session.close(),
     }
     tracing::info!(
--- a/crates/dispatch/tests/all/holders.rs
+++ b/crates/dispatch/tests/all/holders.rs
@@ -53,7 +53,7 @@
                     sessions.push((replica, token));
                 }
                 Event::Open(_) => {}
-                Event::Overload => holders.record_overload(),
+                Event::Overload => drop(holders.record_overload()),
                 Event::Close(replica) => {
                     if let Some(at) = sessions.iter().position(|(r, _)| *r == replica) {
                         holders.closed(sessions.remove(at).1);
@@ -94,7 +94,7 @@
     let names: Vec<String> = (0..200).map(|n| format!("w{n}")).collect();
     let own: Vec<Holder> = names.iter().map(|w| holders.holder("d0", w, None)).collect();
     assert!(own.iter().all(|h| h.replica.is_none()));
-    holders.record_overload();
+    assert!(holders.record_overload());
     let mut counts: BTreeMap<Option<ReplicaId>, usize> = BTreeMap::new();
     for (name, own) in names.iter().zip(own) {
         *counts.entry(holders.holder("d0", name, Some(own)).replica).or_default() += 1;
