planner: submissions that have waited long begin after those with time to spare

Cause: of submissions that haven't begun, the one with the earliest objective began first. With more work than can be placed that begins each one at the last moment at which it seems feasible, and then nearly all end late. Submissions that have used more than half of their spare time now begin after the others, and still before those that are late.

--- a/crates/placement/src/submission/planner/rank.rs
+++ b/crates/placement/src/submission/planner/rank.rs
@@ -47,6 +47,41 @@
     if wall_ms + needed <= objective_ms(record) { Timeliness::OnTime } else { Timeliness::Late }
 }
 
+/// Returns whether a submission has waited for more than half of the time that it could wait
+/// and still meet its objective.
+fn is_tight(record: &Record, wall_ms: u64) -> bool {
+    let work = Duration::from_millis(longest_chain_ms(&record.spec, |_| true));
+    let spare = objective_span(&record.spec, &record.policy).saturating_sub(work);
+    let waited = Duration::from_millis(wall_ms.saturating_sub(record.at_ms));
+    waited > spare / 2
+}
+
+/// How soon submissions of one priority are placed, the soonest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// The submission has begun and can meet its objective.
+    Begun,
+    /// The submission has not begun, and can meet its objective even if its work takes longer
+    /// than estimated.
+    Ample,
+    /// The submission has not begun and can just meet its objective.
+    Tight,
+    /// The submission has begun and can't meet its objective, or has none.
+    LateBegun,
+    /// The submission has not begun and can't meet its objective.
+    Late,
+}
+
+fn urgency(record: &Record, wall_ms: u64) -> Urgency {
+    match (timeliness(record, wall_ms), record.begun) {
+        (Timeliness::OnTime, true) => Urgency::Begun,
+        (Timeliness::OnTime, false) if is_tight(record, wall_ms) => Urgency::Tight,
+        (Timeliness::OnTime, false) => Urgency::Ample,
+        (Timeliness::Late, true) => Urgency::LateBegun,
+        (Timeliness::Late, false) => Urgency::Late,
+    }
+}
+
 /// Returns the longest chain of estimates along the dependencies, over the steps
 /// for which `counts` returns true.
 fn longest_chain_ms(spec: &Submission, counts: impl Fn(usize) -> bool) -> u64 {
@@ -64,19 +99,23 @@
 /// others; then those that can meet their objective; then the rest. Of these,
 /// those that have begun come first, so that with less room than work some
 /// submissions finish rather than many in part, and then the earliest objective.
+///
+/// With more work than can be placed, the earliest objective alone would begin each submission
+/// at the last moment at which it seems feasible, and most would end late. So those that have
+/// waited for long begin after those that have time to spare.
 pub(super) fn rank(
     record: &Record,
     starving: &BTreeSet<SubmissionId>,
     wall_ms: u64,
-) -> (u8, bool, Timeliness, bool, u64, u64) {
+) -> (u8, bool, Urgency, u64, u64) {
     let (priority, seq) = (record.policy.priority, record.seq);
     if starving.contains(&record.spec.id) {
-        return (priority, false, Timeliness::OnTime, false, record.at_ms, seq);
+        return (priority, false, Urgency::Begun, record.at_ms, seq);
     }
     if record.spec.steps.iter().any(|s| s.lasting) {
         // A long-running submission earns its payoff for as long as it runs,
         // and has no objective.
-        return (priority, true, Timeliness::Late, false, record.at_ms, seq);
+        return (priority, true, Urgency::LateBegun, record.at_ms, seq);
     }
-    (priority, true, timeliness(record, wall_ms), !record.begun, objective_ms(record), seq)
+    (priority, true, urgency(record, wall_ms), objective_ms(record), seq)
 }
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod planning;
 mod safety;
+mod slow_leader;
 mod spec;
 mod state;
 mod waves;
