Tests: relayed calls and answers arrive as sent, malformed ones are rejected

One bad message must not end a replica. Round trips of each kind of call and answer, and random and truncated bytes for the decoder of both.

--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod holders;
 mod load;
 mod membership;
+mod messages;
 mod run_log;
 mod suspension;
 mod telemetry;
