fleet: a worker that has just registered is not lost before it could answer

Cause: the view of a new incarnation counted as silent until its first answer, and the lease that a new leader assumes for workers it finds had lapsed long before. So a round between the first poll and its answer declared the worker lost; it came back with its next report and was lost again. Seen in the log: 116 workers of the domain lost and registered up to four times each from 40 to 51 s. With calls through another replica the first answer takes longer than a round, so the fault, which is older, became likely.

A new incarnation now counts as reachable for as long as an answer may take; an unanswered poll still makes it unreachable at once. The test failed before.

--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -93,7 +93,8 @@
             lease: WorkerLease::new(longest, since),
             synced: false,
             order_due: false,
-            reachable_until: now,
+            // The worker hasn't been polled yet, so its silence doesn't mean anything.
+            reachable_until: now + ANSWER_GRACE,
             health: Health::default(),
             declared_lost: false,
             runs: BTreeMap::new(),
--- a/crates/placement/tests/all/submission/fleet.rs
+++ b/crates/placement/tests/all/submission/fleet.rs
@@ -139,3 +139,20 @@
     let order = fleet.next_order(&w.state, 1, now).unwrap();
     assert_eq!((order.task, order.attempt, order.kind), (stray, 3, OrderKind::Stop));
 }
+
+/// Guards against a worker that is declared lost, and its room with it, each time it registers,
+/// because its first answer takes longer than the next round.
+#[test]
+fn a_worker_that_has_just_registered_is_lost_only_once_it_is_known_to_be_silent() {
+    let mut w = Cluster::new([]);
+    let elected = Instant::now();
+    let mut fleet = Fleet::new(Duration::from_secs(3), elected);
+    let now = elected + Duration::from_secs(60);
+    w.apply(Command::Register(worker("wa", 4)));
+    fleet.view_mut(1, now);
+    fleet.poll_sent(1, Duration::ZERO, now);
+    let next_rounds = [10, 50, 200, 400].map(|ms| now + Duration::from_millis(ms));
+    assert!(next_rounds.iter().all(|at| fleet.declare_lost(&w.state, *at).is_empty()));
+    fleet.unreachable(1, next_rounds[3]);
+    assert_eq!(fleet.declare_lost(&w.state, next_rounds[3]).len(), 1);
+}
