relay: a worker keeps its last token while the group has given it up

The holder of a worker was remembered with the caller of its incarnation in the group's state. A worker that was given up behind a cut and came back began without one and could get an older session, whose token it rejects for good.

The leader now remembers the last holder of each worker's own incarnation. The random series of holders.rs now asks as the leader does, without handing over the holder before; one case names the fault.

--- a/crates/dispatch/src/relay/calls.rs
+++ b/crates/dispatch/src/relay/calls.rs
@@ -55,8 +55,7 @@
     /// Returns the route for the next poll, and whether its holder is another one than before.
     pub fn choose_route(&self, port: &P, relays: &Relays) -> (Rc<Route<P>>, bool) {
         let known = self.route();
-        let current = known.as_ref().map(|r| r.holder);
-        let (holder, session) = relays.holder(&self.domain, &self.endpoint.id, current);
+        let (holder, session) = relays.next_holder(&self.domain, &self.endpoint);
         if let Some(route) = known.filter(|r| r.holder == holder) {
             return (route, false);
         }
--- a/crates/dispatch/src/relay/holders.rs
+++ b/crates/dispatch/src/relay/holders.rs
@@ -1,5 +1,6 @@
 //! Which replica calls a worker, and under which fencing token.
 
+use super::WorkerEndpoint;
 use cyclamenloft_types::{DomainName, ReplicaId, Term};
 use std::{
     collections::BTreeMap,
@@ -39,13 +40,23 @@
     open: BTreeMap<DomainName, Holder>,
     /// Whether the leader hands over the workers that it calls itself, too.
     overloaded: bool,
+    /// The last holder of each worker. It is kept when the group gives a worker up, because the
+    /// worker may come back and still rejects lower tokens.
+    last: BTreeMap<WorkerEndpoint, Holder>,
 }
 
 impl Holders {
     /// Returns the holders at the beginning of a term: the leader calls all workers.
     #[must_use]
     pub fn new(term: Term) -> Self {
-        Self { term, issued: 0, own: term << CHANGE_BITS, open: BTreeMap::new(), overloaded: false }
+        Self {
+            term,
+            issued: 0,
+            own: term << CHANGE_BITS,
+            open: BTreeMap::new(),
+            overloaded: false,
+            last: BTreeMap::new(),
+        }
     }
 
     /// Issues a token that is higher than all earlier ones, for a session that is to be opened.
@@ -78,9 +89,16 @@
         !std::mem::replace(&mut self.overloaded, true)
     }
 
-    /// Returns the holder that a worker of `domain` should have, given the one it has.
-    #[must_use]
-    pub fn holder(&self, domain: &str, worker: &str, current: Option<Holder>) -> Holder {
+    /// Returns the holder that is to call a worker of `domain` next.
+    pub fn next_holder(&mut self, domain: &str, worker: &WorkerEndpoint) -> Holder {
+        let next = self.choose(domain, &worker.id, self.last.get(worker).copied());
+        if self.last.get(worker) != Some(&next) {
+            self.last.insert(worker.clone(), next);
+        }
+        next
+    }
+
+    fn choose(&self, domain: &str, worker: &str, current: Option<Holder>) -> Holder {
         let is_next = |next: &Holder| current.is_none_or(|c| c == *next || c.token < next.token);
         let wanted = self.open.get(domain).or_else(|| self.any_session(worker));
         if let Some(holder) = wanted.filter(|h| is_next(h)) {
--- a/crates/dispatch/src/relay/session.rs
+++ b/crates/dispatch/src/relay/session.rs
@@ -130,15 +130,14 @@
         self.ready.changed(0).await;
     }
 
-    /// Returns the holder that a worker of `domain` should have, given the one it has, and the
-    /// session in which that holder is called, or `None` if the leader makes the calls.
-    pub fn holder(
+    /// Returns the holder that is to call a worker of `domain` next, and the session in which it
+    /// does so, or `None` if the leader makes the calls.
+    pub fn next_holder(
         &self,
         domain: &str,
-        worker: &str,
-        current: Option<Holder>,
+        worker: &WorkerEndpoint,
     ) -> (Holder, Option<Rc<Session>>) {
-        let holder = self.holders.borrow().holder(domain, worker, current);
+        let holder = self.holders.borrow_mut().next_holder(domain, worker);
         (holder, self.sessions.borrow().get(&holder.token).cloned())
     }
 
--- a/crates/dispatch/tests/all/holders.rs
+++ b/crates/dispatch/tests/all/holders.rs
@@ -1,6 +1,9 @@
 //! Which replica calls a worker, and under which token.
 
-use cyclamenloft_dispatch::relay::holders::{Holder, Holders, term_of};
+use cyclamenloft_dispatch::relay::{
+    WorkerEndpoint,
+    holders::{Holder, Holders, term_of},
+};
 use cyclamenloft_types::{ReplicaId, Term};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -25,6 +28,11 @@
     format!("d{}", replica / 2).into()
 }
 
+fn endpoint(number: usize) -> WorkerEndpoint {
+    let addr = "10.0.0.1:80".parse().unwrap();
+    WorkerEndpoint { id: format!("w{number}").into(), started_ms: 1, addr }
+}
+
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         (0..4u64).prop_map(Event::Open),
@@ -61,8 +69,8 @@
                 }
                 Event::Poll(worker) => {
                     let before = current.get(&worker).copied();
-                    let name = format!("w{worker}");
-                    let next = holders.holder(&format!("d{}", worker % 3), &name, before);
+                    let next =
+                        holders.next_holder(&format!("d{}", worker % 3), &endpoint(worker));
                     prop_assert!(before.is_none_or(|b| b == next || b.token < next.token));
                     prop_assert_eq!(term_of(next.token), TERM);
                     let owner = *owners.entry(next.token).or_insert(next.replica);
@@ -80,7 +88,7 @@
 fn a_token_of_the_next_term_is_higher_than_all_of_this_one() {
     let mut holders = Holders::new(TERM);
     let last = (0..10_000).map(|_| holders.issue()).last().unwrap();
-    assert!(Holders::new(TERM + 1).holder("d0", "w0", None).token > last);
+    assert!(Holders::new(TERM + 1).next_holder("d0", &endpoint(0)).token > last);
 }
 
 /// Guards against an overloaded leader that still calls the workers of its own domain.
@@ -91,13 +99,29 @@
         let token = holders.issue();
         holders.opened(domain(replica), replica, token);
     }
-    let names: Vec<String> = (0..200).map(|n| format!("w{n}")).collect();
-    let own: Vec<Holder> = names.iter().map(|w| holders.holder("d0", w, None)).collect();
+    let workers: Vec<WorkerEndpoint> = (0..200).map(endpoint).collect();
+    let own: Vec<Holder> = workers.iter().map(|w| holders.next_holder("d0", w)).collect();
     assert!(own.iter().all(|h| h.replica.is_none()));
     assert!(holders.record_overload());
     let mut counts: BTreeMap<Option<ReplicaId>, usize> = BTreeMap::new();
-    for (name, own) in names.iter().zip(own) {
-        *counts.entry(holders.holder("d0", name, Some(own)).replica).or_default() += 1;
+    for worker in &workers {
+        *counts.entry(holders.next_holder("d0", worker).replica).or_default() += 1;
     }
     assert!(!counts.contains_key(&None) && counts.values().all(|n| *n >= 70), "{counts:?}");
 }
+
+/// Guards against a worker that rejects all calls after it was given up and has come back,
+/// because its next holder has a lower token than the last one.
+#[test]
+fn a_worker_that_comes_back_is_called_with_no_lower_token_than_before() {
+    let mut holders = Holders::new(TERM);
+    let (first, second) = (holders.issue(), holders.issue());
+    holders.opened(domain(2), 2, first);
+    holders.opened(domain(4), 4, second);
+    holders.closed(second);
+    let before = holders.next_holder("d0", &endpoint(1));
+    assert!(before.replica.is_none() && before.token > first);
+    assert!(holders.record_overload());
+    // The only session is older than the token that the worker has seen.
+    assert_eq!(holders.next_holder("d0", &endpoint(1)), before);
+}
