--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod common;
+#[path = "../../../../tests/all/harness/known_red.rs"]
+mod known_red;
 mod learning;
 mod placing;
 mod scheduler;
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -36,6 +36,8 @@
 const POLL_PERIOD_MS: u64 = 200;
 /// Time that passes with each tick of the simulation.
 const TICK_MS: u64 = 5;
+/// Time after which a crashed worker returns.
+const DOWN_MS: u64 = 2_000;
 
 /// An order whose answer is on its way to the leader.
 struct InFlight {
@@ -67,6 +69,15 @@
     pub advisor: Option<Advisor>,
     /// The service that controls the machines, if workers run on machines.
     pub machines: Option<Machines>,
+    /// Tasks that crash each worker on which they start, and how many milliseconds after their
+    /// start.
+    pub fatal: BTreeMap<TaskId, u64>,
+    /// Crashes by fatal tasks: task, worker and time in milliseconds.
+    pub crashes: Vec<(TaskId, Box<str>, u64)>,
+    /// Crashes that are to come: time, task, worker and start time of its incarnation.
+    crashing: Vec<(u64, TaskId, Box<str>, u64)>,
+    /// Crashed workers that are to return: time and worker.
+    returning: Vec<(u64, Box<str>)>,
 }
 
 /// Returns a worker with this many cores.
@@ -141,6 +152,10 @@
             index: 0,
             advisor: None,
             machines: None,
+            fatal: BTreeMap::new(),
+            crashes: Vec::new(),
+            crashing: Vec::new(),
+            returning: Vec::new(),
         };
         for info in workers {
             cluster.join(info);
@@ -199,12 +214,18 @@
         self.base + Duration::from_millis(self.now)
     }
 
+    /// Returns the present virtual time in milliseconds.
+    pub fn instant_ms(&self) -> u64 {
+        self.now
+    }
+
     /// Runs the cluster for `millis` and checks its invariants at each tick.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
         while self.now < end {
             self.now += TICK_MS;
             self.work();
+            self.crash();
             self.agree();
             self.receive();
             self.poll();
@@ -244,6 +265,52 @@
         let known = self.state.record(task.submission).unwrap().task(task).unwrap();
         assert!(!known.done, "{task} starts at {} although it is done", self.now);
         self.starts.push((task, worker.into(), self.now));
+        if let Some(after) = self.fatal.get(&task) {
+            let started_ms = self.workers[worker].info.started_ms;
+            self.crashing.push((self.now + after, task, worker.into(), started_ms));
+        }
+    }
+
+    /// Crashes the workers of fatal tasks, and lets workers return.
+    fn crash(&mut self) {
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.crashing).into_iter().partition(|(at, ..)| *at <= now);
+        self.crashing = later;
+        for (_, task, name, started_ms) in due as Vec<(u64, TaskId, Box<str>, u64)> {
+            let worker = &self.workers[&name];
+            if worker.up && worker.info.started_ms == started_ms && worker.runs.contains_key(&task)
+            {
+                self.crash_worker(&name);
+                self.crashes.push((task, name, now));
+            }
+        }
+        let (due, later) =
+            std::mem::take(&mut self.returning).into_iter().partition(|(at, _)| *at <= now);
+        self.returning = later;
+        for (_, name) in due as Vec<(u64, Box<str>)> {
+            let info = self.workers[&name].info.clone();
+            self.join(WorkerInfo { started_ms: now, ..info });
+        }
+    }
+
+    /// Kills a worker, which returns after [`DOWN_MS`]. The leader sees its connections close.
+    pub fn crash_worker(&mut self, name: &str) {
+        let now = self.instant();
+        let worker = self.workers.get_mut(name).unwrap();
+        worker.crash();
+        if worker.link == Link::Open
+            && let Some((id, _)) = self.state.newest_incarnation(name)
+        {
+            self.fleet.unreachable(id, now);
+        }
+        self.returning.push((self.now + DOWN_MS, name.into()));
+    }
+
+    /// Restarts all replicas: the state is read back from a snapshot, and a leader is elected.
+    pub fn restart(&mut self) {
+        self.state = SubmissionState::decode(&self.state.encode()).unwrap();
+        self.elect();
     }
 
     fn runs_indefinitely(&self, task: TaskId) -> bool {
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod cluster;
+mod crashes;
 mod fleet;
 mod interference;
 mod lease;
