--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -15,6 +15,7 @@
 use compio::runtime::JoinHandle;
 use cyclamenloft_placement::submission::{
     Command, CommandResult, Fleet, IncarnationId, Placement, SubmissionId, SubmissionState,
+    fleet::SilentRun,
     interference::Interference,
     planner,
     state::{IncarnationsVersion, Phase},
@@ -261,6 +262,7 @@
 /// Runs one round.
 async fn run_round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<RoundTimes> {
     sync_worker_tasks(node, leadership);
+    log_silent(node, leadership);
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().declare_lost(s, now));
     for (incarnation, checkpoints) in lost {
@@ -277,6 +279,37 @@
     Ok(RoundTimes { planned_at, planning, ended_at: Instant::now() })
 }
 
+/// Logs what ran on workers that have become unreachable, each run with how long it had gone on.
+fn log_silent<P: Port>(node: &Node<P>, leadership: &Leadership) {
+    let now = Instant::now();
+    node.state(|s| {
+        for (id, silent) in leadership.fleet.borrow_mut().take_silent(s, now) {
+            let Some(incarnation) = s.incarnation(id) else { continue };
+            let worker = &incarnation.worker.id;
+            let runs = run_names(s, id, worker, &silent);
+            let unknown = silent.iter().filter(|run| run.age.is_none()).count();
+            tracing::info!(event = "worker-runs", %worker, life = id, unknown, runs);
+        }
+    });
+}
+
+/// Returns the names of the runs on an unreachable worker, each with its age if that is known.
+fn run_names(
+    state: &SubmissionState,
+    incarnation: IncarnationId,
+    worker: &str,
+    silent: &[SilentRun],
+) -> String {
+    let mut names = String::new();
+    for SilentRun { task, age } in silent {
+        let runs = state.record(task.submission).and_then(|r| r.task(*task)).map(|t| &t.runs);
+        let run = runs.into_iter().flatten().find(|r| r.incarnation == incarnation);
+        let attempt = run.map_or(0, |r| r.attempt);
+        push_name(&mut names, RunName { task: *task, attempt, worker, incarnation, took: *age });
+    }
+    names
+}
+
 /// Withdraws runs that are stuck, that would progress faster elsewhere, or
 /// whose worker is leaving.
 fn withdraw<P: Port>(node: &Node<P>, leadership: &Leadership) {
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -311,7 +311,17 @@
         }
         let (id, born_ms, draining) = (worker.id.clone(), worker.started_ms, worker.draining);
         let capacity = worker.capacity;
+        let replaced = self.state(|s| {
+            let replaced =
+                s.replaced_by(&worker).map(|(id, i)| (id, i.worker.id.clone(), i.runs.len()));
+            replaced.collect::<Vec<_>>()
+        });
         self.propose(Command::Register(worker)).await?;
+        for (life, worker, runs) in replaced {
+            tracing::info!(decision = "worker", %worker, life, runs, successor = %id, outcome = "replaced");
+            self.metrics.count("worker", "replaced");
+            self.metrics.count_many("worker", "runs-lost", runs as u64);
+        }
         tracing::info!(decision = "worker", worker = %id, born_ms, draining, capacity = %capacity, outcome = "registered");
         self.metrics.count("worker", if draining { "draining" } else { "registered" });
         self.decision_due.notify();
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -7,12 +7,14 @@
 mod maintenance;
 mod messages;
 mod run;
+mod silence;
 mod start_rate;
 mod tails;
 mod worker;
 
 pub use maintenance::MaintenanceOrder;
 pub use messages::{ListedRun, Observation, Order, OrderAnswer, OrderKind};
+pub use silence::SilentRun;
 pub use start_rate::{StartRates, Tally};
 pub use worker::WorkerView;
 
@@ -95,6 +97,9 @@
             order_due: false,
             // The worker hasn't been polled yet, so its silence doesn't mean anything.
             reachable_until: now + ANSWER_GRACE,
+            observed: false,
+            silent_since: None,
+            silence_taken: false,
             health: Health::default(),
             declared_lost: false,
             runs: BTreeMap::new(),
@@ -169,7 +174,9 @@
 
     /// Records that the worker did not answer a poll.
     pub fn unreachable(&mut self, incarnation: IncarnationId, now: Instant) {
-        self.view_mut(incarnation, now).reachable_until = now;
+        let view = self.view_mut(incarnation, now);
+        view.reachable_until = now;
+        view.silent_since.get_or_insert(now);
     }
 
     /// Processes a worker's answer to a poll that was sent at `sent`. Returns the
@@ -186,6 +193,9 @@
         let view = self.view_mut(id, now);
         view.lease.record_clock(seen.clock_ms, now);
         view.synced = true;
+        view.observed = true;
+        view.silent_since = None;
+        view.silence_taken = false;
         view.reachable_until = now + ANSWER_GRACE;
         view.strays.clear();
         view.runs.retain(|task, _| incarnation.runs.contains(task));
@@ -282,6 +292,7 @@
         match (order.kind, answer) {
             (OrderKind::Start, OrderAnswer::Taken | OrderAnswer::Outdated) => {
                 run.started = Some(now);
+                run.inherited = false;
                 run.progress_at = now;
             }
             (OrderKind::Stop, OrderAnswer::Taken | OrderAnswer::Outdated) => {
@@ -291,7 +302,7 @@
             // The run has ended; the worker will list its end.
             (OrderKind::Pace(percent), OrderAnswer::Outdated) => run.pace = percent,
             (OrderKind::Start, OrderAnswer::NoRoom | OrderAnswer::Unhealthy) => {
-                let start_unconfirmed = run.start_unconfirmed;
+                let start_unconfirmed = run.unconfirmed_since.is_some();
                 // An earlier copy of the start order may still be carried out. Only
                 // a stop rules that out.
                 run.withdrawn = true;
@@ -306,18 +317,20 @@
             }
             (OrderKind::Start, OrderAnswer::NoTicket) => {
                 run.withdrawn = true;
-                let start_unconfirmed = run.start_unconfirmed;
+                let start_unconfirmed = run.unconfirmed_since.is_some();
                 self.advice.drop_ticket(order.task.step_id(), id, now);
                 if !start_unconfirmed {
                     return Some(never_ran(order));
                 }
             }
-            (OrderKind::Start, OrderAnswer::Refused) if !run.start_unconfirmed => {
+            (OrderKind::Start, OrderAnswer::Refused) if run.unconfirmed_since.is_none() => {
                 view.health.record_stuck(now);
                 return Some(never_ran(order));
             }
             (kind, OrderAnswer::Unanswered) => {
-                run.start_unconfirmed |= kind == OrderKind::Start;
+                if kind == OrderKind::Start {
+                    run.unconfirmed_since.get_or_insert(now);
+                }
                 run.not_before = now + RESEND_DELAY;
             }
             (_, OrderAnswer::NotSent) => run.not_before = now + RESEND_DELAY,
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -68,8 +68,10 @@
     pub(super) attempt: AttemptNumber,
     /// Time at which the worker accepted the start.
     pub(super) started: Option<Instant>,
-    /// Whether a start order got no answer and may still be carried out.
-    pub(super) start_unconfirmed: bool,
+    /// Whether a former leader started the run.
+    pub(super) inherited: bool,
+    /// Time since which a start order that got no answer may be carried out.
+    pub(super) unconfirmed_since: Option<Instant>,
     /// Whether the run must be stopped although its submission is open.
     pub(super) withdrawn: bool,
     /// Time at which the worker accepted the stop.
@@ -102,7 +104,8 @@
             step: step.into(),
             attempt,
             started: None,
-            start_unconfirmed: false,
+            inherited: false,
+            unconfirmed_since: None,
             withdrawn: false,
             stopped: None,
             listed: false,
@@ -126,6 +129,7 @@
         self.listed = true;
         if self.started.is_none() {
             self.started = Some(now);
+            self.inherited = self.unconfirmed_since.is_none();
             self.pace = UNKNOWN_PACE;
         }
     }
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -28,6 +28,12 @@
     pub(super) order_due: bool,
     /// Time at which the worker counts as unreachable unless it answers.
     pub(super) reachable_until: Instant,
+    /// Whether the worker has ever answered this leader's polls.
+    pub(super) observed: bool,
+    /// Time of the first poll without an answer since the last one with an answer.
+    pub(super) silent_since: Option<Instant>,
+    /// Whether stock has been taken of what ran when the worker became unreachable.
+    pub(super) silence_taken: bool,
     /// The worker's failures and the pauses that follow from them.
     pub health: Health,
     /// Whether the incarnation is being declared lost. It then gets no more
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -123,6 +123,20 @@
         self.newest.get(id).is_some_and(|(_, newest)| *newest > started_ms)
     }
 
+    /// Returns the incarnations that have ended because `worker` runs in their place: it has the
+    /// same name, address or machine and started later.
+    pub fn replaced_by(
+        &self,
+        worker: &WorkerInfo,
+    ) -> impl Iterator<Item = (IncarnationId, &Incarnation)> {
+        self.incarnations().filter(move |(_, i)| {
+            let w = &i.worker;
+            let same_machine = w.machine.is_some() && w.machine == worker.machine;
+            w.started_ms < worker.started_ms
+                && (w.id == worker.id || w.addr == worker.addr || same_machine)
+        })
+    }
+
     /// Returns the number of open submissions of a queue of which no task has been
     /// placed. Submissions with a start time are not counted.
     #[must_use]
@@ -199,14 +213,7 @@
             incarnation.worker = incarnation.worker.updated(worker);
             return CommandResult::Done;
         }
-        let replaced = |i: &Incarnation| {
-            let w = &i.worker;
-            let same_machine = w.machine.is_some() && w.machine == worker.machine;
-            w.started_ms < worker.started_ms
-                && (w.id == worker.id || w.addr == worker.addr || same_machine)
-        };
-        let over: Vec<IncarnationId> =
-            self.incarnations.iter().filter(|(_, i)| replaced(i)).map(|(id, _)| *id).collect();
+        let over: Vec<IncarnationId> = self.replaced_by(worker).map(|(id, _)| id).collect();
         for id in over {
             self.end_incarnation(id, &[]);
         }
