placement: a task that crashes its workers is given up

Cause: the end of an incarnation removed its runs and counted nothing under their tasks; only the end 'failed' was an attempt. Each return of a worker started the task again, beside whatever had restarted with it.

Now the leader commits what ran on a worker that has become unreachable, with ages. When a new incarnation shows that the worker crashed, the crash is recorded under the tasks whose runs were going on. A task whose run began last is a suspect; it starts next on the worker with the least work at risk, apart from other recent starts and alone until it has run for a second. It is given up once its crashes are too unlikely as coincidences, given the observed rate of crashes. All of it is replicated state, so a new leader and a restart know it. The checkpoints that the leader knew are kept with it: until now a worker that came back before its lease had expired lost them.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -14,8 +14,8 @@
 };
 use compio::runtime::JoinHandle;
 use cyclamenloft_placement::submission::{
-    Command, CommandResult, Fleet, IncarnationId, Placement, SubmissionId, SubmissionState,
-    fleet::SilentRun,
+    Command, CommandResult, Fleet, GivenUp, IncarnationId, Placement, Silence, SubmissionId,
+    SubmissionState,
     interference::Interference,
     planner,
     state::{IncarnationsVersion, Phase},
@@ -262,7 +262,7 @@
 /// Runs one round.
 async fn run_round<P: Port>(node: &Rc<Node<P>>, leadership: &Rc<Leadership>) -> Result<RoundTimes> {
     sync_worker_tasks(node, leadership);
-    log_silent(node, leadership);
+    record_silent(node, leadership).await?;
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().declare_lost(s, now));
     for (incarnation, checkpoints) in lost {
@@ -279,35 +279,51 @@
     Ok(RoundTimes { planned_at, planning, ended_at: Instant::now() })
 }
 
-/// Logs what ran on workers that have become unreachable, each run with how long it had gone on.
-fn log_silent<P: Port>(node: &Node<P>, leadership: &Leadership) {
+/// Commits what is known of workers that have become unreachable.
+async fn record_silent<P: Port>(node: &Node<P>, leadership: &Leadership) -> Result<()> {
     let now = Instant::now();
-    node.state(|s| {
-        for (id, silent) in leadership.fleet.borrow_mut().take_silent(s, now) {
-            let Some(incarnation) = s.incarnation(id) else { continue };
-            let worker = &incarnation.worker.id;
-            let runs = run_names(s, id, worker, &silent);
-            let unknown = silent.iter().filter(|run| run.age.is_none()).count();
-            tracing::info!(event = "worker-runs", %worker, life = id, unknown, runs);
-        }
-    });
+    let silences = node.state(|s| leadership.fleet.borrow_mut().take_silent(s, now, wall_ms()));
+    commit_silences(node, silences).await
 }
 
-/// Returns the names of the runs on an unreachable worker, each with its age if that is known.
-fn run_names(
-    state: &SubmissionState,
-    incarnation: IncarnationId,
-    worker: &str,
-    silent: &[SilentRun],
-) -> String {
-    let mut names = String::new();
-    for SilentRun { task, age } in silent {
-        let runs = state.record(task.submission).and_then(|r| r.task(*task)).map(|t| &t.runs);
-        let run = runs.into_iter().flatten().find(|r| r.incarnation == incarnation);
-        let attempt = run.map_or(0, |r| r.attempt);
-        push_name(&mut names, RunName { task: *task, attempt, worker, incarnation, took: *age });
+/// Commits and logs what is known of workers that have become unreachable.
+pub(crate) async fn commit_silences<P: Port>(node: &Node<P>, silences: Vec<Silence>) -> Result<()> {
+    if silences.is_empty() {
+        return Ok(());
+    }
+    node.state(|s| silences.iter().for_each(|silence| log_silence(s, silence)));
+    node.propose(Command::Silent(silences)).await.map(drop)
+}
+
+/// Logs the runs on a worker that has become unreachable, each with how long it had gone on.
+fn log_silence(state: &SubmissionState, silence: &Silence) {
+    let incarnation = silence.incarnation;
+    let Some(worker) = state.incarnation(incarnation).map(|i| &i.worker.id) else { return };
+    let mut runs = String::new();
+    for run in &silence.runs {
+        let task = state.record(run.task.submission).and_then(|r| r.task(run.task));
+        let known = task.and_then(|t| t.runs.iter().find(|r| r.incarnation == incarnation));
+        let Some(attempt) = known.map(|r| r.attempt) else { continue };
+        let (task, took) = (run.task, run.age());
+        push_name(&mut runs, RunName { task, attempt, worker, incarnation, took });
+    }
+    let unknown = silence.runs.iter().filter(|run| run.age_ms.is_none()).count();
+    tracing::info!(event = "worker-runs", %worker, life = incarnation, unknown, runs);
+}
+
+/// Logs the tasks that are given up, and stops what else runs of their submissions.
+pub(crate) fn log_given_up<P: Port>(node: &Node<P>, given_up: &[GivenUp]) {
+    for GivenUp { task, workers } in given_up {
+        tracing::info!(
+            decision = "over", submission = %format_args!("{:016x}", task.submission), %task,
+            crashes = workers.len(), workers = workers.join(" "), reason = "crashed-workers",
+            outcome = ?Phase::Failed
+        );
+        node.metrics.count("over", "crashed-workers");
+        if let Some(leadership) = &*node.leadership.borrow() {
+            node.state(|s| leadership.wake_runs(s, task.submission));
+        }
     }
-    names
 }
 
 /// Withdraws runs that are stuck, that would progress faster elsewhere, or
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -23,13 +23,15 @@
 };
 use cyclamenloft_placement::{
     submission::{
-        Command, CommandResult, RouteTable, SubmissionState, WorkerInfo,
+        Command, CommandResult, IncarnationId, RouteTable, SubmissionState, WorkerInfo,
         waves::{Wave, WaveNumber},
     },
     time::Timestamp,
 };
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica};
-use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, LogIndex, ReplicaId, Result};
+use cyclamenloft_types::{
+    DomainName, Error, ErrorKind, HostId, LogIndex, ReplicaId, Result, WorkerId,
+};
 use http::StatusCode;
 use std::{
     cell::RefCell,
@@ -311,12 +313,14 @@
         }
         let (id, born_ms, draining) = (worker.id.clone(), worker.started_ms, worker.draining);
         let capacity = worker.capacity;
-        let replaced = self.state(|s| {
-            let replaced =
-                s.replaced_by(&worker).map(|(id, i)| (id, i.worker.id.clone(), i.runs.len()));
-            replaced.collect::<Vec<_>>()
+        let replaced: Vec<(IncarnationId, WorkerId, usize)> = self.state(|s| {
+            let replaced = s.replaced_by(&worker);
+            replaced.map(|(id, i)| (id, i.worker.id.clone(), i.runs.len())).collect()
         });
-        self.propose(Command::Register(worker)).await?;
+        self.record_crashes(replaced.iter().map(|(id, ..)| *id)).await?;
+        if let CommandResult::GivenUp(given_up) = self.propose(Command::Register(worker)).await? {
+            leader::log_given_up(self, &given_up);
+        }
         for (life, worker, runs) in replaced {
             tracing::info!(decision = "worker", %worker, life, runs, successor = %id, outcome = "replaced");
             self.metrics.count("worker", "replaced");
@@ -328,6 +332,19 @@
         Ok(())
     }
 
+    /// Commits what is known of incarnations that have crashed, unless it was when they became
+    /// unreachable.
+    async fn record_crashes(&self, ids: impl IntoIterator<Item = IncarnationId>) -> Result<()> {
+        let Some(leadership) = self.leadership.borrow().clone() else { return Ok(()) };
+        let silences = self.state(|s| {
+            let mut fleet = leadership.fleet.borrow_mut();
+            ids.into_iter()
+                .filter_map(|id| fleet.take_crash(s, id, Instant::now(), wall_ms()))
+                .collect()
+        });
+        leader::commit_silences(self, silences).await
+    }
+
     /// Records that a worker is shutting down: it gets no new work, and its runs
     /// count as ended once it is unreachable.
     ///
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -2,14 +2,14 @@
 
 use super::{
     interference::LearnedPair,
+    record::IncarnationId,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
-    state::IncarnationId,
     waves::{MachineId, Maintenance, Wave, WaveNumber},
 };
 use cyclamenloft_types::{AttemptNumber, DomainName, RackName, Resources, ServiceName, WorkerId};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Data that one incarnation of a worker reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,6 +117,46 @@
 /// The newest known checkpoints of some tasks.
 pub type Checkpoints = Vec<(TaskId, Box<str>)>;
 
+/// A run on a worker that has become unreachable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentRun {
+    /// The task.
+    pub task: TaskId,
+    /// How long the run had gone on, in milliseconds, or `None` if the leader can't tell. It is
+    /// zero for a start that got no answer.
+    pub age_ms: Option<u32>,
+}
+
+impl SilentRun {
+    /// Returns how long the run had gone on, if that is known.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(|ms| Duration::from_millis(ms.into()))
+    }
+}
+
+/// What a leader knew of an incarnation when it became unreachable.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence {
+    /// The incarnation.
+    pub incarnation: IncarnationId,
+    /// Time at which the leader noticed it, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Its runs, without those that have certainly not begun.
+    pub runs: Vec<SilentRun>,
+    /// Newest known checkpoints of its runs.
+    pub checkpoints: Checkpoints,
+}
+
+/// A task that is given up because it crashes its workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The task.
+    pub task: TaskId,
+    /// The workers that crashed under it, in the order of the crashes.
+    pub workers: Vec<WorkerId>,
+}
+
 /// A command that changes the state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -176,6 +216,8 @@
     Learned(Vec<LearnedPair>),
     /// Removes the records of submissions that have ended.
     Forget(Vec<SubmissionId>),
+    /// Records what ran on incarnations that have become unreachable.
+    Silent(Vec<Silence>),
 }
 
 /// The result of a [`Command`], returned to its proposer.
@@ -191,4 +233,6 @@
     Placed(Vec<Placement>),
     /// Submissions that this command ended.
     Over(Vec<SubmissionId>),
+    /// Tasks that are given up because they crash their workers. Their submissions have failed.
+    GivenUp(Vec<GivenUp>),
 }
--- /dev/null
+++ b/crates/placement/src/submission/crashes.rs
@@ -0,0 +1,283 @@
+//! Crashes of workers, and the tasks that may have caused them.
+//!
+//! A task can crash each worker that starts it. Of the runs that end with a worker, at most one
+//! is the cause. A fatal task crashes its worker soon after its start as a rule, so the runs that
+//! began last are the suspects. The planner starts a suspect apart from other recent starts, so
+//! that another crash tells more.
+//!
+//! Workers also crash for other reasons. A task is given up once its crashes are too unlikely to
+//! be coincidences: with a rate of crashes per worker, a worker crashes by chance within the age
+//! of a run with a probability of rate times age. The first crash doesn't count, because it is
+//! the reason for looking at the task.
+
+use super::{
+    command::{GivenUp, Silence, SilentRun, WorkerInfo},
+    record::IncarnationId,
+    spec::{SubmissionId, TaskId},
+};
+use cyclamenloft_types::WorkerId;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Longest time from a run's start to the crash of its worker for which the run is a suspect.
+pub const SUSPECT_AGE: Duration = Duration::from_secs(1);
+/// Runs are suspects along with the one that began last if they began at most this time before
+/// it. Reports of starts and of crashes arrive with delays that differ by less.
+pub const SUSPECT_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time that a run may have gone on for its worker's crash to count.
+const MAX_AGE: Duration = Duration::from_secs(30);
+/// Shortest age of a run that is told from zero.
+const AGE_RESOLUTION: Duration = Duration::from_millis(30);
+/// Time over which crashes are counted for their rate.
+const RATE_WINDOW_MS: u64 = 30_000;
+/// Number of crashes under a task from which on it may be given up, as the users state.
+pub(super) const MIN_CRASHES: usize = 2;
+/// Probability of a coincidence below which a task is given up.
+const MAX_COINCIDENCE: f64 = 3e-4;
+/// The least that a crash with suspects of several submissions counts for each of them.
+const SHARED_COINCIDENCE: f64 = 0.5;
+/// Maximum number of crashes that are kept for a task.
+const MAX_KEPT: usize = 8;
+
+/// When a run had begun, relative to the crash of its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Began {
+    /// Last, or shortly before the last one.
+    Last {
+        /// Whether no other submission has a run that began last.
+        alone: bool,
+    },
+    /// Before others, or long before the crash.
+    Earlier,
+    /// The leader that noticed the crash doesn't know it.
+    Unknown,
+}
+
+/// A crash of a worker on which a task had a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Crash {
+    incarnation: IncarnationId,
+    worker: WorkerId,
+    addr: SocketAddr,
+    /// Whether it is certain that the worker crashed. One that has been silent for longer than
+    /// its lease may only have been unreachable.
+    confirmed: bool,
+    began: Began,
+    age: Duration,
+}
+
+impl Crash {
+    fn is_suspect(&self) -> bool {
+        self.began != Began::Earlier
+    }
+
+    fn counts(&self) -> bool {
+        self.confirmed && self.began != Began::Unknown
+    }
+
+    /// Returns the probability that the worker crashed by chance within the age of the run.
+    fn coincidence(&self, crashes_per_second: f64) -> f64 {
+        let age = self.age.max(AGE_RESOLUTION).as_secs_f64();
+        let least = match self.began {
+            Began::Last { alone: false } => SHARED_COINCIDENCE,
+            _ => 0.0,
+        };
+        (crashes_per_second * age).clamp(least, 1.0)
+    }
+}
+
+/// The runs on an incarnation that has become unreachable.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SilentRuns {
+    all: Vec<SilentRun>,
+    /// Those that began last.
+    last: BTreeSet<TaskId>,
+    /// Time at which a leader noticed it, in milliseconds since the Unix epoch.
+    at_ms: u64,
+}
+
+/// The crashes of workers that matter for open submissions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The runs on incarnations that have become unreachable and may have crashed.
+    silent: BTreeMap<IncarnationId, SilentRuns>,
+    /// Crashes under each task, in their order.
+    under: BTreeMap<TaskId, Vec<Crash>>,
+    /// Recent crashes that were not caused by a task that is given up, with their times in
+    /// milliseconds since the Unix epoch.
+    unexplained: BTreeMap<IncarnationId, u64>,
+}
+
+impl Crashes {
+    /// Returns whether no task is a suspect.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.under.is_empty() && self.silent.is_empty()
+    }
+
+    /// Returns the incarnations that have become unreachable.
+    pub fn silent(&self) -> impl Iterator<Item = IncarnationId> {
+        self.silent.keys().copied()
+    }
+
+    /// Returns the tasks that may have crashed a worker.
+    pub fn suspects(&self) -> impl Iterator<Item = TaskId> {
+        let crashed =
+            self.under.iter().filter(|(_, crashes)| crashes.iter().any(Crash::is_suspect));
+        let silent = self.silent.values().flat_map(|runs| &runs.last);
+        crashed.map(|(task, _)| task).chain(silent).copied()
+    }
+
+    /// Returns the number of crashes of which the task is suspected, including those of workers
+    /// that are unreachable and have one of its runs, which are on `incarnations`.
+    #[must_use]
+    pub fn suspicions(
+        &self,
+        task: TaskId,
+        incarnations: impl IntoIterator<Item = IncarnationId>,
+    ) -> usize {
+        let is_last =
+            |id: &IncarnationId| self.silent.get(id).is_some_and(|runs| runs.last.contains(&task));
+        let silent = incarnations.into_iter().filter(is_last).count();
+        silent + self.under.get(&task).map_or(0, |c| c.iter().filter(|c| c.is_suspect()).count())
+    }
+
+    /// Returns whether a worker at this address has crashed under the task.
+    #[must_use]
+    pub fn has_crashed(&self, task: TaskId, addr: SocketAddr) -> bool {
+        self.under.get(&task).is_some_and(|crashes| crashes.iter().any(|c| c.addr == addr))
+    }
+
+    /// Records the runs on an incarnation that has become unreachable. Without any, the
+    /// incarnation counts as reachable.
+    pub(super) fn record_silent(&mut self, silence: &Silence) {
+        if silence.runs.is_empty() {
+            self.silent.remove(&silence.incarnation);
+            return;
+        }
+        let all = silence.runs.clone();
+        let is_last = |run: &&SilentRun| matches!(began(run, &all), Some(Began::Last { .. }));
+        let last = all.iter().filter(is_last).map(|run| run.task).collect();
+        let runs = SilentRuns { all, last, at_ms: silence.at_ms };
+        self.silent.insert(silence.incarnation, runs);
+    }
+
+    /// Removes what is known of an incarnation that has ended in another way than by a crash.
+    pub(super) fn forget_incarnation(&mut self, incarnation: IncarnationId) {
+        self.silent.remove(&incarnation);
+    }
+
+    /// Removes the crashes under a task that ended by itself.
+    pub(super) fn clear(&mut self, task: TaskId) {
+        self.under.remove(&task);
+    }
+
+    /// Removes the crashes under the tasks of a submission.
+    pub(super) fn forget_submission(&mut self, id: SubmissionId) {
+        self.under.retain(|task, _| task.submission != id);
+    }
+
+    /// Records the end of an incarnation that has not announced it. `confirmed` states whether
+    /// the worker has certainly crashed. `has_run` returns whether a task of an open submission
+    /// still had a run there.
+    pub(super) fn record_crash(
+        &mut self,
+        incarnation: IncarnationId,
+        worker: &WorkerInfo,
+        confirmed: bool,
+        has_run: impl Fn(TaskId) -> bool,
+    ) {
+        let Some(SilentRuns { all: mut runs, at_ms, .. }) = self.silent.remove(&incarnation) else {
+            return;
+        };
+        let recent = at_ms.saturating_sub(RATE_WINDOW_MS);
+        self.unexplained.retain(|_, at| *at >= recent);
+        self.unexplained.insert(incarnation, at_ms);
+        runs.retain(|run| has_run(run.task));
+        for run in &runs {
+            let Some(began) = began(run, &runs) else {
+                self.under.remove(&run.task);
+                continue;
+            };
+            let crashes = self.under.entry(run.task).or_default();
+            if began == Began::Earlier {
+                // The run has survived its start, so earlier crashes soon after one were chance.
+                crashes.retain(|c| !c.is_suspect());
+            }
+            crashes.push(Crash {
+                incarnation,
+                worker: worker.id.clone(),
+                addr: worker.addr,
+                confirmed,
+                began,
+                age: run.age().unwrap_or_default(),
+            });
+            let surplus = crashes.len().saturating_sub(MAX_KEPT);
+            crashes.drain(..surplus);
+        }
+    }
+
+    /// Records that a worker that was silent for longer than its lease has crashed, since `worker`
+    /// runs in its place.
+    pub(super) fn confirm(&mut self, worker: &WorkerInfo) {
+        for crash in self.under.values_mut().flatten() {
+            crash.confirmed |= crash.addr == worker.addr || crash.worker == worker.id;
+        }
+    }
+
+    /// Removes and returns the tasks that are to be given up. `workers` is the number of workers.
+    pub(super) fn take_given_up(&mut self, workers: usize) -> Vec<GivenUp> {
+        let mut given_up = Vec::new();
+        loop {
+            // Each crash that has been explained makes other coincidences less likely.
+            let rate = self.crashes_per_second(workers);
+            let fatal = self.under.iter().find(|(_, crashes)| is_fatal(crashes, rate));
+            let Some(task) = fatal.map(|(task, _)| *task) else { return given_up };
+            let crashes = self.under.remove(&task).unwrap_or_default();
+            let explained: BTreeSet<IncarnationId> =
+                crashes.iter().filter(|c| c.is_suspect()).map(|c| c.incarnation).collect();
+            self.unexplained.retain(|id, _| !explained.contains(id));
+            for crashes in self.under.values_mut() {
+                crashes.retain(|c| !explained.contains(&c.incarnation));
+            }
+            self.under.retain(|_, crashes| !crashes.is_empty());
+            let workers = crashes.into_iter().map(|c| c.worker).collect();
+            given_up.push(GivenUp { task, workers });
+        }
+    }
+
+    /// Returns the recent rate of crashes of one worker.
+    fn crashes_per_second(&self, workers: usize) -> f64 {
+        let crashes = self.unexplained.len().max(1) as f64;
+        let window = Duration::from_millis(RATE_WINDOW_MS).as_secs_f64();
+        crashes / (window * workers.max(1) as f64)
+    }
+}
+
+fn is_fatal(crashes: &[Crash], crashes_per_second: f64) -> bool {
+    let counted: Vec<&Crash> = crashes.iter().filter(|c| c.counts()).collect();
+    let later = counted.iter().skip(1);
+    let coincidence: f64 = later.map(|c| c.coincidence(crashes_per_second)).product();
+    counted.len() >= MIN_CRASHES && coincidence <= MAX_COINCIDENCE
+}
+
+/// Returns when the run began, relative to the other runs on its worker; `None` if it had gone on
+/// for so long that it has nothing to do with the crash.
+fn began(run: &SilentRun, all: &[SilentRun]) -> Option<Began> {
+    let Some(age) = run.age() else { return Some(Began::Unknown) };
+    let youngest = all.iter().filter_map(SilentRun::age).min().unwrap_or(age);
+    let is_last = |age: Duration| age <= SUSPECT_AGE && age <= youngest + SUSPECT_MARGIN;
+    match age {
+        _ if age > MAX_AGE => None,
+        _ if is_last(age) => {
+            let others = all.iter().filter(|r| r.task.submission != run.task.submission);
+            let alone = others.into_iter().all(|r| r.age().is_some_and(|age| !is_last(age)));
+            Some(Began::Last { alone })
+        }
+        _ => Some(Began::Earlier),
+    }
+}
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -14,7 +14,6 @@
 
 pub use maintenance::MaintenanceOrder;
 pub use messages::{ListedRun, Observation, Order, OrderAnswer, OrderKind};
-pub use silence::SilentRun;
 pub use start_rate::{StartRates, Tally};
 pub use worker::WorkerView;
 
--- a/crates/placement/src/submission/fleet/silence.rs
+++ b/crates/placement/src/submission/fleet/silence.rs
@@ -5,6 +5,8 @@
 
 use super::{
     super::{
+        command::{Silence, SilentRun},
+        crashes::{SUSPECT_AGE, SUSPECT_MARGIN},
         spec::TaskId,
         state::{IncarnationId, SubmissionState},
     },
@@ -17,62 +19,103 @@
 /// to orders that were under way arrive later than the failure of a poll.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
-/// A run on an unreachable worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SilentRun {
-    /// The task.
-    pub task: TaskId,
-    /// How long the run had gone on, or `None` if this leader can't tell. It is zero for a start
-    /// that got no answer.
-    pub age: Option<Duration>,
-}
-
 impl Fleet {
-    /// Returns the incarnations that have become unreachable since the last call, each with its
-    /// runs. Runs that the worker was certainly not ordered to start are left out.
+    /// Returns what is known of the incarnations that have become unreachable since the last call.
+    /// Those that are reachable again have no runs in it.
     pub fn take_silent(
         &mut self,
         state: &SubmissionState,
         now: Instant,
-    ) -> Vec<(IncarnationId, Vec<SilentRun>)> {
+        wall_ms: u64,
+    ) -> Vec<Silence> {
         let is_due = |since: Instant| now >= since + SETTLE_TIME;
-        let due: Vec<IncarnationId> = self
-            .views
-            .iter_mut()
-            .filter(|(_, v)| !v.silence_taken && v.silent_since.is_some_and(is_due))
-            .map(|(id, v)| {
-                v.silence_taken = true;
-                *id
-            })
-            .collect();
-        due.into_iter().map(|id| (id, self.silent_runs(state, id))).collect()
+        let due = self.views.iter().filter(|(_, v)| v.silent_since.is_some_and(is_due));
+        let due: Vec<IncarnationId> = due.map(|(id, _)| *id).collect();
+        let mut silences: Vec<Silence> =
+            due.into_iter().filter_map(|id| self.take_crash(state, id, now, wall_ms)).collect();
+        let is_reachable = |id: &IncarnationId| {
+            self.views.get(id).is_some_and(|v| v.observed && v.silent_since.is_none())
+        };
+        let heard = state.crashes().silent().filter(is_reachable);
+        silences.extend(heard.map(|incarnation| Silence {
+            incarnation,
+            at_ms: wall_ms,
+            runs: Vec::new(),
+            checkpoints: Vec::new(),
+        }));
+        silences
+    }
+
+    /// Returns what is known of an incarnation that is unreachable or has crashed, unless it was
+    /// taken before.
+    pub fn take_crash(
+        &mut self,
+        state: &SubmissionState,
+        incarnation: IncarnationId,
+        now: Instant,
+        at_ms: u64,
+    ) -> Option<Silence> {
+        let tasks = &state.incarnation(incarnation)?.runs;
+        let known = tasks.iter().filter_map(|t| known_run(state, incarnation, *t));
+        let view = self.view_mut(incarnation, now);
+        if std::mem::replace(&mut view.silence_taken, true) {
+            return None;
+        }
+        if !view.observed {
+            // A former leader knew more.
+            let is_new = state.crashes().silent().all(|id| id != incarnation);
+            let runs = known.map(|(task, ..)| SilentRun { task, age_ms: None }).collect();
+            return is_new.then_some(Silence { incarnation, at_ms, runs, checkpoints: Vec::new() });
+        }
+        let since = view.silent_since.unwrap_or(now);
+        let runs = known.filter_map(|(task, _, run)| {
+            let run_view = view.runs.get(&task).filter(|r| r.attempt == run.attempt)?;
+            run_view.has_begun().then(|| SilentRun { task, age_ms: run_view.age_ms(since) })
+        });
+        Some(Silence { incarnation, at_ms, runs: runs.collect(), checkpoints: view.checkpoints() })
     }
 
-    /// Returns the runs that an unreachable incarnation may have.
-    #[must_use]
-    pub fn silent_runs(&self, state: &SubmissionState, id: IncarnationId) -> Vec<SilentRun> {
-        let Some(incarnation) = state.incarnation(id) else { return Vec::new() };
-        let known = incarnation.runs.iter().filter_map(|t| known_run(state, id, *t));
-        let view = self.views.get(&id);
-        let since = view.and_then(|v| v.silent_since);
-        let Some((view, since)) = view.filter(|v| v.observed).zip(since) else {
-            return known.map(|(task, ..)| SilentRun { task, age: None }).collect();
+    /// Returns whether a run has gone on for long enough that a crash of its worker would no longer
+    /// be put down to it.
+    pub(in crate::submission) fn has_proven_harmless(
+        &self,
+        incarnation: IncarnationId,
+        task: TaskId,
+        now: Instant,
+    ) -> bool {
+        let run = self.views.get(&incarnation).and_then(|v| v.runs.get(&task));
+        run.filter(|r| r.listed).and_then(|r| r.started).is_some_and(|at| now > at + SUSPECT_AGE)
+    }
+
+    /// Returns whether all runs on an incarnation have begun so long ago that one that is started
+    /// now would be the only suspect of a crash.
+    pub(in crate::submission) fn is_settled(
+        &self,
+        state: &SubmissionState,
+        id: IncarnationId,
+        now: Instant,
+    ) -> bool {
+        let (Some(incarnation), Some(view)) = (state.incarnation(id), self.views.get(&id)) else {
+            return false;
         };
-        known
-            .filter_map(|(task, _, run)| {
-                let run_view = view.runs.get(&task).filter(|r| r.attempt == run.attempt)?;
-                Some(SilentRun { task, age: run_view.age(since)? })
-            })
-            .collect()
+        incarnation.runs.iter().all(|task| {
+            let started = view.runs.get(task).and_then(|run| run.started);
+            started.is_some_and(|at| now > at + SUSPECT_MARGIN)
+        })
     }
 }
 
 impl RunView {
-    /// Returns how long the run had gone on at `at`: `None` if it has certainly not begun, and
-    /// `Some(None)` if that isn't known.
-    #[allow(clippy::option_option)]
-    fn age(&self, at: Instant) -> Option<Option<Duration>> {
+    fn has_begun(&self) -> bool {
+        self.started.is_some() || self.unconfirmed_since.is_some()
+    }
+
+    /// Returns how long the run had gone on at `at`, if that is known.
+    fn age_ms(&self, at: Instant) -> Option<u32> {
         let since = self.started.or(self.unconfirmed_since)?;
-        Some((!self.inherited).then(|| at.saturating_duration_since(since)))
+        let age = at.saturating_duration_since(since);
+        // The run of a former leader had gone on for longer than this.
+        let is_known = !self.inherited || age > SUSPECT_AGE;
+        is_known.then(|| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
     }
 }
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod advice;
 pub mod command;
+pub mod crashes;
 pub mod fleet;
 pub mod health;
 pub mod interference;
@@ -23,7 +24,9 @@
 pub mod state;
 pub mod waves;
 
-pub use command::{Command, CommandResult, EndReason, Placement, RunEnd, WorkerInfo};
+pub use command::{
+    Command, CommandResult, EndReason, GivenUp, Placement, RunEnd, Silence, SilentRun, WorkerInfo,
+};
 pub use fleet::{Fleet, ListedRun, Observation, OrderKind};
 pub use routes::{Queue, QueueKey, RouteTable, Service};
 pub use spec::{Step, Submission, SubmissionId, TaskId};
--- a/crates/placement/src/submission/planner/bin.rs
+++ b/crates/placement/src/submission/planner/bin.rs
@@ -4,7 +4,7 @@
     fleet::{Fleet, runs_on},
     interference::{Interference, ModelIndex},
     pacing::NEGLIGIBLE_LN,
-    spec::{Step, TaskId},
+    spec::{Step, SubmissionId, TaskId},
     state::{Incarnation, IncarnationId, SubmissionState},
 };
 use cyclamenloft_types::Resources;
@@ -23,6 +23,11 @@
 /// task of the same image.
 const SAME_IMAGE_GAIN: f64 = 0.8;
 
+/// Time for which a long-running task is away after the crash of its worker, in seconds.
+const RESTART_SECONDS: f64 = 4.0;
+/// Work since the last checkpoint of a task that checkpoints, in seconds.
+const CHECKPOINT_SECONDS: f64 = 1.0;
+
 /// The tasks that are excluded from the room reserved on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReservedFrom {
@@ -73,6 +78,13 @@
     /// The tasks that are excluded from the free room, because it is reserved
     /// for a long-running task or a gang. `None` if it isn't reserved.
     pub(super) reserved_from: Option<ReservedFrom>,
+    /// The submission that has a suspect on the worker, or is to get one. The worker gets no
+    /// other tasks until the suspect has proven harmless.
+    pub(super) isolated_for: Option<SubmissionId>,
+    /// Whether the worker has taken a task in this round.
+    pub(super) taken: bool,
+    /// Core-seconds of work that a crash of the worker would cost, roughly.
+    pub(super) work_at_risk: f64,
 }
 
 impl<'a> Bin<'a> {
@@ -108,6 +120,9 @@
             probed: view.is_some_and(|v| v.is_probed()),
             short_reserved: Resources::ZERO,
             reserved_from: None,
+            isolated_for: None,
+            taken: false,
+            work_at_risk: 0.0,
         };
         for (task, step) in runs_on(state, incarnation) {
             bin.add_run(task, step, &fleet.interference);
@@ -126,6 +141,7 @@
                     self.short_reserved.checked_add(&step.demand).unwrap_or(self.short_reserved);
             }
         }
+        self.work_at_risk += work_at_risk(step);
         if step.lasting {
             *self.long_runs.entry(step.image.as_deref().unwrap_or_default()).or_default() += 1;
         }
@@ -199,6 +215,9 @@
             BudgetCheck::Skip => true,
         };
         let proven = !self.probation || !self.probed;
+        if self.isolated_for.is_some() {
+            return false;
+        }
         let excluded = match self.reserved_from {
             Some(ReservedFrom::All) => !step.fills,
             Some(ReservedFrom::Short) => !step.fills && !step.lasting,
@@ -257,9 +276,22 @@
         self.free = self.free.checked_sub(&step.reserved()).unwrap_or(Resources::ZERO);
         self.add_run(task, step, interference);
         self.probed = true;
+        self.taken = true;
     }
 }
 
+/// Returns the core-seconds of work that a run of the step loses if its worker crashes at an
+/// arbitrary moment, roughly. A long-running task is away for some seconds.
+fn work_at_risk(step: &Step) -> f64 {
+    let seconds = if step.lasting {
+        RESTART_SECONDS
+    } else {
+        let half = f64::from(step.estimate_ms) / 2_000.0;
+        if step.checkpoints { half.min(CHECKPOINT_SECONDS) } else { half }
+    };
+    f64::from(step.demand.cpu_millis) / 1_000.0 * seconds
+}
+
 /// Returns the workers that may get work now.
 pub(super) fn bins<'a>(state: &'a SubmissionState, fleet: &Fleet, now: Instant) -> Vec<Bin<'a>> {
     let usable = |(id, incarnation): &(IncarnationId, &Incarnation)| {
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -6,6 +6,7 @@
 
 mod bin;
 mod gang;
+mod isolation;
 mod pick;
 mod question;
 mod rank;
@@ -24,6 +25,7 @@
 };
 use bin::{Bin, BudgetCheck, bins};
 use cyclamenloft_types::Resources;
+use isolation::isolate_suspects;
 use rank::rank;
 use round::Round;
 use std::time::{Duration, Instant};
@@ -62,7 +64,7 @@
     now: Instant,
     wall_ms: u64,
 ) -> Vec<Placement> {
-    let mut round = Round::new(fleet, bins(state, fleet, now), now, wall_ms);
+    let mut round = Round::new(state, fleet, bins(state, fleet, now), now, wall_ms);
     for record in ranked(state, fleet, now, wall_ms) {
         round.place(record);
         if round.placed.len() >= MAX_PLACED {
@@ -99,6 +101,7 @@
         return Vec::new();
     }
     let mut bins = bins(state, fleet, now);
+    isolate_suspects(state, fleet, &mut bins, now);
     let mut moved = Vec::new();
     for (incarnation, view) in
         state.incarnations().filter_map(|(id, _)| Some((id, fleet.view(id)?)))
--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -4,14 +4,16 @@
 use super::{
     super::{
         command::Placement,
+        crashes::MIN_CRASHES,
         fleet::{Fleet, Tally},
-        spec::{Step, TaskId},
-        state::{Record, Run},
+        spec::{Step, SubmissionId, TaskId},
+        state::{Record, Run, SubmissionState},
     },
     Context, FIRST_START_ALLOWANCE, PendingTask, STARVING_AFTER, Timeliness, best_bin_checked,
     bin::{Bin, BudgetCheck, ReservedFrom},
     for_each_due,
     gang::place_gang,
+    isolation::{isolate_suspects, max_isolated},
     pick::{Picker, UnplacedTasks},
     timeliness,
 };
@@ -24,17 +26,23 @@
 /// any run is placed regardless of interference. The users count a lack of
 /// progress as a fault if at least 50% are free.
 const FREE_CPU_PERCENT: u64 = 40;
+/// Cost of a worker at whose address a worker has crashed under the task. It outweighs the work
+/// at risk, because crashes of different workers tell more.
+const CRASHED_HERE_COST: f64 = 1e6;
 /// One round may reserve at most one worker in this many, plus one. The number is
 /// limited because a reserved worker runs no new short tasks.
 const MAX_RESERVED_ONE_IN: usize = 12;
 
 /// The inputs of a round and its results so far.
 pub(super) struct Round<'a, 'f> {
+    state: &'a SubmissionState,
     fleet: &'f Fleet,
     cx: Context<'f>,
     wall_ms: u64,
     bins: Vec<Bin<'a>>,
     unplaced: UnplacedTasks,
+    /// Workers on which suspects start in this round, by submission.
+    isolated: BTreeMap<SubmissionId, usize>,
     /// Runs to place.
     pub(super) placed: Vec<Placement>,
     /// Long-running tasks without room, and the wait that each is allowed before
@@ -45,13 +53,22 @@
 }
 
 impl<'a, 'f> Round<'a, 'f> {
-    pub(super) fn new(fleet: &'f Fleet, bins: Vec<Bin<'a>>, now: Instant, wall_ms: u64) -> Self {
+    pub(super) fn new(
+        state: &'a SubmissionState,
+        fleet: &'f Fleet,
+        mut bins: Vec<Bin<'a>>,
+        now: Instant,
+        wall_ms: u64,
+    ) -> Self {
+        isolate_suspects(state, fleet, &mut bins, now);
         Self {
+            state,
             fleet,
             cx: Context::of(fleet, now),
             wall_ms,
             bins,
             unplaced: UnplacedTasks::default(),
+            isolated: BTreeMap::new(),
             placed: Vec::new(),
             waiting: Vec::new(),
             tallies: BTreeMap::new(),
@@ -61,7 +78,11 @@
     /// Places as many tasks of a submission as possible.
     pub(super) fn place(&mut self, record: &'a Record) {
         let (fleet, now) = (self.fleet, self.cx.now);
-        let wants_copy = |id, run: &Run| fleet.wants_copy(run.incarnation, id, now);
+        let state = self.state;
+        // The copies of a fatal task would crash several workers at once.
+        let wants_copy = |id, run: &Run| {
+            fleet.wants_copy(run.incarnation, id, now) && state.suspicions(id) < MIN_CRASHES
+        };
         let mut gangs: Vec<PendingTask<'a>> = Vec::new();
         let mut picker: Option<Picker> = None;
         for_each_due(record, self.wall_ms, wants_copy, |task, step| {
@@ -70,6 +91,10 @@
                 gangs.push(PendingTask { task: TaskId { index: 0, ..task }, ..pending });
                 return false;
             }
+            if state.suspicions(task) > 0 && self.may_isolate(task.submission) {
+                self.place_isolated(pending);
+                return true;
+            }
             let picked = self.pick(&mut picker, pending);
             match picked {
                 Some(bin) => self.assign(&mut picker, pending, bin),
@@ -120,8 +145,73 @@
         self.tally_waiting(pending);
     }
 
+    /// Returns whether a suspect of the submission may get a worker of its own.
+    fn may_isolate(&self, id: SubmissionId) -> bool {
+        let others = self.bins.iter().filter(|b| b.isolated_for.is_some_and(|s| s != id));
+        others.count() < max_isolated(self.bins.len())
+    }
+
+    /// Places a suspect on the worker whose crash would cost least. Until it has proven harmless,
+    /// the worker gets only other suspects of the same submission that start along with it.
+    fn place_isolated(&mut self, pending: PendingTask<'a>) {
+        let PendingTask { task, step, .. } = pending;
+        let id = task.submission;
+        let bin = match self.isolated.get(&id) {
+            Some(bin) => Some(*bin).filter(|bin| self.fits_beside_suspect(pending, *bin)),
+            // A suspect of the submission has yet to prove harmless.
+            None if self.bins.iter().any(|b| b.isolated_for == Some(id)) => None,
+            None => self.pick_isolated(pending),
+        };
+        let Some(bin) = bin else {
+            if step.lasting {
+                self.record_unplaced(pending);
+            }
+            return;
+        };
+        self.isolated.insert(id, bin);
+        self.bins[bin].isolated_for = Some(id);
+        self.assign(&mut None, pending, bin);
+    }
+
+    fn fits_beside_suspect(&mut self, pending: PendingTask<'a>, bin: usize) -> bool {
+        let isolated_for = self.bins[bin].isolated_for.take();
+        let fits = pending.suits(&self.bins[bin], self.cx, BudgetCheck::SoleExempt);
+        self.bins[bin].isolated_for = isolated_for;
+        fits
+    }
+
+    /// Picks a worker for a suspect: the one with the least work at risk, of those whose other
+    /// runs have gone on for a while. If there is none, another one is kept free of new tasks.
+    fn pick_isolated(&mut self, pending: PendingTask<'a>) -> Option<usize> {
+        let task = pending.task;
+        let cost = |bin: &Bin<'_>| {
+            let addr = bin.incarnation.worker.addr;
+            let again = self.state.crashes().has_crashed(task, addr);
+            bin.work_at_risk + if again { CRASHED_HERE_COST } else { 0.0 }
+        };
+        let least = |settled: bool| {
+            let suits = |(_, bin): &(usize, &Bin<'_>)| {
+                let is_settled = || self.fleet.is_settled(self.state, bin.id, self.cx.now);
+                pending.suits(bin, self.cx, BudgetCheck::SoleExempt)
+                    && (!settled || !bin.taken && is_settled())
+            };
+            let fitting = self.bins.iter().enumerate().filter(suits);
+            fitting.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b))).map(|(i, _)| i)
+        };
+        let picked = least(true);
+        if picked.is_none()
+            && let Some(bin) = least(false)
+        {
+            self.bins[bin].isolated_for = Some(task.submission);
+        }
+        picked
+    }
+
     fn place_gang(&mut self, first: PendingTask<'a>) {
-        let members = place_gang(first, &mut self.bins, self.cx, self.wall_ms);
+        let mut members = self.place_isolated_gang(first);
+        if members.is_empty() {
+            members = place_gang(first, &mut self.bins, self.cx, self.wall_ms);
+        }
         if members.is_empty() {
             return self.tally_waiting(first);
         }
@@ -130,6 +220,27 @@
         self.placed.extend(members);
     }
 
+    /// Places a gang with a suspect on workers of its own, if there are enough of them now.
+    fn place_isolated_gang(&mut self, first: PendingTask<'a>) -> Vec<Placement> {
+        let id = first.task.submission;
+        let mut members = (0..first.step.count).map(|index| TaskId { index, ..first.task });
+        let has_suspect = members.any(|member| self.state.suspicions(member) > 0);
+        if !has_suspect || !self.may_isolate(id) {
+            return Vec::new();
+        }
+        let is_free =
+            |bin: &&Bin<'_>| !bin.taken && self.fleet.is_settled(self.state, bin.id, self.cx.now);
+        let mut bins: Vec<Bin<'a>> = self.bins.iter().filter(is_free).cloned().collect();
+        let members = place_gang(first, &mut bins, self.cx, self.wall_ms);
+        for mut bin in bins.into_iter().filter(|b| members.iter().any(|m| m.incarnation == b.id)) {
+            bin.isolated_for = Some(id);
+            if let Some(own) = self.bins.iter_mut().find(|b| b.id == bin.id) {
+                *own = bin;
+            }
+        }
+        members
+    }
+
     /// Updates the counts of the step's image if its tasks are best-effort.
     fn tally(&mut self, step: &'a Step, count: impl FnOnce(&mut Tally)) {
         if let Some(image) = step.image.as_deref().filter(|_| step.fills) {
--- a/crates/placement/src/submission/record.rs
+++ b/crates/placement/src/submission/record.rs
@@ -123,6 +123,19 @@
         }
     }
 
+    /// Sets the newest checkpoint of a task and, if it is in a gang, of all members.
+    pub(super) fn set_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
+        let (k, step) = (id.occurrence as usize, usize::from(id.step));
+        let gang = self.spec.steps.get(step).is_some_and(|s| s.gang);
+        let Some(tasks) = self.tasks.get_mut(k).and_then(|steps| steps.get_mut(step)) else {
+            return;
+        };
+        let is_set = |(i, _): &(usize, &mut Task)| gang || *i == usize::from(id.index);
+        for (_, task) in tasks.iter_mut().enumerate().filter(is_set) {
+            task.checkpoint = checkpoint.into();
+        }
+    }
+
     /// Returns whether a member of the task's gang has no run, in which case the
     /// others can't proceed.
     #[must_use]
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -6,7 +6,8 @@
 pub use super::record::{Incarnation, IncarnationId, Phase, Record, Run, Task};
 
 use super::{
-    command::{Command, CommandResult, EndReason, Placement, RunEnd, WorkerInfo},
+    command::{Command, CommandResult, EndReason, GivenUp, Placement, RunEnd, Silence, WorkerInfo},
+    crashes::Crashes,
     interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
@@ -44,9 +45,28 @@
     next_incarnation: IncarnationId,
     learned: Vec<LearnedPair>,
     waves: BTreeMap<WaveNumber, Wave>,
+    /// Stored after the other fields, so that a snapshot without it can be read.
+    #[serde(skip)]
+    crashes: Crashes,
 }
 
 impl SubmissionState {
+    /// Returns the crashes of workers.
+    #[must_use]
+    pub fn crashes(&self) -> &Crashes {
+        &self.crashes
+    }
+
+    /// Returns the number of crashes of which a task is suspected.
+    #[must_use]
+    pub fn suspicions(&self, id: TaskId) -> usize {
+        if self.crashes.is_empty() {
+            return 0;
+        }
+        let runs = self.record(id.submission).and_then(|r| r.task(id)).map(|t| &t.runs);
+        self.crashes.suspicions(id, runs.into_iter().flatten().map(|run| run.incarnation))
+    }
+
     /// Returns the interference between images that a leader has learned.
     #[must_use]
     pub fn learned(&self) -> &[LearnedPair] {
@@ -193,7 +213,7 @@
             match self.records.get_mut(id) {
                 Some(record) if record.phase == Phase::Open => {
                     record.phase = Phase::Cancelled;
-                    self.open.remove(id);
+                    self.close(*id);
                 }
                 Some(_) => {}
                 None => outcome = CommandResult::Unknown,
@@ -215,8 +235,9 @@
         }
         let over: Vec<IncarnationId> = self.replaced_by(worker).map(|(id, _)| id).collect();
         for id in over {
-            self.end_incarnation(id, &[]);
+            self.crash_incarnation(id, &[], true);
         }
+        self.crashes.confirm(worker);
         self.next_incarnation += 1;
         let incarnation = Incarnation {
             worker: worker.clone(),
@@ -225,17 +246,71 @@
         };
         self.incarnations.insert(self.next_incarnation, incarnation);
         self.newest.insert(worker.id.clone(), (self.next_incarnation, worker.started_ms));
-        CommandResult::Done
+        self.give_up()
+    }
+
+    /// Removes a submission from the open ones.
+    fn close(&mut self, id: SubmissionId) {
+        self.open.remove(&id);
+        self.crashes.forget_submission(id);
+    }
+
+    fn record_silent(&mut self, silences: &[Silence]) {
+        for silence in silences {
+            let Some(incarnation) = self.incarnations.get(&silence.incarnation) else { continue };
+            for (task, checkpoint) in &silence.checkpoints {
+                if incarnation.runs.contains(task)
+                    && let Some(record) = self.records.get_mut(&task.submission)
+                {
+                    record.set_checkpoint(*task, checkpoint);
+                }
+            }
+            self.crashes.record_silent(silence);
+        }
+    }
+
+    /// Ends an incarnation because its worker has crashed or, unless that is `confirmed`, because
+    /// it has been unreachable for longer than its lease.
+    fn crash_incarnation(
+        &mut self,
+        id: IncarnationId,
+        checkpoints: &[(TaskId, Box<str>)],
+        confirmed: bool,
+    ) {
+        let Some(Incarnation { worker, runs, .. }) = self.incarnations.get(&id) else { return };
+        if !worker.draining && !worker.leaving {
+            let records = &self.records;
+            let has_run = |task: TaskId| {
+                let record = records.get(&task.submission).filter(|r| r.phase == Phase::Open);
+                let is_done = record.and_then(|r| r.task(task)).is_none_or(|t| t.done);
+                runs.contains(&task) && !is_done
+            };
+            self.crashes.record_crash(id, worker, confirmed, has_run);
+        }
+        self.end_incarnation(id, checkpoints);
+    }
+
+    /// Gives up the tasks that crash their workers. Their submissions fail.
+    fn give_up(&mut self) -> CommandResult {
+        let given_up = self.crashes.take_given_up(self.incarnations.len());
+        for GivenUp { task, .. } in &given_up {
+            if let Some(record) = self.records.get_mut(&task.submission) {
+                record.phase = Phase::Failed;
+            }
+            self.close(task.submission);
+        }
+        if given_up.is_empty() { CommandResult::Done } else { CommandResult::GivenUp(given_up) }
     }
 
     fn end_incarnation(&mut self, id: IncarnationId, checkpoints: &[(TaskId, Box<str>)]) {
+        self.crashes.forget_incarnation(id);
         let Some(incarnation) = self.incarnations.remove(&id) else { return };
         for task in incarnation.runs {
             let Some(record) = self.records.get_mut(&task.submission) else { continue };
             let Some(t) = record.task_mut(task) else { continue };
             t.runs.retain(|run| run.incarnation != id);
             if let Some((_, saved)) = checkpoints.iter().find(|(seen, _)| *seen == task) {
-                t.checkpoint = saved.clone();
+                record.set_checkpoint(task, saved);
             }
         }
     }
@@ -344,6 +419,9 @@
             task.failures = task.failures.saturating_add(1);
             task.failed_on = Some(incarnation);
         }
+        if matches!(end.reason, EndReason::Done | EndReason::Failed) {
+            self.crashes.clear(end.task);
+        }
         let exhausted = !lasting && !task.done && task.failures >= max_attempts;
         if finished {
             record.left[k][step] -= 1;
@@ -365,7 +443,7 @@
         } else {
             return None;
         }
-        self.open.remove(&end.task.submission);
+        self.close(end.task.submission);
         Some(end.task.submission)
     }
 
@@ -414,7 +492,7 @@
             Command::Cancel(ids) => self.cancel(ids),
             Command::Register(worker) => self.register(worker),
             Command::Lost { incarnation, checkpoints } => {
-                self.end_incarnation(*incarnation, checkpoints);
+                self.crash_incarnation(*incarnation, checkpoints, false);
                 CommandResult::Done
             }
             Command::Place(wanted) => self.place(wanted),
@@ -434,18 +512,31 @@
                 self.remove_ended(ids);
                 CommandResult::Done
             }
+            Command::Silent(silences) => {
+                self.record_silent(silences);
+                CommandResult::Done
+            }
         }
     }
 
     fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_else(|e| {
+        let encoded =
+            postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&self.crashes, bytes));
+        encoded.unwrap_or_else(|e| {
             tracing::error!(error = %e, "snapshot of submissions was not encoded");
             Vec::new()
         })
     }
 
     fn decode(bytes: &[u8]) -> Result<Self> {
-        postcard::from_bytes(bytes)
-            .map_err(|e| Error::new(ErrorKind::Corrupt, format!("snapshot of submissions: {e}")))
+        let corrupt = |e: postcard::Error| {
+            Error::new(ErrorKind::Corrupt, format!("snapshot of submissions: {e}"))
+        };
+        let (mut state, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).map_err(corrupt)?;
+        // Earlier versions wrote no crashes.
+        if !rest.is_empty() {
+            state.crashes = postcard::from_bytes(rest).map_err(corrupt)?;
+        }
+        Ok(state)
     }
 }
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -165,6 +165,12 @@
 
     /// Starts an incarnation of a worker and registers it.
     pub fn join(&mut self, info: WorkerInfo) {
+        let now = self.instant();
+        let replaced: Vec<IncarnationId> =
+            self.state.replaced_by(&info).map(|(id, _)| id).collect();
+        let crashed = |id| self.fleet.take_crash(&self.state, id, now, self.now);
+        let silences = replaced.into_iter().filter_map(crashed).collect();
+        self.apply(Command::Silent(silences));
         self.apply(Command::Register(info.clone()));
         let worker = Worker::new(info);
         self.workers.insert(worker.info.id.clone(), worker);
@@ -418,6 +424,10 @@
                 self.propose(Command::Lost { incarnation, checkpoints });
             }
         }
+        let silences = self.fleet.take_silent(&self.state, now, self.now);
+        if !silences.is_empty() {
+            self.propose(Command::Silent(silences));
+        }
         self.fleet.withdraw_stuck(now);
         self.fleet.drain_workers(&self.state);
         for (incarnation, task) in planner::moves(&self.state, &self.fleet, now) {
