placement: a copy waits until what ran on its silent worker is recorded

A task that may have copies crashed two workers within 70 ms: the copy was placed as soon as a poll failed, before any suspicion, on a worker with other recent starts, so the second crash told nothing and a third and fourth were needed. The copy now waits for the record of the first worker's runs (50 ms after it fell silent) and is placed apart. The new test fails without it (the plan has a copy at once).

--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -150,7 +150,8 @@
 
     /// Returns whether a run needs a speculative copy. It does if its worker is
     /// unreachable: without a copy the task would have to wait for the end of the
-    /// lease.
+    /// lease. What ran on the worker is recorded first, because the task may have
+    /// crashed it.
     pub(super) fn wants_copy(
         &self,
         incarnation: IncarnationId,
@@ -159,7 +160,7 @@
     ) -> bool {
         let Some(view) = self.views.get(&incarnation) else { return false };
         let withdrawn = view.runs.get(&task).is_some_and(|run| run.withdrawn);
-        !withdrawn && !view.is_reachable(now)
+        !withdrawn && !view.is_reachable(now) && view.silence_taken
     }
 
     /// Records that a poll was sent, which the worker should answer within
--- a/crates/placement/src/submission/fleet/silence.rs
+++ b/crates/placement/src/submission/fleet/silence.rs
@@ -17,7 +17,7 @@
 
 /// How long the leader waits before it takes stock of an unreachable worker's runs. The answers
 /// to orders that were under way arrive later than the failure of a poll.
-const SETTLE_TIME: Duration = Duration::from_millis(100);
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 
 impl Fleet {
     /// Returns what is known of the incarnations that have become unreachable since the last call.
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -433,7 +433,8 @@
         for (incarnation, task) in planner::moves(&self.state, &self.fleet, now) {
             self.fleet.withdraw(incarnation, task, now);
         }
-        if self.commits.iter().any(|(_, c)| matches!(c, Command::Place(_))) {
+        let waits = |c: &Command| matches!(c, Command::Place(_) | Command::Silent(_));
+        if self.commits.iter().any(|(_, c)| waits(c)) {
             return;
         }
         let placed = planner::plan(&self.state, &mut self.fleet, now, self.now);
--- a/crates/placement/tests/all/submission/crashes.rs
+++ b/crates/placement/tests/all/submission/crashes.rs
@@ -1,8 +1,8 @@
 //! Tasks that crash each worker on which they start, and workers that crash by themselves.
 
 use super::cluster::{Cluster, Link, step, submission, worker};
-use cyclamenloft_placement::submission::{Phase, Step, SubmissionId, TaskId};
-use std::collections::BTreeSet;
+use cyclamenloft_placement::submission::{Command, Phase, Step, SubmissionId, TaskId, planner};
+use std::{collections::BTreeSet, time::Duration};
 
 /// Starts of a task that the users allow, if it crashes each worker: fewer than three after the
 /// third crash.
@@ -32,6 +32,13 @@
     }
 }
 
+/// Checks that the task has crashed two workers, which is the least that the users ask for before
+/// its submission may fail.
+fn check_two_crashes(w: &Cluster, task: TaskId) {
+    let crashes: Vec<_> = w.crashes.iter().filter(|c| c.0 == task).collect();
+    assert_eq!(crashes.len(), 2, "{crashes:?}");
+}
+
 /// Checks that each fatal task has been started at most [`MAX_STARTS`] times, that its submission
 /// has failed, and that no other submission has.
 fn check(w: &Cluster) {
@@ -87,10 +94,16 @@
 fn one_with_copies() {
     let mut w = cluster();
     w.fatal.insert(task(1, 0), FUSE_MS);
-    w.submit(submission(1, vec![Step { copies: true, ..step(4) }]));
-    stream(&mut w, 100, 8_000);
+    for n in 0..400 {
+        if n == 40 {
+            w.submit(submission(1, vec![Step { copies: true, ..step(4) }]));
+        }
+        w.submit(submission(100 + n, vec![step(2)]));
+        w.run(25);
+    }
     w.run(8_000);
     check(&w);
+    check_two_crashes(&w, task(1, 0));
 }
 
 fn every_task_of_a_submission() {
@@ -198,6 +211,22 @@
     assert!(w.state.records().all(|(id, r)| *id == 1 || r.phase == Phase::Complete));
 }
 
+/// Guards against copies of a task that crash a second worker before the first crash has been put
+/// down to any task.
+#[test]
+fn a_copy_waits_until_the_runs_on_the_silent_worker_are_recorded() {
+    let mut w = cluster();
+    w.submit(submission(1, vec![Step { copies: true, ..step(1) }]));
+    w.run(150);
+    let (id, _) = w.state.newest_incarnation(&w.starts[0].1).unwrap();
+    let (now, later) = (w.instant(), w.instant() + Duration::from_millis(50));
+    w.fleet.unreachable(id, now);
+    assert_eq!(planner::plan(&w.state, &mut w.fleet, now, 0), []);
+    let silences = w.fleet.take_silent(&w.state, later, 0);
+    w.apply(Command::Silent(silences));
+    assert_eq!(planner::plan(&w.state, &mut w.fleet, later, 0).len(), 1);
+}
+
 macro_rules! cases {
     ($($name:ident: $f:ident;)*) => {$(
         /// Guards against a task that crashes worker after worker, or a submission that is given
