placement: a former leader's runs have a lower bound of their age

After a change of leader most suspects were innocent: runs that the new leader had not started counted as begun at an unknown time, so a crash just after the election had a dozen suspects and told nothing. They are at least as old as the leader has seen them, which rules them out beside a later start. The new test fails without it (the older run is a suspect too).

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -304,11 +304,11 @@
         let task = state.record(run.task.submission).and_then(|r| r.task(run.task));
         let known = task.and_then(|t| t.runs.iter().find(|r| r.incarnation == incarnation));
         let Some(attempt) = known.map(|r| r.attempt) else { continue };
-        let (task, took) = (run.task, run.age());
+        let (task, took) = (run.task, Some(run.age()));
         push_name(&mut runs, RunName { task, attempt, worker, incarnation, took });
     }
-    let unknown = silence.runs.iter().filter(|run| run.age_ms.is_none()).count();
-    tracing::info!(event = "worker-runs", %worker, life = incarnation, unknown, runs);
+    let inexact = silence.runs.iter().filter(|run| !run.exact).count();
+    tracing::info!(event = "worker-runs", %worker, life = incarnation, inexact, runs);
 }
 
 /// Logs the tasks that are given up, and stops what else runs of their submissions.
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -122,16 +122,18 @@
 pub struct SilentRun {
     /// The task.
     pub task: TaskId,
-    /// How long the run had gone on, in milliseconds, or `None` if the leader can't tell. It is
-    /// zero for a start that got no answer.
-    pub age_ms: Option<u32>,
+    /// How long the run had gone on, in milliseconds. It is zero for a start that got no answer.
+    pub age_ms: u32,
+    /// Whether the age is exact. The run of a former leader is at least this old, if it has begun
+    /// at all.
+    pub exact: bool,
 }
 
 impl SilentRun {
-    /// Returns how long the run had gone on, if that is known.
+    /// Returns how long the run had gone on, at least.
     #[must_use]
-    pub fn age(&self) -> Option<Duration> {
-        self.age_ms.map(|ms| Duration::from_millis(ms.into()))
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms.into())
     }
 }
 
--- a/crates/placement/src/submission/crashes.rs
+++ b/crates/placement/src/submission/crashes.rs
@@ -214,7 +214,7 @@
                 addr: worker.addr,
                 confirmed,
                 began,
-                age: run.age().unwrap_or_default(),
+                age: run.age(),
             });
             let surplus = crashes.len().saturating_sub(MAX_KEPT);
             crashes.drain(..surplus);
@@ -268,16 +268,17 @@
 /// Returns when the run began, relative to the other runs on its worker; `None` if it had gone on
 /// for so long that it has nothing to do with the crash.
 fn began(run: &SilentRun, all: &[SilentRun]) -> Option<Began> {
-    let Some(age) = run.age() else { return Some(Began::Unknown) };
-    let youngest = all.iter().filter_map(SilentRun::age).min().unwrap_or(age);
-    let is_last = |age: Duration| age <= SUSPECT_AGE && age <= youngest + SUSPECT_MARGIN;
-    match age {
-        _ if age > MAX_AGE => None,
-        _ if is_last(age) => {
-            let others = all.iter().filter(|r| r.task.submission != run.task.submission);
-            let alone = others.into_iter().all(|r| r.age().is_some_and(|age| !is_last(age)));
+    let youngest = all.iter().filter(|r| r.exact).map(SilentRun::age).min();
+    let latest_age = youngest.map_or(SUSPECT_AGE, |y| SUSPECT_AGE.min(y + SUSPECT_MARGIN));
+    let may_be_last = |r: &SilentRun| r.age() <= latest_age;
+    match run.age() {
+        age if age > MAX_AGE => None,
+        _ if !may_be_last(run) => Some(Began::Earlier),
+        _ if !run.exact => Some(Began::Unknown),
+        _ => {
+            let of_others = |r: &&SilentRun| r.task.submission != run.task.submission;
+            let alone = !all.iter().filter(of_others).any(may_be_last);
             Some(Began::Last { alone })
         }
-        _ => Some(Began::Earlier),
     }
 }
--- a/crates/placement/src/submission/fleet/silence.rs
+++ b/crates/placement/src/submission/fleet/silence.rs
@@ -64,13 +64,16 @@
         if !view.observed {
             // A former leader knew more.
             let is_new = state.crashes().silent().all(|id| id != incarnation);
-            let runs = known.map(|(task, ..)| SilentRun { task, age_ms: None }).collect();
+            let runs =
+                known.map(|(task, ..)| SilentRun { task, age_ms: 0, exact: false }).collect();
             return is_new.then_some(Silence { incarnation, at_ms, runs, checkpoints: Vec::new() });
         }
         let since = view.silent_since.unwrap_or(now);
         let runs = known.filter_map(|(task, _, run)| {
             let run_view = view.runs.get(&task).filter(|r| r.attempt == run.attempt)?;
-            run_view.has_begun().then(|| SilentRun { task, age_ms: run_view.age_ms(since) })
+            let age = run_view.age(since)?;
+            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            Some(SilentRun { task, age_ms, exact: !run_view.inherited })
         });
         Some(Silence { incarnation, at_ms, runs: runs.collect(), checkpoints: view.checkpoints() })
     }
@@ -106,16 +109,10 @@
 }
 
 impl RunView {
-    fn has_begun(&self) -> bool {
-        self.started.is_some() || self.unconfirmed_since.is_some()
-    }
-
-    /// Returns how long the run had gone on at `at`, if that is known.
-    fn age_ms(&self, at: Instant) -> Option<u32> {
+    /// Returns how long the run had gone on at `at`, as far as this leader knows; `None` if it has
+    /// certainly not begun.
+    fn age(&self, at: Instant) -> Option<Duration> {
         let since = self.started.or(self.unconfirmed_since)?;
-        let age = at.saturating_duration_since(since);
-        // The run of a former leader had gone on for longer than this.
-        let is_known = !self.inherited || age > SUSPECT_AGE;
-        is_known.then(|| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+        Some(at.saturating_duration_since(since))
     }
 }
--- a/crates/placement/tests/all/submission/crashes.rs
+++ b/crates/placement/tests/all/submission/crashes.rs
@@ -1,7 +1,9 @@
 //! Tasks that crash each worker on which they start, and workers that crash by themselves.
 
 use super::cluster::{Cluster, Link, step, submission, worker};
-use cyclamenloft_placement::submission::{Command, Phase, Step, SubmissionId, TaskId, planner};
+use cyclamenloft_placement::submission::{
+    Command, Phase, Placement, Silence, SilentRun, Step, SubmissionId, TaskId, WorkerInfo, planner,
+};
 use std::{collections::BTreeSet, time::Duration};
 
 /// Starts of a task that the users allow, if it crashes each worker: fewer than three after the
@@ -227,6 +229,27 @@
     assert_eq!(planner::plan(&w.state, &mut w.fleet, later, 0).len(), 1);
 }
 
+/// Guards against runs of a former leader that count as suspects although they had gone on for
+/// longer than a later start, so that it stays open which one crashed the worker.
+#[test]
+fn a_run_of_a_former_leader_is_no_suspect_beside_a_later_start() {
+    let mut w = cluster();
+    w.submit(submission(1, vec![step(1)]));
+    w.submit(submission(2, vec![step(1)]));
+    let incarnation = 1;
+    let place = |id| Placement { task: task(id, 0), attempt: 1, incarnation };
+    w.apply(Command::Place(vec![place(1), place(2)]));
+    let runs = vec![
+        SilentRun { task: task(1, 0), age_ms: 10, exact: true },
+        SilentRun { task: task(2, 0), age_ms: 500, exact: false },
+    ];
+    let silence = Silence { incarnation, at_ms: 0, runs, checkpoints: vec![] };
+    w.apply(Command::Silent(vec![silence]));
+    assert_eq!([1, 2].map(|id| w.state.suspicions(task(id, 0))), [1, 0]);
+    w.join(WorkerInfo { started_ms: 2, ..worker("wa", 8) });
+    assert_eq!([1, 2].map(|id| w.state.suspicions(task(id, 0))), [1, 0]);
+}
+
 macro_rules! cases {
     ($($name:ident: $f:ident;)*) => {$(
         /// Guards against a task that crashes worker after worker, or a submission that is given
