placement: crashes together or with several suspects don't speak for a task

With half a second as the age of a suspect (the crashes played follow within 50 ms), the cases with random crashes failed: a chain of crashes with several suspects each, and workers that crash in groups at the rhythm of the restarts, gave up submissions that had done nothing. A crash now counts for a task only if its submission alone has suspects, and not if three workers crash within 50 ms, which has a cause outside of the workers. Suspects of two crashes are isolated whatever the number of workers kept for others.

--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -142,7 +142,7 @@
 pub struct Silence {
     /// The incarnation.
     pub incarnation: IncarnationId,
-    /// Time at which the leader noticed it, in milliseconds since the Unix epoch.
+    /// Time at which it became unreachable, in milliseconds since the Unix epoch.
     pub at_ms: u64,
     /// Its runs, without those that have certainly not begun.
     pub runs: Vec<SilentRun>,
--- a/crates/placement/src/submission/crashes.rs
+++ b/crates/placement/src/submission/crashes.rs
@@ -24,22 +24,25 @@
 };
 
 /// Longest time from a run's start to the crash of its worker for which the run is a suspect.
-pub const SUSPECT_AGE: Duration = Duration::from_secs(1);
+pub const SUSPECT_AGE: Duration = Duration::from_millis(500);
 /// Runs are suspects along with the one that began last if they began at most this time before
 /// it. Reports of starts and of crashes arrive with delays that differ by less.
 pub const SUSPECT_MARGIN: Duration = Duration::from_millis(300);
 /// Longest time that a run may have gone on for its worker's crash to count.
 const MAX_AGE: Duration = Duration::from_secs(30);
 /// Shortest age of a run that is told from zero.
-const AGE_RESOLUTION: Duration = Duration::from_millis(30);
+const AGE_RESOLUTION: Duration = Duration::from_millis(10);
 /// Time over which crashes are counted for their rate.
 const RATE_WINDOW_MS: u64 = 30_000;
+/// Crashes of this many workers within [`COMMON_CAUSE_MS`] have a cause outside of the workers,
+/// such as the loss of a rack, and tell nothing about tasks.
+const COMMON_CAUSE_WORKERS: usize = 3;
+/// Time within which workers that crash together become unreachable, in milliseconds.
+const COMMON_CAUSE_MS: u64 = 50;
 /// Number of crashes under a task from which on it may be given up, as the users state.
 pub(super) const MIN_CRASHES: usize = 2;
 /// Probability of a coincidence below which a task is given up.
 const MAX_COINCIDENCE: f64 = 3e-4;
-/// The least that a crash with suspects of several submissions counts for each of them.
-const SHARED_COINCIDENCE: f64 = 0.5;
 /// Maximum number of crashes that are kept for a task.
 const MAX_KEPT: usize = 8;
 
@@ -66,6 +69,8 @@
     /// Whether it is certain that the worker crashed. One that has been silent for longer than
     /// its lease may only have been unreachable.
     confirmed: bool,
+    /// Whether several workers crashed together.
+    common_cause: bool,
     began: Began,
     age: Duration,
 }
@@ -81,12 +86,11 @@
 
     /// Returns the probability that the worker crashed by chance within the age of the run.
     fn coincidence(&self, crashes_per_second: f64) -> f64 {
-        let age = self.age.max(AGE_RESOLUTION).as_secs_f64();
-        let least = match self.began {
-            Began::Last { alone: false } => SHARED_COINCIDENCE,
-            _ => 0.0,
-        };
-        (crashes_per_second * age).clamp(least, 1.0)
+        // With suspects of several submissions it is open which of them is the cause.
+        if self.common_cause || self.began == (Began::Last { alone: false }) {
+            return 1.0;
+        }
+        (crashes_per_second * self.age.max(AGE_RESOLUTION).as_secs_f64()).min(1.0)
     }
 }
 
@@ -96,7 +100,7 @@
     all: Vec<SilentRun>,
     /// Those that began last.
     last: BTreeSet<TaskId>,
-    /// Time at which a leader noticed it, in milliseconds since the Unix epoch.
+    /// Time at which it became unreachable, in milliseconds since the Unix epoch.
     at_ms: u64,
 }
 
@@ -191,12 +195,18 @@
         confirmed: bool,
         has_run: impl Fn(TaskId) -> bool,
     ) {
-        let Some(SilentRuns { all: mut runs, at_ms, .. }) = self.silent.remove(&incarnation) else {
-            return;
+        let latest_ms = self.unexplained.values().copied().max().unwrap_or(0);
+        let (mut runs, at_ms) = match self.silent.remove(&incarnation) {
+            Some(silent) => (silent.all, silent.at_ms),
+            None => (Vec::new(), latest_ms),
         };
         let recent = at_ms.saturating_sub(RATE_WINDOW_MS);
         self.unexplained.retain(|_, at| *at >= recent);
         self.unexplained.insert(incarnation, at_ms);
+        let silent = self.silent.values().map(|runs| runs.at_ms);
+        let others = self.unexplained.values().copied().chain(silent);
+        let together = others.filter(|at| at.abs_diff(at_ms) <= COMMON_CAUSE_MS).count();
+        let common_cause = together >= COMMON_CAUSE_WORKERS;
         runs.retain(|run| has_run(run.task));
         for run in &runs {
             let Some(began) = began(run, &runs) else {
@@ -213,6 +223,7 @@
                 worker: worker.id.clone(),
                 addr: worker.addr,
                 confirmed,
+                common_cause,
                 began,
                 age: run.age(),
             });
--- a/crates/placement/src/submission/fleet/silence.rs
+++ b/crates/placement/src/submission/fleet/silence.rs
@@ -53,7 +53,7 @@
         state: &SubmissionState,
         incarnation: IncarnationId,
         now: Instant,
-        at_ms: u64,
+        wall_ms: u64,
     ) -> Option<Silence> {
         let tasks = &state.incarnation(incarnation)?.runs;
         let known = tasks.iter().filter_map(|t| known_run(state, incarnation, *t));
@@ -61,6 +61,9 @@
         if std::mem::replace(&mut view.silence_taken, true) {
             return None;
         }
+        let since = view.silent_since.unwrap_or(now);
+        let silent_ms = now.saturating_duration_since(since).as_millis();
+        let at_ms = wall_ms.saturating_sub(u64::try_from(silent_ms).unwrap_or(u64::MAX));
         if !view.observed {
             // A former leader knew more.
             let is_new = state.crashes().silent().all(|id| id != incarnation);
@@ -68,7 +71,6 @@
                 known.map(|(task, ..)| SilentRun { task, age_ms: 0, exact: false }).collect();
             return is_new.then_some(Silence { incarnation, at_ms, runs, checkpoints: Vec::new() });
         }
-        let since = view.silent_since.unwrap_or(now);
         let runs = known.filter_map(|(task, _, run)| {
             let run_view = view.runs.get(&task).filter(|r| r.attempt == run.attempt)?;
             let age = run_view.age(since)?;
--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -91,7 +91,8 @@
                 gangs.push(PendingTask { task: TaskId { index: 0, ..task }, ..pending });
                 return false;
             }
-            if state.suspicions(task) > 0 && self.may_isolate(task.submission) {
+            let suspicions = state.suspicions(task);
+            if suspicions > 0 && self.may_isolate(task.submission, suspicions) {
                 self.place_isolated(pending);
                 return true;
             }
@@ -145,10 +146,11 @@
         self.tally_waiting(pending);
     }
 
-    /// Returns whether a suspect of the submission may get a worker of its own.
-    fn may_isolate(&self, id: SubmissionId) -> bool {
+    /// Returns whether a suspect of the submission may get a worker of its own. One that is
+    /// suspected of several crashes always may.
+    fn may_isolate(&self, id: SubmissionId, suspicions: usize) -> bool {
         let others = self.bins.iter().filter(|b| b.isolated_for.is_some_and(|s| s != id));
-        others.count() < max_isolated(self.bins.len())
+        suspicions >= MIN_CRASHES || others.count() < max_isolated(self.bins.len())
     }
 
     /// Places a suspect on the worker whose crash would cost least. Until it has proven harmless,
@@ -223,9 +225,9 @@
     /// Places a gang with a suspect on workers of its own, if there are enough of them now.
     fn place_isolated_gang(&mut self, first: PendingTask<'a>) -> Vec<Placement> {
         let id = first.task.submission;
-        let mut members = (0..first.step.count).map(|index| TaskId { index, ..first.task });
-        let has_suspect = members.any(|member| self.state.suspicions(member) > 0);
-        if !has_suspect || !self.may_isolate(id) {
+        let members = (0..first.step.count).map(|index| TaskId { index, ..first.task });
+        let suspicions = members.map(|member| self.state.suspicions(member)).max().unwrap_or(0);
+        if suspicions == 0 || !self.may_isolate(id, suspicions) {
             return Vec::new();
         }
         let is_free =
