placement: starts stay within a capacity that changes

One cause, a capacity that counted as fixed for an incarnation, in four places: - A report sent before a shrink and delivered after it brought the former capacity back, since the number of a report wasn't read. Reports of an incarnation now count in the order of their numbers; what is never reset, draining, still counts. - A run placed before the shrink was started after it, by an order sent again or by the next leader, which derives the same order from the state. Runs that have not begun and no longer fit are withdrawn, and while what is placed exceeds the capacity, no start is sent. What runs is left alone; what is being stopped counts until its end. - What a worker lists and the group doesn't know now counts as used. - While all workers are reduced, a task that fits at full capacity was refused as too large; it is accepted now and waits.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -55,9 +55,12 @@
 }
 
 /// Returns whether the submission has a task that exceeds the capacity of every worker of
-/// the service. Returns false while the service has no workers.
+/// the service, also when none is reduced. Returns false while the service has no workers.
 fn is_too_large(state: &SubmissionState, submission: &Submission, policy: &QueuePolicy) -> bool {
     let workers = || state.incarnations().filter(|(_, l)| l.worker.service == policy.service);
-    let fits = |need: &Resources| workers().any(|(_, l)| need.fits_in(&l.worker.capacity));
+    let has_room = |id, need: &Resources| {
+        state.largest_capacity(id).is_some_and(|largest| need.fits_in(&largest))
+    };
+    let fits = |need: &Resources| workers().any(|(id, _)| has_room(id, need));
     workers().next().is_some() && submission.steps.iter().any(|s| !fits(&s.reserved()))
 }
--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -326,8 +326,8 @@
     }
 }
 
-/// Withdraws runs that are stuck, that would progress faster elsewhere, or
-/// whose worker is leaving.
+/// Withdraws runs that are stuck, that would progress faster elsewhere, whose
+/// worker is leaving, or that no longer fit their worker.
 fn withdraw<P: Port>(node: &Node<P>, leadership: &Leadership) {
     let now = Instant::now();
     let (mut stuck, mut moved) = (Vec::new(), Vec::new());
@@ -340,7 +340,9 @@
         leadership.fleet.borrow_mut().withdraw(*incarnation, *task, now);
     }
     let leaving = node.state(|s| leadership.fleet.borrow_mut().drain_workers(s));
+    let oversized = node.state(|s| leadership.fleet.borrow_mut().withdraw_oversized(s, now));
     let withdrawn = leaving.iter().map(|w| (w, "leaving"));
+    let withdrawn = withdrawn.chain(oversized.iter().map(|w| (w, "no-capacity")));
     let withdrawn = withdrawn.chain(stuck.iter().map(|w| (w, "stuck")));
     for ((incarnation, task), outcome) in withdrawn.chain(moved.iter().map(|w| (w, "moved"))) {
         tracing::info!(decision = "withdraw", %task, life = incarnation, outcome);
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -24,14 +24,13 @@
 use cyclamenloft_placement::{
     submission::{
         Command, CommandResult, IncarnationId, RouteTable, SubmissionState, WorkerInfo,
+        WorkerReport,
         waves::{Wave, WaveNumber},
     },
     time::Timestamp,
 };
 use cyclamenloft_replication::{Config, Member, MemberKind, Replica};
-use cyclamenloft_types::{
-    DomainName, Error, ErrorKind, HostId, LogIndex, ReplicaId, Result, WorkerId,
-};
+use cyclamenloft_types::{DomainName, Error, ErrorKind, HostId, LogIndex, ReplicaId, Result};
 use http::StatusCode;
 use std::{
     cell::RefCell,
@@ -291,10 +290,10 @@
     ///
     /// `Conflict` for a report of an incarnation that a newer one has replaced, or those of
     /// [`Self::carry_out`].
-    pub async fn report(&self, worker: WorkerInfo, until: Instant) -> Result<()> {
-        self.check_newest(&worker)?;
-        let req = PeerRequest::Report(worker.clone());
-        self.change(&req, |s| is_recorded(s, &worker), until).await
+    pub async fn report(&self, report: WorkerReport, until: Instant) -> Result<()> {
+        self.check_newest(&report.worker)?;
+        let req = PeerRequest::Report(report.clone());
+        self.change(&req, |s| s.reflects(&report), until).await
     }
 
     fn check_newest(&self, worker: &WorkerInfo) -> Result<()> {
@@ -306,28 +305,42 @@
     }
 
     /// Commits a worker's report as the leader.
-    pub(crate) async fn register(&self, worker: WorkerInfo) -> Result<()> {
-        self.check_newest(&worker)?;
-        if self.state(|s| is_recorded(s, &worker)) {
+    pub(crate) async fn register(&self, report: WorkerReport) -> Result<()> {
+        self.check_newest(&report.worker)?;
+        if self.state(|s| s.reflects(&report)) {
             return Ok(());
         }
-        let (id, born_ms, draining) = (worker.id.clone(), worker.started_ms, worker.draining);
-        let capacity = worker.capacity;
-        let replaced: Vec<(IncarnationId, WorkerId, usize)> = self.state(|s| {
+        let WorkerReport { worker, sequence } = report.clone();
+        let (replaced, known) = self.state(|s| {
             let replaced = s.replaced_by(&worker);
-            replaced.map(|(id, i)| (id, i.worker.id.clone(), i.runs.len())).collect()
+            let replaced: Vec<_> =
+                replaced.map(|(id, i)| (id, i.worker.id.clone(), i.runs.len())).collect();
+            let known = s.newest_incarnation(&worker.id).map(|(_, i)| i.worker.started_ms);
+            (replaced, known == Some(worker.started_ms))
         });
         self.record_crashes(replaced.iter().map(|(id, ..)| *id)).await?;
-        if let CommandResult::GivenUp(given_up) = self.propose(Command::Register(worker)).await? {
+        if let CommandResult::GivenUp(given_up) = self.propose(Command::Report(report)).await? {
             leader::log_given_up(self, &given_up);
         }
-        for (life, worker, runs) in replaced {
-            tracing::info!(decision = "worker", %worker, life, runs, successor = %id, outcome = "replaced");
+        for (life, id, runs) in replaced {
+            tracing::info!(
+                decision = "worker", worker = %id, life, runs, successor = %worker.id,
+                outcome = "replaced"
+            );
             self.metrics.count("worker", "replaced");
             self.metrics.count_many("worker", "runs-lost", runs as u64);
         }
-        tracing::info!(decision = "worker", worker = %id, born_ms, draining, capacity = %capacity, outcome = "registered");
-        self.metrics.count("worker", if draining { "draining" } else { "registered" });
+        let WorkerInfo { id, started_ms, draining, capacity, .. } = worker;
+        let outcome = match (draining, known) {
+            (true, _) => "draining",
+            (false, true) => "changed",
+            (false, false) => "registered",
+        };
+        tracing::info!(
+            decision = "worker", worker = %id, born_ms = started_ms, draining, sequence,
+            capacity = %capacity, outcome
+        );
+        self.metrics.count("worker", outcome);
         self.decision_due.notify();
         Ok(())
     }
@@ -364,7 +377,9 @@
             .state(|s| s.newest_incarnation(id).map(|(_, incarnation)| incarnation.worker.clone()));
         match incarnation {
             Some(worker) => {
-                self.register(WorkerInfo { draining: true, leaving: true, ..worker }).await
+                let worker = WorkerInfo { draining: true, leaving: true, ..worker };
+                // The rest is no news, and a report may change it in the meantime.
+                self.register(WorkerReport { worker, sequence: 0 }).await
             }
             None => Ok(()),
         }
@@ -461,14 +476,6 @@
     }
 }
 
-/// Returns whether everything in a worker's report has been committed.
-fn is_recorded(state: &SubmissionState, worker: &WorkerInfo) -> bool {
-    state.newest_incarnation(&worker.id).is_some_and(|(_, incarnation)| {
-        let known = &incarnation.worker;
-        known.started_ms == worker.started_ms && *known == known.updated(worker)
-    })
-}
-
 fn unexpected_response(response: &PeerResponse) -> Error {
     Error::new(ErrorKind::ChangeUnknown, format!("unexpected response of the leader: {response:?}"))
 }
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -3,7 +3,7 @@
 
 use crate::relay::{RelayRequest, RelayedAnswer};
 use cyclamenloft_placement::submission::{
-    RouteTable, Step, Submission, SubmissionId, WorkerInfo, state::Phase, waves::Wave,
+    RouteTable, Step, Submission, SubmissionId, WorkerReport, state::Phase, waves::Wave,
 };
 use cyclamenloft_types::{
     ConfigNumber, DomainName, Error, ErrorKind, LogIndex, ReplicaId, Result, Term, WorkerId,
@@ -60,7 +60,7 @@
     /// answer with the status.
     Join(ReplicaId),
     /// A worker's report about itself, forwarded by a replica that doesn't lead.
-    Report(WorkerInfo),
+    Report(WorkerReport),
     /// A worker's notice that it is shutting down, forwarded by a replica that
     /// doesn't lead.
     Farewell(WorkerId),
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -20,7 +20,7 @@
         PeerRequest::Where => PeerResponse::Standing(node.group_status()),
         PeerRequest::Join(id) => members::add_learner(node, id).await,
         _ if !node.leads() => PeerResponse::NotLeader(node.replica.status().leader),
-        PeerRequest::Report(worker) => change_response(node.register(worker).await),
+        PeerRequest::Report(report) => change_response(node.register(report).await),
         PeerRequest::Farewell(id) => change_response(node.register_leaving(&id).await),
         PeerRequest::Configure(routes) => change_response(node.commit_routes(routes).await),
         PeerRequest::StartWave(wave) => change_response(node.commit_wave(wave).await),
--- a/crates/dispatch/tests/all/admission.rs
+++ b/crates/dispatch/tests/all/admission.rs
@@ -3,7 +3,7 @@
 
 use cyclamenloft_dispatch::admission::{Refusal, admit};
 use cyclamenloft_placement::submission::{
-    Command, Fleet, Step, Submission, SubmissionState, WorkerInfo, fleet::Tally,
+    Command, Fleet, Step, Submission, SubmissionState, WorkerInfo, WorkerReport, fleet::Tally,
     routes::QueuePolicy,
 };
 use cyclamenloft_replication::StateMachine;
@@ -141,3 +141,16 @@
     let next = submission(1, 2, Some("loud"));
     assert_eq!(admit(&state(), Some(&fleet), &next, &policy(), now), Ok(()));
 }
+
+/// Guards against a refusal, as if no worker would ever be large enough, while the capacity of all
+/// workers is reduced.
+#[test]
+fn a_task_that_fits_a_worker_at_its_full_capacity_is_accepted_while_that_is_reduced() {
+    let mut state = state();
+    let (_, incarnation) = state.newest_incarnation("i-1").unwrap();
+    let reduced = Resources::new(2_000, 16_000, 0);
+    let worker = WorkerInfo { capacity: reduced, ..incarnation.worker.clone() };
+    state.apply(2, &Command::Report(WorkerReport { worker, sequence: 2 }));
+    assert_eq!(verdict(&state, 0, &submission(1, 8, None)), Ok(()));
+    assert_eq!(verdict(&state, 0, &submission(2, 9, None)).unwrap_err().reason, "too-large");
+}
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -40,6 +40,15 @@
     pub leaving: bool,
 }
 
+/// A worker's report about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerReport {
+    /// The data.
+    pub worker: WorkerInfo,
+    /// Number of the report, which rises with each report of an incarnation.
+    pub sequence: u64,
+}
+
 impl WorkerInfo {
     /// Returns this information updated by the report `newer`. `draining` and
     /// `leaving` are never reset, because reports may overtake each other.
@@ -179,8 +188,8 @@
     },
     /// Cancels submissions.
     Cancel(Vec<SubmissionId>),
-    /// Registers an incarnation of a worker, or updates what it reports, for
-    /// example that it is draining.
+    /// Registers an incarnation of a worker, or updates its data, for example that
+    /// it is draining, regardless of the order of reports.
     Register(WorkerInfo),
     /// Ends an incarnation and with it all its runs.
     Lost {
@@ -220,6 +229,9 @@
     Forget(Vec<SubmissionId>),
     /// Records what ran on incarnations that have become unreachable.
     Silent(Vec<Silence>),
+    /// Registers an incarnation of a worker or updates its data. Of a report that is older than
+    /// the last one only what is never reset counts.
+    Report(WorkerReport),
 }
 
 /// The result of a [`Command`], returned to its proposer.
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! their answers to orders. The leader derives the next orders and the ends of
 //! runs from it.
 
+mod capacity;
 mod maintenance;
 mod messages;
 mod run;
@@ -27,6 +28,7 @@
     state::{Incarnation, IncarnationId, Record, Run, SubmissionState},
     waves::MachineId,
 };
+use cyclamenloft_types::Resources;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -103,6 +105,7 @@
             declared_lost: false,
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
+            stray_reserved: Resources::ZERO,
         })
     }
 
@@ -205,6 +208,9 @@
         for listed in &seen.running {
             view.observe_run(&known, listed, now);
         }
+        let stray_reserved = view.strays.iter().filter_map(|(task, _)| step_of(state, *task));
+        view.stray_reserved = stray_reserved
+            .fold(Resources::ZERO, |sum, step| sum.checked_add(&step.reserved()).unwrap_or(sum));
         let mut ends = Vec::new();
         for end in &seen.ended {
             let is_known = run_of(state, id, end.task).is_some_and(|r| r.attempt == end.attempt);
@@ -221,7 +227,8 @@
         }
         if let Some(view) = self.views.get_mut(&id) {
             view.observe_tails(incarnation, &mut self.interference, now);
-            view.find_order(&known, incarnation.worker.draining, now);
+            let may_start = view.fits_capacity(incarnation);
+            view.find_order(&known, incarnation.worker.draining, may_start, now);
         }
         ends
     }
@@ -242,12 +249,16 @@
             return Some(Order { task, attempt, kind: OrderKind::Stop });
         }
         let draining = incarnation.worker.draining;
+        let may_start = view.fits_capacity(incarnation);
         let mut next: Option<Order> = None;
         for task in &incarnation.runs {
             let Some((record, run)) = record_run(state, id, *task) else { continue };
             let step = &record.spec.steps[usize::from(task.step)];
             let run_view = view.run_view(*task, run.attempt, step, now);
             let Some(kind) = run_view.wanted_order(record, *task, draining, now) else { continue };
+            if kind == OrderKind::Start && !may_start {
+                continue;
+            }
             // Stops come first, since they free room that starts may need.
             if kind == OrderKind::Stop || next.is_none() {
                 next = Some(Order { task: *task, attempt: run.attempt, kind });
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -8,10 +8,10 @@
         spec::{Step, TaskId},
     },
     KnownRuns,
-    messages::ListedRun,
+    messages::{ListedRun, OrderKind},
     run::RunView,
 };
-use cyclamenloft_types::AttemptNumber;
+use cyclamenloft_types::{AttemptNumber, Resources};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Instant,
@@ -43,6 +43,8 @@
     pub(super) runs: BTreeMap<TaskId, RunView>,
     /// Runs that the worker lists but the group doesn't know.
     pub(super) strays: BTreeSet<(TaskId, AttemptNumber)>,
+    /// Resources of the runs that the worker listed last and the group doesn't know.
+    pub(super) stray_reserved: Resources,
 }
 
 impl WorkerView {
@@ -165,11 +167,18 @@
     }
 
     /// Determines whether an order is due to any of the runs.
-    pub(super) fn find_order(&mut self, known: &KnownRuns<'_>, draining: bool, now: Instant) {
+    pub(super) fn find_order(
+        &mut self,
+        known: &KnownRuns<'_>,
+        draining: bool,
+        may_start: bool,
+        now: Instant,
+    ) {
         self.order_due = known.iter().any(|(task, record, run)| {
             let step = &record.spec.steps[usize::from(task.step)];
             let run_view = self.run_view(*task, run.attempt, step, now);
-            run_view.wanted_order(record, *task, draining, now).is_some()
+            let kind = run_view.wanted_order(record, *task, draining, now);
+            kind.is_some_and(|kind| may_start || kind != OrderKind::Start)
         });
     }
 
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -26,6 +26,7 @@
 
 pub use command::{
     Command, CommandResult, EndReason, GivenUp, Placement, RunEnd, Silence, SilentRun, WorkerInfo,
+    WorkerReport,
 };
 pub use fleet::{Fleet, ListedRun, Observation, OrderKind};
 pub use routes::{Queue, QueueKey, RouteTable, Service};
--- a/crates/placement/src/submission/planner/bin.rs
+++ b/crates/placement/src/submission/planner/bin.rs
@@ -95,12 +95,11 @@
         incarnation: &'a Incarnation,
         now: Instant,
     ) -> Self {
-        let free = incarnation
-            .worker
-            .capacity
-            .checked_sub(&incarnation.reserved)
-            .unwrap_or(Resources::ZERO);
         let view = fleet.view(id);
+        let strays = view.map_or(Resources::ZERO, |v| v.stray_reserved());
+        let used = incarnation.reserved.checked_add(&strays);
+        let free = used.and_then(|used| incarnation.worker.capacity.checked_sub(&used));
+        let free = free.unwrap_or(Resources::ZERO);
         let mut bin = Self {
             id,
             incarnation,
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -6,7 +6,10 @@
 pub use super::record::{Incarnation, IncarnationId, Phase, Record, Run, Task};
 
 use super::{
-    command::{Command, CommandResult, EndReason, GivenUp, Placement, RunEnd, Silence, WorkerInfo},
+    command::{
+        Command, CommandResult, EndReason, GivenUp, Placement, RunEnd, Silence, WorkerInfo,
+        WorkerReport,
+    },
     crashes::Crashes,
     interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
@@ -45,9 +48,21 @@
     next_incarnation: IncarnationId,
     learned: Vec<LearnedPair>,
     waves: BTreeMap<WaveNumber, Wave>,
-    /// Stored after the other fields, so that a snapshot without it can be read.
+    /// Stored after the other fields, as is the next one, so that a snapshot without them can be
+    /// read.
     #[serde(skip)]
     crashes: Crashes,
+    #[serde(skip)]
+    reports: BTreeMap<IncarnationId, LastReport>,
+}
+
+/// What is kept of the reports of an incarnation, in addition to the data of the last one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct LastReport {
+    /// Number of the last report that changed anything.
+    sequence: u64,
+    /// The most that the worker has reported of each resource.
+    largest: Resources,
 }
 
 impl SubmissionState {
@@ -117,6 +132,37 @@
         self.incarnations.iter().map(|(id, incarnation)| (*id, incarnation))
     }
 
+    /// Returns the most that an incarnation has ever reported of each resource. Its capacity may be
+    /// reduced for a while.
+    #[must_use]
+    pub fn largest_capacity(&self, id: IncarnationId) -> Option<Resources> {
+        let capacity = self.incarnations.get(&id)?.worker.capacity;
+        Some(self.reports.get(&id).map_or(capacity, |r| r.largest.max(&capacity)))
+    }
+
+    /// Returns whether a report has nothing new.
+    #[must_use]
+    pub fn reflects(&self, WorkerReport { worker, sequence }: &WorkerReport) -> bool {
+        self.newest_incarnation(&worker.id).is_some_and(|(id, incarnation)| {
+            let known = &incarnation.worker;
+            known.started_ms == worker.started_ms
+                && *known == self.updated(id, known, worker, Some(*sequence))
+        })
+    }
+
+    /// Returns the data of an incarnation updated by a report.
+    fn updated(
+        &self,
+        id: IncarnationId,
+        known: &WorkerInfo,
+        newer: &WorkerInfo,
+        sequence: Option<u64>,
+    ) -> WorkerInfo {
+        let last = self.reports.get(&id).map(|r| r.sequence);
+        let is_late = sequence.zip(last).is_some_and(|(sequence, last)| sequence < last);
+        if is_late { newer.updated(known) } else { known.updated(newer) }
+    }
+
     /// Returns a value that changes with the set of incarnations.
     #[must_use]
     pub fn incarnations_version(&self) -> IncarnationsVersion {
@@ -222,15 +268,18 @@
         outcome
     }
 
-    fn register(&mut self, worker: &WorkerInfo) -> CommandResult {
+    fn register(&mut self, worker: &WorkerInfo, sequence: Option<u64>) -> CommandResult {
         if self.is_outdated(&worker.id, worker.started_ms) {
             return CommandResult::Done;
         }
-        if let Some((id, _)) = self.newest.get(&worker.id).copied()
-            && let Some(incarnation) = self.incarnations.get_mut(&id)
+        if let Some((id, incarnation)) = self.newest_incarnation(&worker.id)
             && incarnation.worker.started_ms == worker.started_ms
         {
-            incarnation.worker = incarnation.worker.updated(worker);
+            let updated = self.updated(id, &incarnation.worker, worker, sequence);
+            self.record_report(id, updated.capacity, sequence);
+            if let Some(incarnation) = self.incarnations.get_mut(&id) {
+                incarnation.worker = updated;
+            }
             return CommandResult::Done;
         }
         let over: Vec<IncarnationId> = self.replaced_by(worker).map(|(id, _)| id).collect();
@@ -246,9 +295,16 @@
         };
         self.incarnations.insert(self.next_incarnation, incarnation);
         self.newest.insert(worker.id.clone(), (self.next_incarnation, worker.started_ms));
+        self.record_report(self.next_incarnation, worker.capacity, sequence);
         self.give_up()
     }
 
+    fn record_report(&mut self, id: IncarnationId, capacity: Resources, sequence: Option<u64>) {
+        let last = self.reports.entry(id).or_insert(LastReport { sequence: 0, largest: capacity });
+        last.sequence = last.sequence.max(sequence.unwrap_or(0));
+        last.largest = last.largest.max(&capacity);
+    }
+
     /// Removes a submission from the open ones.
     fn close(&mut self, id: SubmissionId) {
         self.open.remove(&id);
@@ -304,6 +360,7 @@
 
     fn end_incarnation(&mut self, id: IncarnationId, checkpoints: &[(TaskId, Box<str>)]) {
         self.crashes.forget_incarnation(id);
+        self.reports.remove(&id);
         let Some(incarnation) = self.incarnations.remove(&id) else { return };
         for task in incarnation.runs {
             let Some(record) = self.records.get_mut(&task.submission) else { continue };
@@ -490,7 +547,8 @@
                 self.submit(index, submission, policy, *at_ms)
             }
             Command::Cancel(ids) => self.cancel(ids),
-            Command::Register(worker) => self.register(worker),
+            Command::Register(worker) => self.register(worker, None),
+            Command::Report(report) => self.register(&report.worker, Some(report.sequence)),
             Command::Lost { incarnation, checkpoints } => {
                 self.crash_incarnation(*incarnation, checkpoints, false);
                 CommandResult::Done
@@ -520,8 +578,9 @@
     }
 
     fn encode(&self) -> Vec<u8> {
+        let added = (&self.crashes, &self.reports);
         let encoded =
-            postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&self.crashes, bytes));
+            postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&added, bytes));
         encoded.unwrap_or_else(|e| {
             tracing::error!(error = %e, "snapshot of submissions was not encoded");
             Vec::new()
@@ -533,9 +592,9 @@
             Error::new(ErrorKind::Corrupt, format!("snapshot of submissions: {e}"))
         };
         let (mut state, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).map_err(corrupt)?;
-        // Earlier versions wrote no crashes.
+        // Earlier versions wrote neither.
         if !rest.is_empty() {
-            state.crashes = postcard::from_bytes(rest).map_err(corrupt)?;
+            (state.crashes, state.reports) = postcard::from_bytes(rest).map_err(corrupt)?;
         }
         Ok(state)
     }
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -12,7 +12,7 @@
 
 use cyclamenloft_placement::submission::{
     Command, CommandResult, Fleet, IncarnationId, OrderKind, Phase, QueueKey, Step, Submission,
-    SubmissionState, TaskId, WorkerInfo,
+    SubmissionState, TaskId, WorkerInfo, WorkerReport,
     fleet::{Order, OrderAnswer},
     planner,
     routes::QueuePolicy,
@@ -83,7 +83,7 @@
     /// Crashed workers that are to return: time and worker.
     returning: Vec<(u64, Box<str>)>,
     /// Reports of changed capacities on their way: time of arrival and content.
-    reports: Vec<(u64, WorkerInfo)>,
+    reports: Vec<(u64, WorkerReport)>,
 }
 
 /// Returns a worker with this many cores.
@@ -352,16 +352,16 @@
         let worker = self.workers.get_mut(name).unwrap();
         worker.former = Some((worker.info.capacity, now + SHRINK_GRACE_MS));
         worker.info.capacity.cpu_millis = cores * 1000;
-        let info = worker.info.clone();
-        self.reports.push((now + REPORT_MS, info));
+        let worker = worker.info.clone();
+        self.reports.push((now + REPORT_MS, WorkerReport { worker, sequence: now }));
     }
 
     fn report(&mut self) {
         let (due, later) =
             std::mem::take(&mut self.reports).into_iter().partition(|(at, _)| *at <= self.now);
         self.reports = later;
-        for (_, info) in due as Vec<(u64, WorkerInfo)> {
-            self.apply(Command::Register(info));
+        for (_, report) in due as Vec<(u64, WorkerReport)> {
+            self.apply(Command::Report(report));
         }
     }
 
@@ -477,6 +477,7 @@
         }
         self.fleet.withdraw_stuck(now);
         self.fleet.drain_workers(&self.state);
+        self.fleet.withdraw_oversized(&self.state, now);
         for (incarnation, task) in planner::moves(&self.state, &self.fleet, now) {
             self.fleet.withdraw(incarnation, task, now);
         }
--- a/crates/placement/tests/all/submission/state.rs
+++ b/crates/placement/tests/all/submission/state.rs
@@ -3,7 +3,7 @@
 use super::cluster::{policy, step, submission, worker};
 use cyclamenloft_placement::submission::{
     Command, CommandResult, EndReason, Phase, Placement, Queue, RouteTable, RunEnd, Step,
-    SubmissionState, TaskId, WorkerInfo, routes::QueuePolicy,
+    SubmissionState, TaskId, WorkerInfo, WorkerReport, routes::QueuePolicy,
 };
 use cyclamenloft_replication::StateMachine;
 use cyclamenloft_types::ErrorKind;
@@ -282,3 +282,36 @@
     let record = g.state.record(1).unwrap();
     assert_eq!((record.phase, record.task(task(0, 0)).unwrap().failures), (Phase::Open, 0));
 }
+
+/// Guards against a report from before a change of the capacity that arrives after it, and against
+/// the loss of the order of reports with a snapshot.
+#[test]
+fn reports_count_in_the_order_in_which_they_were_made() {
+    let mut g = Group::new();
+    let capacity = |g: &Group| g.state.incarnation(1).unwrap().worker.capacity.cpu_millis;
+    let cases = [(5, 4, 4_000), (7, 2, 2_000), (6, 4, 2_000), (8, 4, 4_000), (7, 2, 4_000)];
+    for (sequence, cores, expected) in cases {
+        let report = WorkerReport { worker: worker("wa", cores), sequence };
+        g.apply(Command::Report(report.clone()));
+        assert_eq!(capacity(&g), expected, "after report {sequence}");
+        assert!(g.state.reflects(&report), "report {sequence} has nothing new");
+        g.state = SubmissionState::decode(&g.state.encode()).unwrap();
+    }
+    let draining = WorkerInfo { draining: true, ..worker("wa", 2) };
+    g.apply(Command::Report(WorkerReport { worker: draining, sequence: 6 }));
+    assert!(g.state.incarnation(1).unwrap().worker.draining);
+    assert_eq!(capacity(&g), 4_000);
+    assert_eq!(g.state.largest_capacity(1).unwrap().cpu_millis, 4_000);
+}
+
+/// Guards against a replica that doesn't start with the snapshot of an earlier version, which has
+/// neither crashes nor numbers of reports: four empty maps at its end.
+#[test]
+fn a_snapshot_of_an_earlier_version_is_read() {
+    let mut state = SubmissionState::default();
+    let submission = submission(1, vec![step(1)]);
+    state.apply(1, &Command::Submit { submission, policy: policy(), at_ms: 0 });
+    let mut bytes = state.encode();
+    assert_eq!(bytes.split_off(bytes.len() - 4), [0; 4]);
+    assert_eq!(SubmissionState::decode(&bytes).unwrap(), state);
+}
