relay: workers that have been replaced are forgotten

A leader kept the last token of each incarnation that was ever called in its term. A task that crashes workers for hours adds thousands. One in whose place a later incarnation runs, by address or name, can't come back, so its token no longer matters. The new test is of a new method; before, nothing was ever removed.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -24,6 +24,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::{Rc, Weak},
     time::{Duration, Instant},
 };
@@ -47,6 +48,9 @@
 /// whose retention time has passed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of unreachable workers in one log entry, so that it stays small.
+const MAX_SILENCES: usize = 32;
+
 /// Maximum number of log lines about waiting tasks per second.
 const MAX_WAITING_LINES: usize = 3;
 
@@ -151,6 +155,14 @@
         if node.leads() {
             if let Some(leadership) = &*node.leadership.borrow() {
                 node.state(|s| leadership.fleet.borrow_mut().retain(s));
+                let held = node.state(|s| {
+                    let newest = newest_at(s);
+                    leadership.relays.retain(|w| {
+                        let replaced = newest.get(&w.addr).is_some_and(|at| w.started_ms < *at);
+                        !replaced && !s.is_outdated(&w.id, w.started_ms)
+                    })
+                });
+                node.metrics.level("held", held);
                 if node.load.is_overloaded() {
                     leadership.relays.record_overload();
                 }
@@ -163,6 +175,16 @@
     }
 }
 
+/// Returns the start time of the newest incarnation at each address.
+fn newest_at(state: &SubmissionState) -> BTreeMap<SocketAddr, u64> {
+    let mut newest = BTreeMap::new();
+    for (_, incarnation) in state.incarnations() {
+        let at: &mut u64 = newest.entry(incarnation.worker.addr).or_default();
+        *at = incarnation.worker.started_ms.max(*at);
+    }
+    newest
+}
+
 /// Commits the learned interference model, for use by the next leader.
 async fn persist_learned<P: Port>(node: &Node<P>) {
     let Some(leadership) = node.leadership.borrow().clone() else { return };
@@ -288,17 +310,20 @@
 
 /// Commits and logs what is known of workers that have become unreachable.
 pub(crate) async fn commit_silences<P: Port>(node: &Node<P>, silences: Vec<Silence>) -> Result<()> {
-    if silences.is_empty() {
-        return Ok(());
+    for silences in silences.chunks(MAX_SILENCES) {
+        node.state(|s| silences.iter().for_each(|silence| log_silence(s, silence)));
+        node.propose(Command::Silent(silences.to_vec())).await?;
     }
-    node.state(|s| silences.iter().for_each(|silence| log_silence(s, silence)));
-    node.propose(Command::Silent(silences)).await.map(drop)
+    Ok(())
 }
 
 /// Logs the runs on a worker that has become unreachable, each with how long it had gone on.
 fn log_silence(state: &SubmissionState, silence: &Silence) {
     let incarnation = silence.incarnation;
     let Some(worker) = state.incarnation(incarnation).map(|i| &i.worker.id) else { return };
+    if silence.runs.is_empty() {
+        return;
+    }
     let mut runs = String::new();
     for run in &silence.runs {
         let task = state.record(run.task.submission).and_then(|r| r.task(run.task));
--- a/crates/dispatch/src/relay/holders.rs
+++ b/crates/dispatch/src/relay/holders.rs
@@ -41,7 +41,7 @@
     /// Whether the leader hands over the workers that it calls itself, too.
     overloaded: bool,
     /// The last holder of each worker. It is kept when the group gives a worker up, because the
-    /// worker may come back and still rejects lower tokens.
+    /// worker may come back and still rejects lower tokens, until another one runs in its place.
     last: BTreeMap<WorkerEndpoint, Holder>,
 }
 
@@ -89,6 +89,18 @@
         !std::mem::replace(&mut self.overloaded, true)
     }
 
+    /// Forgets the workers for which `may_return` is false, because a later incarnation runs in
+    /// their place. Their tokens no longer matter.
+    pub fn retain(&mut self, may_return: impl Fn(&WorkerEndpoint) -> bool) {
+        self.last.retain(|worker, _| may_return(worker));
+    }
+
+    /// Returns the number of workers whose last holder is known.
+    #[must_use]
+    pub fn known_count(&self) -> usize {
+        self.last.len()
+    }
+
     /// Returns the holder that is to call a worker of `domain` next.
     pub fn next_holder(&mut self, domain: &str, worker: &WorkerEndpoint) -> Holder {
         let next = self.choose(domain, &worker.id, self.last.get(worker).copied());
--- a/crates/dispatch/src/relay/session.rs
+++ b/crates/dispatch/src/relay/session.rs
@@ -141,6 +141,13 @@
         (holder, self.sessions.borrow().get(&holder.token).cloned())
     }
 
+    /// Forgets the workers that have been replaced. Returns the number of the others.
+    pub fn retain(&self, may_return: impl Fn(&WorkerEndpoint) -> bool) -> usize {
+        let mut holders = self.holders.borrow_mut();
+        holders.retain(may_return);
+        holders.known_count()
+    }
+
     /// Records that the leader is too busy to call workers itself.
     pub fn record_overload(&self) {
         if self.holders.borrow_mut().record_overload() {
--- a/crates/dispatch/tests/all/holders.rs
+++ b/crates/dispatch/tests/all/holders.rs
@@ -125,3 +125,19 @@
     // The only session is older than the token that the worker has seen.
     assert_eq!(holders.next_holder("d0", &endpoint(1)), before);
 }
+
+/// Guards against memory that grows with each crash of a worker for as long as a leader leads,
+/// while the token of a worker that may come back is kept.
+#[test]
+fn replaced_workers_are_forgotten() {
+    let mut holders = Holders::new(TERM);
+    let token = holders.issue();
+    holders.opened(domain(0), 0, token);
+    for number in 0..3 {
+        holders.next_holder(&domain(0), &endpoint(number));
+    }
+    holders.closed(token);
+    holders.retain(|w| *w == endpoint(1));
+    assert_eq!(holders.known_count(), 1);
+    assert!(holders.next_holder(&domain(0), &endpoint(1)).token > token);
+}
