--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -164,15 +164,15 @@
             None if self.bins.iter().any(|b| b.isolated_for == Some(id)) => None,
             None => self.pick_isolated(pending),
         };
-        let Some(bin) = bin else {
-            if step.lasting {
-                self.record_unplaced(pending);
+        match bin {
+            Some(bin) => {
+                self.isolated.insert(id, bin);
+                self.bins[bin].isolated_for = Some(id);
+                self.assign(&mut None, pending, bin);
             }
-            return;
-        };
-        self.isolated.insert(id, bin);
-        self.bins[bin].isolated_for = Some(id);
-        self.assign(&mut None, pending, bin);
+            None if step.lasting => self.record_unplaced(pending),
+            None => {}
+        }
     }
 
     fn fits_beside_suspect(&mut self, pending: PendingTask<'a>, bin: usize) -> bool {
@@ -200,13 +200,16 @@
             let fitting = self.bins.iter().enumerate().filter(suits);
             fitting.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b))).map(|(i, _)| i)
         };
-        let picked = least(true);
-        if picked.is_none()
-            && let Some(bin) = least(false)
-        {
-            self.bins[bin].isolated_for = Some(task.submission);
+        if let Some(bin) = least(true) {
+            return Some(bin);
+        }
+        match least(false) {
+            Some(bin) => {
+                self.bins[bin].isolated_for = Some(task.submission);
+                None
+            }
+            None => self.last_resort(pending),
         }
-        picked
     }
 
     fn place_gang(&mut self, first: PendingTask<'a>) {
