Tests: one macro for the cases of crashes and capacities

The two files had the same macro, and two cases the same first lines. The macro now stands once, and what it guards against is passed to it.

--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -7,7 +7,8 @@
 //! A submission consists of steps, and a step of tasks with the same
 //! requirements. An incarnation of a worker is one lifetime of its process. A run
 //! is one attempt at a task on one incarnation. A run counts as ended once the
-//! worker has reported its end or once it can no longer be running.
+//! worker has reported its end or once it can no longer be running. A worker that
+//! crashes reports no end; [`crashes`] keeps which tasks may have caused it.
 
 pub mod advice;
 pub mod command;
--- a/crates/placement/tests/all/submission/capacity.rs
+++ b/crates/placement/tests/all/submission/capacity.rs
@@ -20,7 +20,9 @@
     w.state.newest_incarnation(name).unwrap().1.runs.len()
 }
 
-fn runs_that_are_placed_but_not_started() {
+/// Returns a cluster in which eight runs are placed on a worker whose link is cut before they can
+/// be started, and whose capacity then shrinks to two.
+fn shrunk_behind_a_cut() -> Cluster {
     let mut w = cluster_of(2);
     w.run(420);
     w.worker("wa").link = Link::Cut;
@@ -28,6 +30,11 @@
     w.run(100);
     assert_eq!(runs_on(&w, "wa"), 8, "runs that are placed");
     w.resize("wa", 2);
+    w
+}
+
+fn runs_that_are_placed_but_not_started() {
+    let mut w = shrunk_behind_a_cut();
     w.run(1_400);
     w.worker("wa").link = Link::Open;
     w.run(6_000);
@@ -35,13 +42,7 @@
 }
 
 fn orders_that_are_sent_again_by_the_next_leader() {
-    let mut w = cluster_of(2);
-    w.run(420);
-    w.worker("wa").link = Link::Cut;
-    w.submit(submission(1, vec![step(16)]));
-    w.run(100);
-    assert_eq!(runs_on(&w, "wa"), 8, "runs that are placed");
-    w.resize("wa", 2);
+    let mut w = shrunk_behind_a_cut();
     w.run(900);
     w.restart();
     w.run(100);
@@ -100,18 +101,8 @@
     assert_eq!(w.phase(2), Phase::Complete);
 }
 
-macro_rules! cases {
-    ($($name:ident: $f:ident;)*) => {$(
-        /// Guards against starts that exceed the capacity of a worker that doesn't refuse them.
-        #[test]
-        fn $name() {
-            let name = concat!(module_path!(), "::", stringify!($name));
-            crate::known_red::run_named(name, $f);
-        }
-    )*};
-}
-
 cases! {
+    "Guards against starts that exceed the capacity of a worker that doesn't refuse them.";
     placed_runs_do_not_start_once_the_capacity_has_shrunk: runs_that_are_placed_but_not_started;
     the_next_leader_does_not_start_them_either: orders_that_are_sent_again_by_the_next_leader;
     a_shrunk_worker_keeps_its_runs_and_starts_no_others: a_worker_that_is_over_its_capacity;
--- a/crates/placement/tests/all/submission/crashes.rs
+++ b/crates/placement/tests/all/submission/crashes.rs
@@ -250,19 +250,8 @@
     assert_eq!([1, 2].map(|id| w.state.suspicions(task(id, 0))), [1, 0]);
 }
 
-macro_rules! cases {
-    ($($name:ident: $f:ident;)*) => {$(
-        /// Guards against a task that crashes worker after worker, or a submission that is given
-        /// up although none of its tasks does.
-        #[test]
-        fn $name() {
-            let name = concat!(module_path!(), "::", stringify!($name));
-            crate::known_red::run_named(name, $f);
-        }
-    )*};
-}
-
 cases! {
+    "Guards against a task that crashes worker after worker, and a submission that fails without.";
     a_task_that_crashes_its_workers_is_given_up: one_among_many;
     two_such_tasks_on_one_worker_are_given_up: two_on_one_worker;
     a_gang_with_a_member_that_crashes_its_worker_is_given_up: one_in_a_gang;
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -1,5 +1,18 @@
 //! Tests of submissions whose tasks run on workers that the leader calls.
 
+/// Declares one named test for each function, with a line on what they guard against. A test that
+/// is listed in KNOWN-RED.txt may fail.
+macro_rules! cases {
+    ($guard:literal; $($name:ident: $f:ident;)*) => {$(
+        #[doc = $guard]
+        #[test]
+        fn $name() {
+            let name = concat!(module_path!(), "::", stringify!($name));
+            crate::known_red::run_named(name, $f);
+        }
+    )*};
+}
+
 mod advice;
 mod capacity;
 mod cluster;
