placement: a run is not blamed for a crash that a younger one may have caused

Callers could see a submission fail that had done nothing. Three errors of the verdict: of several candidates the one with the lowest id was given up first, although giving up the likelier one explains the crashes of the other; the third age was a former leader's lower bound of 0.4 s and counted as exact; and a crash counted for a run that began earlier while a run that began last was still a suspect of it.

Now the likeliest candidate goes first, a lower bound doesn't count, and a crash says something about an earlier run only once none that began last there is a suspect. a_run_is_not_blamed_while_younger_ones_are_suspects failed before (submission 1 failed).

--- a/crates/placement/src/submission/crashes.rs
+++ b/crates/placement/src/submission/crashes.rs
@@ -73,6 +73,8 @@
     common_cause: bool,
     began: Began,
     age: Duration,
+    /// Whether the age is exact rather than a lower bound.
+    exact: bool,
 }
 
 impl Crash {
@@ -80,8 +82,11 @@
         self.began != Began::Earlier
     }
 
-    fn counts(&self) -> bool {
-        self.confirmed && self.began != Began::Unknown
+    /// Returns whether the crash says anything about the task. It says nothing of a run that
+    /// began earlier while one that began last, which is in `open`, may be the cause.
+    fn counts(&self, open: &BTreeSet<IncarnationId>) -> bool {
+        let is_open = self.began == Began::Earlier && open.contains(&self.incarnation);
+        self.confirmed && self.exact && !is_open
     }
 
     /// Returns the probability that the worker crashed by chance within the age of the run.
@@ -226,6 +231,7 @@
                 common_cause,
                 began,
                 age: run.age(),
+                exact: run.exact,
             });
             let surplus = crashes.len().saturating_sub(MAX_KEPT);
             crashes.drain(..surplus);
@@ -246,8 +252,16 @@
         loop {
             // Each crash that has been explained makes other coincidences less likely.
             let rate = self.crashes_per_second(workers);
-            let fatal = self.under.iter().find(|(_, crashes)| is_fatal(crashes, rate));
-            let Some(task) = fatal.map(|(task, _)| *task) else { return given_up };
+            let all = self.under.values().flatten();
+            let open = all.filter(|c| c.is_suspect()).map(|c| c.incarnation).collect();
+            let likely = |(task, crashes): (&TaskId, &Vec<Crash>)| {
+                let coincidence = coincidence(crashes, rate, &open)?;
+                (coincidence <= MAX_COINCIDENCE).then_some((coincidence, *task))
+            };
+            let likely = self.under.iter().filter_map(likely);
+            let Some((_, task)) = likely.min_by(|a, b| a.0.total_cmp(&b.0)) else {
+                return given_up;
+            };
             let crashes = self.under.remove(&task).unwrap_or_default();
             let explained: BTreeSet<IncarnationId> =
                 crashes.iter().filter(|c| c.is_suspect()).map(|c| c.incarnation).collect();
@@ -269,11 +283,17 @@
     }
 }
 
-fn is_fatal(crashes: &[Crash], crashes_per_second: f64) -> bool {
-    let counted: Vec<&Crash> = crashes.iter().filter(|c| c.counts()).collect();
+/// Returns the probability that the crashes under a task are chance, or `None` if there are too few
+/// of them.
+fn coincidence(
+    crashes: &[Crash],
+    crashes_per_second: f64,
+    open: &BTreeSet<IncarnationId>,
+) -> Option<f64> {
+    let counted: Vec<&Crash> = crashes.iter().filter(|c| c.counts(open)).collect();
     let later = counted.iter().skip(1);
-    let coincidence: f64 = later.map(|c| c.coincidence(crashes_per_second)).product();
-    counted.len() >= MIN_CRASHES && coincidence <= MAX_COINCIDENCE
+    (counted.len() >= MIN_CRASHES)
+        .then(|| later.map(|c| c.coincidence(crashes_per_second)).product())
 }
 
 /// Returns when the run began, relative to the other runs on its worker; `None` if it had gone on
--- a/crates/placement/tests/all/submission/crashes.rs
+++ b/crates/placement/tests/all/submission/crashes.rs
@@ -250,6 +250,41 @@
     assert_eq!([1, 2].map(|id| w.state.suspicions(task(id, 0))), [1, 0]);
 }
 
+/// Crashes one worker after the other. Each has a run of submission 1 that has gone on for 1.2 s,
+/// and one that began 10 ms ago, of the submission that `younger` names.
+fn crash_beside(exact: bool, younger: [SubmissionId; 3]) -> Cluster {
+    let mut w = cluster();
+    for id in 1..=4 {
+        w.submit(submission(id, vec![lasting(1)]));
+    }
+    for (n, (name, id)) in NAMES.into_iter().zip(younger).enumerate() {
+        let (incarnation, _) = w.state.newest_incarnation(name).unwrap();
+        let attempt = u32::try_from(n).unwrap() + 1;
+        let place = |id| Placement { task: task(id, 0), attempt, incarnation };
+        w.apply(Command::Place(vec![place(1), place(id)]));
+        let runs = vec![
+            SilentRun { task: task(1, 0), age_ms: 1_200, exact },
+            SilentRun { task: task(id, 0), age_ms: 10, exact: true },
+        ];
+        let at_ms = 3_000 * (n as u64 + 1);
+        w.apply(Command::Silent(vec![Silence { incarnation, at_ms, runs, checkpoints: vec![] }]));
+        w.join(WorkerInfo { started_ms: 2, ..worker(name, 8) });
+    }
+    w
+}
+
+/// Three tasks that crash one worker each.
+fn beside_other_suspects() {
+    let w = crash_beside(true, [2, 3, 4]);
+    assert_eq!([1, 2, 3, 4].map(|id| w.phase(id)), [Phase::Open; 4]);
+}
+
+/// The same task crashes all three, and the run beside it is a former leader's.
+fn beside_a_fatal_task() {
+    let w = crash_beside(false, [2, 2, 2]);
+    assert_eq!([1, 2].map(|id| w.phase(id)), [Phase::Open, Phase::Failed]);
+}
+
 cases! {
     "Guards against a task that crashes worker after worker, and a submission that fails without.";
     a_task_that_crashes_its_workers_is_given_up: one_among_many;
@@ -262,6 +297,8 @@
     crashes_under_a_task_are_known_to_later_leaders: leaders_change_between_the_crashes;
     crashes_under_a_task_are_known_after_a_restart: replicas_restart_between_the_crashes;
     crashes_behind_a_cut_count: crashes_behind_a_cut;
+    a_run_is_not_blamed_while_younger_ones_are_suspects: beside_other_suspects;
+    a_run_is_not_blamed_beside_a_fatal_task: beside_a_fatal_task;
     workers_that_crash_by_themselves_fail_no_submission: workers_that_crash_by_themselves;
     workers_that_crash_together_fail_no_submission: many_workers_that_crash_at_once;
 }
