--- /dev/null
+++ b/review/standin/worker.rs
@@ -0,0 +1,402 @@
+//! A worker as the users' protocol describes it.
+//!
+//! `spec` of a task states how long it runs: `ms=4000`. The worker writes each start and end to
+//! its history, from which the scenarios judge the rules.
+
+use crate::{cluster::Cluster, http, json::Json, record};
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Condvar, Mutex,
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// Longest lease, `hold_max_ms` of the settings.
+pub const HOLD_MAX_MS: u64 = 10_000;
+/// Time between two status reports, `heartbeat_ms` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1_100);
+/// Number of ends in one list.
+const LISTED_ENDS: usize = 500;
+/// Time that a gang member waits for the others, `gang_timeout_ms` of the settings.
+pub const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// One run of a task, as the worker has seen it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub worker: String,
+    pub task: String,
+    pub attempt: u64,
+    pub spec: String,
+    pub began: u64,
+    /// Time and kind of the end, and its number in the list.
+    pub end: Option<(u64, &'static str, u64)>,
+}
+
+struct Run {
+    attempt: u64,
+    began: Instant,
+    length: Option<Duration>,
+    seen: usize,
+    gang: bool,
+}
+
+#[derive(Default)]
+struct State {
+    token: u64,
+    lease_end: u64,
+    /// Times at which a lease ended, in milliseconds of the record.
+    lapses: Vec<u64>,
+    runs: HashMap<String, Run>,
+    highest: HashMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+    acked: u64,
+    history: Vec<Seen>,
+}
+
+/// What a worker reports about itself.
+#[derive(Clone)]
+pub struct Profile {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub machine: String,
+    pub labels: Vec<String>,
+    pub cpu: u64,
+    pub mem_mb: u64,
+}
+
+pub struct Worker {
+    pub profile: Profile,
+    pub addr: SocketAddr,
+    born: u64,
+    started: Instant,
+    state: Mutex<State>,
+    changed: Condvar,
+    /// Whether the worker is partitioned from all machines of the system.
+    cut: AtomicBool,
+    /// Number of the last partition, which connections that were opened in it don't survive.
+    cuts: AtomicU64,
+    /// Whether the worker rejects starts as unhealthy.
+    pub unhealthy: AtomicBool,
+    /// Total number of members by which a gang is complete; shared by the workers of a scenario.
+    gang: Arc<Gang>,
+}
+
+/// The members of one gang that are present, over all workers.
+#[derive(Default)]
+pub struct Gang {
+    pub size: AtomicU64,
+    present: AtomicU64,
+    complete_at: Mutex<Option<Instant>>,
+}
+
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Worker {
+    /// Starts a worker on a free port of `ip` and has it report to the replicas.
+    pub fn start(ip: &str, profile: Profile, cluster: &Cluster, gang: Arc<Gang>) -> Arc<Worker> {
+        let listener = TcpListener::bind((ip, 0)).expect("bind worker");
+        let addr = listener.local_addr().expect("worker address");
+        let worker = Arc::new(Worker {
+            profile,
+            addr,
+            born: wall_ms(),
+            started: Instant::now(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            cut: AtomicBool::new(false),
+            cuts: AtomicU64::new(0),
+            unhealthy: AtomicBool::new(false),
+            gang,
+        });
+        let w = worker.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let w = w.clone();
+                thread::spawn(move || w.serve(stream));
+            }
+        });
+        let w = worker.clone();
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(5));
+            w.expire(&mut w.state.lock().unwrap());
+        });
+        let (w, controls) = (worker.clone(), cluster.control_addrs());
+        thread::spawn(move || w.report(&controls));
+        record::line(&format!(
+            "worker {} up at {addr}, machine {}, zone {}, labels {:?}",
+            worker.profile.id, worker.profile.machine, worker.profile.zone, worker.profile.labels
+        ));
+        worker
+    }
+
+    fn clock(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1_000
+    }
+
+    /// Cuts the worker off from all machines of the system, or ends the cut. Bytes that are under
+    /// way are held up, and connections aren't answered.
+    pub fn set_cut(&self, cut: bool) {
+        if cut {
+            self.cuts.fetch_add(1, Ordering::SeqCst);
+        }
+        self.cut.store(cut, Ordering::SeqCst);
+        record::line(&format!(
+            "worker {} is {}",
+            self.profile.id,
+            if cut { "cut off" } else { "reachable again" }
+        ));
+    }
+
+    fn wait_for_link(&self) {
+        while self.cut.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.state.lock().unwrap().runs.len()
+    }
+
+    pub fn unacked(&self) -> usize {
+        self.state.lock().unwrap().ended.len()
+    }
+
+    pub fn history(&self) -> Vec<Seen> {
+        self.state.lock().unwrap().history.clone()
+    }
+
+    /// Number of the last end that was taken note of.
+    pub fn acked(&self) -> u64 {
+        self.state.lock().unwrap().acked
+    }
+
+    /// Whether the lease lapsed between two times of the record.
+    pub fn lapsed_between(&self, from: u64, to: u64) -> bool {
+        self.state.lock().unwrap().lapses.iter().any(|at| (from..=to).contains(at))
+    }
+
+    pub fn report_body(&self, sequence: u64) -> String {
+        let p = &self.profile;
+        let labels: Vec<String> = p.labels.iter().map(|l| format!("{l:?}")).collect();
+        format!(
+            concat!(
+                r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":8,"#,
+                r#""state":"ready","cold_remaining_ms":0,"sequence":{},"machine":"{}","#,
+                r#""labels":[{}],"capacity":{{"cpu":{},"mem_mb":{},"gpu":0}},"#,
+                r#""clock_ms":{},"born":{}}}"#
+            ),
+            p.service,
+            self.addr,
+            p.zone,
+            sequence,
+            p.machine,
+            labels.join(","),
+            p.cpu,
+            p.mem_mb,
+            self.clock(),
+            self.born
+        )
+    }
+
+    fn report(&self, controls: &[SocketAddr]) {
+        let path = format!("/instances/{}", self.profile.id);
+        let (mut sequence, mut next) = (0, self.addr.port() as usize);
+        loop {
+            self.wait_for_link();
+            sequence += 1;
+            let body = self.report_body(sequence);
+            let to = controls[next % controls.len()];
+            let sent = http::call(to, "PUT", &path, &[], &body, Duration::from_secs(1));
+            match sent {
+                Ok((200..=299, _)) => thread::sleep(HEARTBEAT),
+                _ => {
+                    next += 1;
+                    thread::sleep(Duration::from_millis(50));
+                }
+            }
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        // A connection that is opened during a cut is never established.
+        if self.cut.load(Ordering::SeqCst) {
+            self.wait_for_link();
+            return;
+        }
+        let mut rest = Vec::new();
+        while let Ok(Some(req)) = http::read(&mut stream, &mut rest) {
+            self.wait_for_link();
+            let (status, body) = self.handle(&req);
+            self.wait_for_link();
+            if http::respond(&mut stream, status, &body).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn handle(&self, req: &http::Message) -> (u16, String) {
+        let (_, path) = req.target();
+        if req.header("x-expected-instance").is_some_and(|id| id != self.profile.id) {
+            return (421, format!(r#"{{"clock_ms":{}}}"#, self.clock()));
+        }
+        let Some(body) = Json::parse(&req.text()) else { return (400, "{}".into()) };
+        let token = body.get("fencing_token").u64();
+        let mut state = self.state.lock().unwrap();
+        self.expire(&mut state);
+        let refuse =
+            |reason: &str| (409, format!(r#"{{"clock_ms":{},"reason":"{reason}"}}"#, self.clock()));
+        if token < state.token {
+            return refuse("fence");
+        }
+        state.token = token;
+        match path {
+            "/hold" => {
+                self.extend(&mut state, &body);
+                let cursor = body.get("ack_cursor").u64();
+                state.acked = state.acked.max(cursor);
+                state.ended.retain(|(n, ..)| *n > cursor);
+                let wait = Duration::from_millis(body.get("wait_ms").u64().min(2_000));
+                let until = Instant::now() + wait;
+                while state.ended.is_empty() && Instant::now() < until {
+                    let left = until.saturating_duration_since(Instant::now());
+                    state = self.changed.wait_timeout(state, left).unwrap().0;
+                }
+                (200, self.lists(&state))
+            }
+            "/run-start" => {
+                let task = body.get("task").str().to_string();
+                let attempt = body.get("attempt").u64();
+                if self.unhealthy.load(Ordering::SeqCst) {
+                    let id = &self.profile.id;
+                    record::line(&format!("worker {id} answers 503 to the start of {task}"));
+                    return (503, format!(r#"{{"clock_ms":{}}}"#, self.clock()));
+                }
+                if state.runs.get(&task).is_some_and(|r| r.attempt == attempt) {
+                    self.extend(&mut state, &body);
+                    return (200, format!(r#"{{"clock_ms":{}}}"#, self.clock()));
+                }
+                if state.highest.get(&task).is_some_and(|h| attempt <= *h)
+                    || state.runs.contains_key(&task)
+                {
+                    self.extend(&mut state, &body);
+                    return refuse("old");
+                }
+                if body.get("deadline_ms").u64() <= self.clock() {
+                    return refuse("late");
+                }
+                self.extend(&mut state, &body);
+                self.begin(&mut state, task, attempt, body.get("spec").str());
+                (200, format!(r#"{{"clock_ms":{}}}"#, self.clock()))
+            }
+            "/run-stop" => {
+                let task = body.get("task").str().to_string();
+                let attempt = body.get("attempt").u64();
+                let highest = state.highest.entry(task.clone()).or_default();
+                *highest = attempt.max(*highest);
+                if state.runs.get(&task).is_some_and(|r| r.attempt == attempt) {
+                    self.end(&mut state, &task, "stopped");
+                }
+                (200, format!(r#"{{"clock_ms":{}}}"#, self.clock()))
+            }
+            "/pace" => (200, format!(r#"{{"clock_ms":{}}}"#, self.clock())),
+            _ => (404, "{}".into()),
+        }
+    }
+
+    fn extend(&self, state: &mut State, body: &Json) {
+        let wanted = body.get("deadline_ms").u64().min(self.clock() + HOLD_MAX_MS);
+        state.lease_end = state.lease_end.max(wanted);
+    }
+
+    fn begin(&self, state: &mut State, task: String, attempt: u64, spec: &str) {
+        let number = |key: &str| {
+            let word = spec.split(' ').find_map(|w| w.strip_prefix(key));
+            word.and_then(|v| v.parse::<u64>().ok())
+        };
+        let gang = spec.contains("gang");
+        if gang {
+            let present = self.gang.present.fetch_add(1, Ordering::SeqCst) + 1;
+            if present == self.gang.size.load(Ordering::SeqCst) {
+                *self.gang.complete_at.lock().unwrap() = Some(Instant::now());
+            }
+        }
+        state.history.push(Seen {
+            worker: self.profile.id.clone(),
+            task: task.clone(),
+            attempt,
+            spec: spec.to_string(),
+            began: record::now(),
+            end: None,
+        });
+        let seen = state.history.len() - 1;
+        let length = number("ms=").map(Duration::from_millis);
+        state.runs.insert(task, Run { attempt, began: Instant::now(), length, seen, gang });
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.runs.remove(task) else { return };
+        if run.gang && how != "done" {
+            self.gang.present.fetch_sub(1, Ordering::SeqCst);
+        }
+        state.last_end += 1;
+        let n = state.last_end;
+        let highest = state.highest.entry(task.to_string()).or_default();
+        *highest = run.attempt.max(*highest);
+        state.ended.push((n, task.to_string(), run.attempt, how));
+        state.history[run.seen].end = Some((record::now(), how, n));
+        self.changed.notify_all();
+    }
+
+    /// Ends the runs whose work is done, and all runs once the lease has expired.
+    fn expire(&self, state: &mut State) {
+        let lapsed = state.lease_end > 0 && self.clock() > state.lease_end;
+        if lapsed {
+            state.lapses.push(record::now());
+            state.lease_end = 0;
+        }
+        let complete_at = *self.gang.complete_at.lock().unwrap();
+        let over = |run: &Run| -> Option<&'static str> {
+            let since = if run.gang { complete_at } else { Some(run.began) };
+            match (since, run.length) {
+                (Some(since), Some(length)) if since.elapsed() >= length => Some("done"),
+                (None, _) if run.began.elapsed() >= GANG_TIMEOUT => Some("alone"),
+                _ if lapsed => Some("lapsed"),
+                _ => None,
+            }
+        };
+        let ended: Vec<(String, &'static str)> =
+            state.runs.iter().filter_map(|(t, r)| Some((t.clone(), over(r)?))).collect();
+        for (task, how) in ended {
+            self.end(state, &task, how);
+        }
+    }
+
+    fn lists(&self, state: &State) -> String {
+        let percent = |run: &Run| match run.length {
+            Some(length) => run.began.elapsed().as_millis() * 100 / length.as_millis().max(1),
+            None => 100,
+        };
+        let running = state
+            .runs
+            .iter()
+            .map(|(t, r)| format!(r#"["{t}",{},"",{},50]"#, r.attempt, percent(r).min(100)));
+        let ended = state.ended.iter().take(LISTED_ENDS);
+        let ended = ended.map(|(n, t, a, how)| format!(r#"[{n},"{t}",{a},"{how}",""]"#));
+        format!(
+            r#"{{"clock_ms":{},"born":{},"running":[{}],"finished":[{}]}}"#,
+            self.clock(),
+            self.born,
+            running.collect::<Vec<_>>().join(","),
+            ended.collect::<Vec<_>>().join(",")
+        )
+    }
+}
