--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || { echo "run review/build.sh first" >&2; exit 2; }
 [ -x target/release/cyclamenloft-platform ] || { echo "run the build of deploy/system.toml first" >&2; exit 2; }
-exec target/review/standin hopeless review/4
+exec target/review/standin many-ends review/4
