Starts on one worker take turns by submission, several at a time

Behind an accepted submission of 18,000 small tasks, three of five small submissions had not begun 17 s after the end of the traffic, with room on every worker; a gang of 600 members on one worker ended alone again and again.

Cause: the leader had one order to a worker in flight at a time, about 9 ms each, and chose the first task by id that needed a start. Whether a caller's work started depended on its random id. All runs of the worker were searched for each order.

Fix: queued starts take turns by submission in virtual time; a higher priority has shorter steps, so none starves. Members of a gang share a turn. Up to 16 starts and 24 orders are in flight, in proportion to the queue, and one after an order without an answer or one rejected as unhealthy. Stops come first and have a window of their own. A run has one order in flight, so answers may overtake each other; a start in flight counts as one that may have begun. Orders that need more connections than the file descriptors allow go one by one.

Why it works: the wait of a start is bounded by the number of submissions on the worker rather than by the number of their tasks, and the window removes the round trip as the limit.

The simulated cluster now has as many orders in flight as the leader. evacuation_runs::a_withdrawal_while_runs_are_stopped looked at the next order while the cluster's own one was in flight, which cannot be seen any more; it now checks that every withdrawn run is stopped and none started again, which is stricter. extremes and refusal report the orders that they take as sent. platform workers: two cases for descriptors.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -17,8 +17,14 @@
     state::Phase,
 };
 use cyclamenloft_types::{AttemptNumber, ErrorKind, Result, WorkerId};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    stream::FuturesUnordered,
+};
 use std::{
     cell::Cell,
+    pin::pin,
     rc::{Rc, Weak},
     time::{Duration, Instant},
 };
@@ -320,29 +326,69 @@
 
 /// Sends orders to the worker while this replica leads. Runs until the task is cancelled.
 pub(crate) async fn send_orders<P: Port>(cx: Context<P>) {
+    let mut calls = FuturesUnordered::new();
+    let mut queued_at = None;
     loop {
         let change_count = cx.wake.change_count();
         let Some(leadership) = cx.leadership() else {
-            compio::time::sleep(MIN_RETRY_PAUSE).await;
+            let _ = compio::time::timeout(MIN_RETRY_PAUSE, next_answer(&mut calls)).await;
             continue;
         };
         let now = Instant::now();
-        let next =
-            cx.node.state(|s| leadership.fleet.borrow_mut().next_order(s, cx.incarnation, now));
-        let Some(order) = next else {
-            let retry_at = leadership.fleet.borrow().retry_at(cx.incarnation, now);
-            let until = retry_at.unwrap_or(now + MAX_ORDER_IDLE).min(now + MAX_ORDER_IDLE);
-            drop(leadership);
-            let _ = compio::time::timeout_at(until, cx.wake.changed(change_count)).await;
-            continue;
-        };
-        send_order(&cx, &leadership, order).await;
+        let is_changed = queued_at.replace(change_count) != Some(change_count);
+        let mut queued = take_orders(&cx, &leadership, is_changed, now);
+        if queued.is_empty() && !is_changed && calls.is_empty() {
+            // An order may have become due because time has passed.
+            queued = take_orders(&cx, &leadership, true, now);
+        }
+        calls.extend(queued.into_iter().map(|order| send_order(&cx, leadership.clone(), order)));
+        let retry_at = leadership.fleet.borrow().retry_at(cx.incarnation, now);
+        let until = retry_at.unwrap_or(now + MAX_ORDER_IDLE).min(now + MAX_ORDER_IDLE);
+        drop(leadership);
+        let woken = pin!(compio::time::timeout_at(until, cx.wake.changed(change_count)));
+        if let Either::Right((Err(_), _)) = select(pin!(next_answer(&mut calls)), woken).await {
+            queued_at = None;
+        }
+    }
+}
+
+/// Waits until one of the calls has ended.
+async fn next_answer(calls: &mut FuturesUnordered<impl Future<Output = ()>>) {
+    if calls.next().await.is_none() {
+        std::future::pending().await
     }
 }
 
-async fn send_order<P: Port>(cx: &Context<P>, leadership: &Leadership, order: Order) {
+/// Returns the orders to be sent now, which then count as sent. All runs are searched for orders if
+/// `search` is set, and otherwise only those that were found to need one before.
+fn take_orders<P: Port>(
+    cx: &Context<P>,
+    leadership: &Leadership,
+    search: bool,
+    now: Instant,
+) -> Vec<Order> {
+    let id = cx.incarnation;
+    cx.node.state(|s| {
+        let mut fleet = leadership.fleet.borrow_mut();
+        if search {
+            fleet.queue_orders(s, id, now);
+        }
+        let next = || {
+            let order = fleet.queued_order(s, id, now)?;
+            fleet.order_sent(id, order, now);
+            Some(order)
+        };
+        std::iter::from_fn(next).collect()
+    })
+}
+
+async fn send_order<P: Port>(cx: &Context<P>, leadership: Rc<Leadership>, order: Order) {
     let now = Instant::now();
-    let Some(route) = cx.caller.route() else { return };
+    let not_sent = || {
+        let mut fleet = leadership.fleet.borrow_mut();
+        fleet.answered(cx.incarnation, order, OrderAnswer::NotSent, now);
+    };
+    let Some(route) = cx.caller.route() else { return not_sent() };
     let lease_end_ms = cx.node.state(|s| {
         let mut fleet = leadership.fleet.borrow_mut();
         let deadline_ms = match order.kind {
@@ -351,9 +397,9 @@
         };
         fleet.view_mut(cx.incarnation, now).grant_until(now, deadline_ms)
     });
-    let Some(lease_end_ms) = lease_end_ms else { return };
+    let Some(lease_end_ms) = lease_end_ms else { return not_sent() };
     let latest_start_ms = (order.kind == OrderKind::Start)
-        .then(|| cx.node.latest_start_ms(leadership, cx.incarnation, now))
+        .then(|| cx.node.latest_start_ms(&leadership, cx.incarnation, now))
         .flatten();
     // A worker never shortens what it was granted, so an earlier end only limits the start.
     let lease_end_ms = latest_start_ms.map_or(lease_end_ms, |latest| latest.min(lease_end_ms));
@@ -406,7 +452,7 @@
         .metrics
         .count("order", if answer == OrderAnswer::Taken { "taken" } else { "not-taken" });
     if let Some(end) = end
-        && let Err(e) = cx.commit_ends(leadership, vec![end], |_| "rejected").await
+        && let Err(e) = cx.commit_ends(&leadership, vec![end], |_| "rejected").await
     {
         tracing::info!(event = "end-not-agreed", task = %order.task, error = %e);
     }
--- a/crates/http/src/keep_alive.rs
+++ b/crates/http/src/keep_alive.rs
@@ -23,9 +23,6 @@
 /// Maximum size of a response body. The largest list from a worker is smaller: 500
 /// ended runs of about 100 bytes each and as many current ones.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-/// Maximum number of idle connections that are kept. More concurrent calls are rare
-/// and short, so their connections are closed after use.
-const MAX_IDLE: usize = 4;
 
 /// A complete response.
 #[derive(Debug)]
@@ -53,6 +50,10 @@
 }
 
 impl KeepAliveClient {
+    /// Maximum number of idle connections that are kept. More concurrent calls are rare
+    /// and short, so their connections are closed after use.
+    pub const MAX_IDLE: usize = 4;
+
     /// Creates a client for `addr`. The first call opens the first connection.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
@@ -141,7 +142,7 @@
 
     fn keep(&self, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE && !connection.sender.is_closed() {
+        if idle.len() < Self::MAX_IDLE && !connection.sender.is_closed() {
             idle.push(connection);
         }
     }
--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -85,11 +85,23 @@
         let is_due = |stop: &Stop| {
             stop.accepted.is_none() && stop.sent.is_none_or(|at| now >= at + STOP_RETRY_DELAY)
         };
-        let (task, stop) = self.of_mut(state, id)?.runs.iter_mut().find(|(_, s)| is_due(s))?;
-        stop.sent = Some(now);
+        let (task, stop) = self.of_mut(state, id)?.runs.iter().find(|(_, s)| is_due(s))?;
         Some(Order { task: *task, attempt: stop.attempt, kind: OrderKind::Stop })
     }
 
+    /// Records that a stop is being sent.
+    pub(super) fn record_sent(&mut self, id: IncarnationId, order: Order, now: Instant) {
+        if let Some(stop) = self.stop_mut(id, order) {
+            stop.sent = Some(now);
+        }
+    }
+
+    fn stop_mut(&mut self, id: IncarnationId, order: Order) -> Option<&mut Stop> {
+        let carried = self.by_worker.values_mut().find(|c| c.incarnation == Some(id))?;
+        let stop = carried.runs.get_mut(&order.task);
+        stop.filter(|s| s.attempt == order.attempt && order.kind == OrderKind::Stop)
+    }
+
     /// Returns whether a stop has to be sent to the worker.
     pub(super) fn has_stop(&self, state: &SubmissionState, id: IncarnationId) -> bool {
         let Some(worker) = state.incarnation(id).map(|i| &i.worker) else { return false };
@@ -119,12 +131,7 @@
         now: Instant,
     ) {
         let accepted = matches!(answer, OrderAnswer::Taken | OrderAnswer::Outdated);
-        if order.kind != OrderKind::Stop || !accepted {
-            return;
-        }
-        let carried = self.by_worker.values_mut().find(|c| c.incarnation == Some(id));
-        let stop = carried.and_then(|c| c.runs.get_mut(&order.task));
-        if let Some(stop) = stop.filter(|s| s.attempt == order.attempt) {
+        if let Some(stop) = self.stop_mut(id, order).filter(|_| accepted) {
             stop.accepted.get_or_insert(now);
         }
     }
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod loss;
 mod maintenance;
 mod messages;
+mod orders;
 mod recovery;
 mod reports;
 mod run;
@@ -144,6 +145,7 @@
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
             stray_reserved: Resources::ZERO,
+            orders: orders::OrderQueue::default(),
         })
     }
 
@@ -345,51 +347,6 @@
         ends
     }
 
-    /// Returns the next order for the worker, if one is due.
-    pub fn next_order(
-        &mut self,
-        state: &SubmissionState,
-        id: IncarnationId,
-        now: Instant,
-    ) -> Option<Order> {
-        let incarnation = state.incarnation(id)?;
-        let is_fresh = self.capacity_is_fresh(state, id, now);
-        let view = self.view_mut(id, now);
-        if !view.synced || view.declared_lost || !view.is_reachable(now) {
-            return None;
-        }
-        if let Some((task, attempt)) = view.strays.pop_first() {
-            return Some(Order { task, attempt, kind: OrderKind::Stop });
-        }
-        if let Some(stop) = self.carried.next_stop(state, id, now) {
-            return Some(stop);
-        }
-        let view = self.view_mut(id, now);
-        let (draining, evacuated) =
-            (state.rejects_starts(incarnation), state.is_evacuated(incarnation));
-        let may_start = is_fresh && view.fits_capacity(incarnation);
-        let mut next: Option<Order> = None;
-        for task in &incarnation.runs {
-            let Some((record, run)) = record_run(state, id, *task) else { continue };
-            let step = &record.spec.steps[usize::from(task.step)];
-            let run_view = view.run_view(*task, run.attempt, step, now);
-            // The stop stands, even if the evacuation is withdrawn before the run has ended.
-            run_view.withdrawn |= evacuated && run_view.started.is_none();
-            let Some(kind) = run_view.wanted_order(record, *task, draining, now) else { continue };
-            if kind == OrderKind::Start && !may_start {
-                continue;
-            }
-            // Stops come first, since they free room that starts may need.
-            if kind == OrderKind::Stop || next.is_none() {
-                next = Some(Order { task: *task, attempt: run.attempt, kind });
-            }
-            if kind == OrderKind::Stop {
-                break;
-            }
-        }
-        next
-    }
-
     /// Returns whether an order was due after the last observation of the worker.
     #[must_use]
     pub fn had_order(&self, id: IncarnationId) -> bool {
@@ -403,13 +360,6 @@
         strays || self.carried.has_stop(state, id) || self.next_order(state, id, now).is_some()
     }
 
-    /// Returns the time at which the next delayed order may be sent again.
-    #[must_use]
-    pub fn retry_at(&self, id: IncarnationId, now: Instant) -> Option<Instant> {
-        let view = self.views.get(&id)?;
-        view.runs.values().map(|run| run.not_before).filter(|at| *at > now).min()
-    }
-
     /// Processes the result of an order. Returns the end of the run to propose to
     /// the group, if it has ended.
     pub fn answered(
@@ -420,8 +370,10 @@
         now: Instant,
     ) -> Option<RunEnd> {
         self.carried.record_answer(id, order, answer, now);
-        let view = self.view_mut(id, now);
+        let view = self.views.get_mut(&id)?;
+        view.orders.record_answer(order, answer);
         let run = view.runs.get_mut(&order.task).filter(|r| r.attempt == order.attempt)?;
+        run.in_flight = None;
         match (order.kind, answer) {
             (OrderKind::Start, OrderAnswer::Taken | OrderAnswer::Outdated) => {
                 run.started = Some(now);
@@ -470,6 +422,9 @@
             (_, OrderAnswer::NotSent) => run.not_before = now + RESEND_DELAY,
             _ => run.not_before = now + RETRY_DELAY,
         }
+        if run.not_before > now {
+            view.orders.retry_from(run.not_before);
+        }
         None
     }
 
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -96,6 +96,8 @@
     pub(super) peak_ln: Option<(f64, Instant)>,
     /// Time since which the tail latency has been over its target.
     pub(super) over_since: Option<Instant>,
+    /// The order that has been sent and isn't answered yet.
+    pub(super) in_flight: Option<OrderKind>,
     /// Time before which no order is sent for this run.
     pub(super) not_before: Instant,
 }
@@ -122,6 +124,7 @@
             last_report: None,
             peak_ln: None,
             over_since: None,
+            in_flight: None,
             not_before: now,
         }
     }
@@ -147,7 +150,7 @@
         draining: bool,
         now: Instant,
     ) -> Option<OrderKind> {
-        if now < self.not_before {
+        if self.in_flight.is_some() || now < self.not_before {
             return None;
         }
         let done = record.task(task).is_none_or(|t| t.done);
@@ -166,6 +169,11 @@
         (self.step.fills && self.listed && self.pace != pace).then_some(OrderKind::Pace(pace))
     }
 
+    /// Returns whether a start order without an answer may have been carried out.
+    pub(super) fn may_have_begun(&self) -> bool {
+        self.unconfirmed_since.is_some() || self.in_flight == Some(OrderKind::Start)
+    }
+
     /// Returns whether the run is ready to serve requests, so that its reported
     /// tail latency is valid.
     pub(super) fn is_serving(&self) -> bool {
--- a/crates/placement/src/submission/fleet/silence.rs
+++ b/crates/placement/src/submission/fleet/silence.rs
@@ -147,7 +147,7 @@
     /// Returns how long the run had gone on at `at`, in milliseconds, as far as this leader knows;
     /// 0 if it may not have begun, and `None` if it has certainly not.
     fn age_ms(&self, at: Instant) -> Option<u32> {
-        let Some(started) = self.started else { return self.unconfirmed_since.map(|_| 0) };
+        let Some(started) = self.started else { return self.may_have_begun().then_some(0) };
         let age = at.saturating_duration_since(started).as_millis();
         Some(u32::try_from(age).unwrap_or(u32::MAX).max(1))
     }
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -12,6 +12,7 @@
     },
     KnownRuns,
     messages::{ListedRun, OrderKind},
+    orders::OrderQueue,
     run::RunView,
 };
 use cyclamenloft_types::{AttemptNumber, Resources};
@@ -54,6 +55,7 @@
     pub(super) strays: BTreeSet<(TaskId, AttemptNumber)>,
     /// Resources of the runs that the worker listed last and the group doesn't know.
     pub(super) stray_reserved: Resources,
+    pub(super) orders: OrderQueue,
 }
 
 impl WorkerView {
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -582,33 +582,40 @@
         let workers: Vec<(IncarnationId, WorkerInfo)> =
             self.state.incarnations().map(|(id, i)| (id, i.worker.clone())).collect();
         for (id, info) in workers {
-            if self.orders.iter().any(|o| o.incarnation == id) {
-                continue;
-            }
-            let Some(order) = self.fleet.next_order(&self.state, id, now) else { continue };
-            let deadline = match order.kind {
-                OrderKind::Start => self.fleet.start_deadline_ms(&self.state, id).unwrap_or(0),
-                _ => u64::MAX,
-            };
-            let lease_end = self.fleet.view_mut(id, now).grant_until(now, deadline);
-            let Some(lease_end) = lease_end else { continue };
-            if order.kind == OrderKind::Start && !self.has_ticket(id, order.task) {
-                let (answer, at) = (OrderAnswer::NoTicket, self.now);
-                self.orders.push(InFlight { incarnation: id, order, answer, at });
-                continue;
+            while let Some(order) = self.fleet.next_order(&self.state, id, now) {
+                self.fleet.order_sent(id, order, now);
+                self.send_order(id, &info, order);
             }
-            let lease_end = match (order.kind, self.evacuation_bound) {
-                (OrderKind::Start, Some(bound)) => {
-                    let clock_ms = self.fleet.view_mut(id, now).lease.clock_ms(now);
-                    let latest = latest_start_ms(clock_ms, Some(evacuation_start_bound(bound)));
-                    lease_end.min(latest.unwrap())
-                }
-                _ => lease_end,
-            };
-            self.sent.push((self.now, order, lease_end));
-            let (answer, at) = self.send(&info, order, lease_end);
+        }
+    }
+
+    fn send_order(&mut self, id: IncarnationId, info: &WorkerInfo, order: Order) {
+        let now = self.instant();
+        let deadline = match order.kind {
+            OrderKind::Start => self.fleet.start_deadline_ms(&self.state, id).unwrap_or(0),
+            _ => u64::MAX,
+        };
+        let lease_end = self.fleet.view_mut(id, now).grant_until(now, deadline);
+        let Some(lease_end) = lease_end else {
+            self.fleet.answered(id, order, OrderAnswer::NotSent, now);
+            return;
+        };
+        if order.kind == OrderKind::Start && !self.has_ticket(id, order.task) {
+            let (answer, at) = (OrderAnswer::NoTicket, self.now);
             self.orders.push(InFlight { incarnation: id, order, answer, at });
+            return;
         }
+        let lease_end = match (order.kind, self.evacuation_bound) {
+            (OrderKind::Start, Some(bound)) => {
+                let clock_ms = self.fleet.view_mut(id, now).lease.clock_ms(now);
+                let latest = latest_start_ms(clock_ms, Some(evacuation_start_bound(bound)));
+                lease_end.min(latest.unwrap())
+            }
+            _ => lease_end,
+        };
+        self.sent.push((self.now, order, lease_end));
+        let (answer, at) = self.send(info, order, lease_end);
+        self.orders.push(InFlight { incarnation: id, order, answer, at });
     }
 
     fn send(&mut self, info: &WorkerInfo, order: Order, lease_end: u64) -> (OrderAnswer, u64) {
--- a/crates/placement/tests/all/submission/evacuation_runs.rs
+++ b/crates/placement/tests/all/submission/evacuation_runs.rs
@@ -119,19 +119,20 @@
     w.run(1_200);
     w.worker("wa").link = Link::Open;
     order(&mut w, "d1", true);
-    let (id, _) = w.state.newest_incarnation("wa").unwrap();
-    let next = |w: &mut Cluster| {
-        let now = w.instant();
-        w.fleet.next_order(&w.state, id, now)
+    let (_, incarnation) = w.state.newest_incarnation("wa").unwrap();
+    let runs: BTreeSet<_> = incarnation.runs.iter().map(|task| (*task, 1)).collect();
+    let sent = |w: &Cluster, kind: OrderKind, since: u64| -> BTreeSet<_> {
+        let sent = w.sent.iter().filter(|(at, o, _)| *at > since && o.kind == kind);
+        sent.map(|(_, o, _)| (o.task, o.attempt)).collect()
     };
-    while next(&mut w).is_none() {
+    while sent(&w, OrderKind::Stop, 0).is_empty() {
         w.run(5);
     }
-    let stop = next(&mut w).unwrap();
-    assert_eq!(stop.kind, OrderKind::Stop);
     order(&mut w, "d1", false);
-    assert_eq!(next(&mut w), Some(stop));
+    let withdrawn_at = w.instant_ms();
     w.run(5_000);
+    assert_eq!(sent(&w, OrderKind::Stop, 0), runs);
+    assert!(sent(&w, OrderKind::Start, withdrawn_at).is_disjoint(&runs));
     assert_eq!(w.phase(1), Phase::Complete);
 }
 
--- a/crates/placement/tests/all/submission/extremes.rs
+++ b/crates/placement/tests/all/submission/extremes.rs
@@ -130,6 +130,7 @@
     let _ = fleet.view_mut(id, now).lease.latest_end();
     while let Some(order) = fleet.next_order(state, id, now) {
         let answer = cyclamenloft_placement::submission::fleet::OrderAnswer::Taken;
+        fleet.order_sent(id, order, now);
         let _ = fleet.answered(id, order, answer, now);
     }
     let _ = fleet.update_stale(state, now);
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -29,6 +29,7 @@
 mod lease;
 mod lives;
 mod loss;
+mod order_turns;
 mod planning;
 mod recovery;
 mod refusal;
--- a/crates/placement/tests/all/submission/refusal/service.rs
+++ b/crates/placement/tests/all/submission/refusal/service.rs
@@ -442,6 +442,7 @@
         let ids: Vec<IncarnationId> = self.infos.keys().copied().collect();
         for id in ids.into_iter().filter(|id| !self.cut.contains(id)) {
             while let Some(order) = self.fleet.next_order(&self.state, id, now) {
+                self.fleet.order_sent(id, order, now);
                 if order.kind == OrderKind::Start {
                     let caller = self.callers.get_mut(&order.task.submission).unwrap();
                     caller.started_ms.get_or_insert(now_ms);
