Only a gang that will have room as a whole, or a task that lacks room, reserves some

Short submissions that can run only on one worker don't begin, while the worker is idle and kept for a submission that can't use it.

Fix: room_later counts the tasks of a step that a worker will hold, with all conditions that don't depend on time; a gang reserves room only if the sum covers it, and best-effort tasks only where they lack room. Admitted tasks of any other kind reserve as before.

Why it works: what can't be placed after all short tasks have ended keeps no worker from them.

Tests: the three cases failed before, and pass now.

--- a/crates/placement/src/submission/planner/bin.rs
+++ b/crates/placement/src/submission/planner/bin.rs
@@ -244,11 +244,15 @@
 
     /// Returns the number of tasks of the step that have room on the worker.
     pub(super) fn room_for(&self, step: &Step, task: TaskId) -> usize {
+        self.room_in(self.free, step, task)
+    }
+
+    /// Returns the number of tasks of the step that would have room if this much were free.
+    pub(super) fn room_in(&self, mut free: Resources, step: &Step, task: TaskId) -> usize {
         let apart = match step.max_per_worker {
             0 => usize::from(u16::MAX),
             most => usize::from(most.saturating_sub(self.count_of_step(task))),
         };
-        let mut free = self.free;
         let takes = |_: &usize| match free.checked_sub(&step.reserved()) {
             Some(left) => {
                 free = left;
--- a/crates/placement/src/submission/planner/gang.rs
+++ b/crates/placement/src/submission/planner/gang.rs
@@ -4,13 +4,14 @@
     super::{command::Placement, spec::TaskId},
     Context, PendingTask, best_bin,
     bin::{Bin, ReservedFrom},
-    round::reserve_room,
+    round::{reserve_room, room_later},
 };
 use std::collections::BTreeSet;
 
 /// Places all tasks of a gang, on one rack if the step asks for it and a rack
-/// has room. If there isn't room for all tasks, none is placed, and the room on
-/// the workers with the most free CPU is reserved, which excludes short tasks.
+/// has room. If there isn't room for all tasks, none is placed. If there will be
+/// once short tasks have ended, the room on the workers with the most free CPU is
+/// reserved, which excludes short tasks.
 /// `first` is the gang's first task.
 pub(super) fn place_gang<'a>(
     first: PendingTask<'a>,
@@ -52,8 +53,11 @@
             return members;
         }
     }
-    for _ in 0..step.count {
-        reserve_room(first, bins, cx, ReservedFrom::Short);
+    let later: usize = bins.iter().map(|bin| room_later(first, bin, cx)).sum();
+    if later >= usize::from(step.count) {
+        for _ in 0..step.count {
+            reserve_room(first, bins, cx, ReservedFrom::Short);
+        }
     }
     Vec::new()
 }
--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -514,18 +514,23 @@
 }
 
 /// Returns whether a task may run on a worker that isn't reserved and will fit it once the worker's
-/// short tasks have ended.
+/// short tasks have ended. Best-effort tasks that fit now wait for something else than room.
 fn fits_later(pending: PendingTask<'_>, bin: &Bin<'_>, cx: Context<'_>) -> bool {
+    let waits_for_room = !pending.step.fills || !pending.step.reserved().fits_in(&bin.free);
+    bin.reserved_from.is_none() && waits_for_room && room_later(pending, bin, cx) > 0
+}
+
+/// Returns the number of tasks of a step that may run on a worker and will fit it once its short
+/// tasks have ended.
+pub(super) fn room_later(pending: PendingTask<'_>, bin: &Bin<'_>, cx: Context<'_>) -> usize {
     let PendingTask { record, task, step } = pending;
-    let apart = step.max_per_worker == 0 || bin.count_of_step(task) < step.max_per_worker;
-    let service = bin.incarnation.worker.service == record.policy.service;
-    let room = bin.free.checked_add(&bin.short_reserved).unwrap_or(bin.free);
-    apart
-        && service
-        && bin.reserved_from.is_none()
-        && step.reserved().fits_in(&room)
+    let is_admitted = bin.incarnation.worker.service == record.policy.service
         && bin.has_label(step)
-        && !cx.refuses(pending, bin.id)
+        && !cx.refuses(pending, bin.id);
+    if !is_admitted {
+        return 0;
+    }
+    bin.room_in(bin.free.checked_add(&bin.short_reserved).unwrap_or(bin.free), step, task)
 }
 
 /// Returns the first task of a step that waits for its first start.
--- a/crates/placement/tests/all/submission/planning.rs
+++ b/crates/placement/tests/all/submission/planning.rs
@@ -379,11 +379,13 @@
     assert_eq!((on(1), on(2), on(3)), (5, 1, 0));
 }
 
-/// Submits a short task for the label `b` each 200 ms, and asserts that each is done.
+/// Submits a short task of low priority for the label `b` each 200 ms, and asserts that each is
+/// done.
 fn assert_label_is_served(w: &mut Cluster) {
     for id in 100..105 {
-        let labeled = Step { label: Some("b".into()), ..step(1) };
-        w.submit(submission(id, vec![labeled]));
+        let submission = submission(id, vec![Step { label: Some("b".into()), ..step(1) }]);
+        let policy = QueuePolicy { priority: 2, ..policy() };
+        w.apply(Command::Submit { submission, policy, at_ms: w.instant_ms() });
         w.run(200);
     }
     w.run(3_000);
@@ -416,3 +418,32 @@
     w.run(500);
     assert_label_is_served(&mut w);
 }
+
+macro_rules! reserves_none {
+    ($($name:ident: $waiting:expr, $steps:expr;)*) => {$(
+        /// Guards against a worker that is kept from short tasks for good, for a gang that has no
+        /// room on all workers together or for a task that doesn't wait for room.
+        #[test]
+        fn $name() {
+            let mut w = cluster_with_label();
+            for (id, step) in (1..).zip($steps) {
+                w.submit(submission(id, vec![step]));
+            }
+            w.run($waiting);
+            assert_label_is_served(&mut w);
+        }
+    )*};
+}
+
+reserves_none! {
+    a_gang_that_exceeds_all_workers_reserves_none: 500, [Step { gang: true, ..step(300) }];
+    a_gang_of_more_members_than_may_run_apart_reserves_none:
+        500, [Step { gang: true, max_per_worker: 1, ..step(4) }];
+    a_best_effort_task_that_is_kept_off_others_reserves_none:
+        8_000, [best_effort(3, 90), best_effort(1, 90)];
+}
+
+/// Returns a step of long-running best-effort tasks.
+fn best_effort(count: u16, cores: u32) -> Step {
+    Step { fills: true, target_ms: None, ..long_step(count, cores, "batch") }
+}
