A refused connection doesn't prove that a leaving worker has ended

Tasks of a worker that has announced its exit start elsewhere while it still runs them.

Cause: a leaving worker whose address refused connections counted as gone. The platform's partitions can refuse ("silent unless 'how' holds reset or refuse"), and a worker that gets no acknowledgment of its exit serves on "some seconds later" (PROTOCOL.md, Service discovery).

Fix: process_ended takes what the end was seen by. Only another incarnation that answers at the address frees the runs of a leaving worker; otherwise the end of its lease does. Crash evidence is unchanged.

--- a/crates/dispatch/src/port.rs
+++ b/crates/dispatch/src/port.rs
@@ -4,23 +4,26 @@
 use crate::relay::WorkerEndpoint;
 use cyclamenloft_placement::submission::{
     Observation,
-    fleet::{Order, OrderAnswer},
+    fleet::{EndSign, Order, OrderAnswer},
     spec::StepId,
     waves::{MachineId, WaveNumber},
 };
 use cyclamenloft_types::{ErrorKind, HostId, Result, Term, WorkerId};
 use std::time::{Duration, Instant};
 
-/// Returns whether the failure of a poll tells that the process of the incarnation has ended: its
-/// address refuses connections, or another incarnation answers there.
-pub(crate) fn tells_of_end(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::ConnectionRefused | ErrorKind::StaleAttempt)
+/// Returns what the failure of a poll tells of the end of the incarnation's process.
+pub(crate) fn end_sign(kind: ErrorKind) -> Option<EndSign> {
+    match kind {
+        ErrorKind::ConnectionRefused => Some(EndSign::Refused),
+        ErrorKind::StaleAttempt => Some(EndSign::Replaced),
+        _ => None,
+    }
 }
 
 /// Returns whether the failure of a poll tells anything of the worker, rather than only that there was
 /// no answer in time.
 pub(crate) fn tells_of_worker(kind: ErrorKind) -> bool {
-    tells_of_end(kind) || kind == ErrorKind::ConnectionClosed
+    end_sign(kind).is_some() || kind == ErrorKind::ConnectionClosed
 }
 
 /// A poll of a worker: it renews the worker's lease, acknowledges ended runs, and
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -5,7 +5,7 @@
     leader::Leadership,
     node::Node,
     notify::Notify,
-    port::{OrderCall, OrderResponse, PollCall, Port, tells_of_end},
+    port::{OrderCall, OrderResponse, PollCall, Port, end_sign},
     recovery::RecoveryStep,
     relay::WorkerCaller,
     run_log::{LineKey, RunName},
@@ -215,8 +215,8 @@
         Err(_) if route.is_closed() => return Ok(Duration::ZERO),
         Err(e) => {
             let mut fleet = leadership.fleet.borrow_mut();
-            if tells_of_end(e.kind) {
-                cx.node.state(|s| fleet.process_ended(s, cx.incarnation, now));
+            if let Some(sign) = end_sign(e.kind) {
+                cx.node.state(|s| fleet.process_ended(s, cx.incarnation, sign, now));
             } else if e.kind == ErrorKind::ConnectionClosed {
                 fleet.connection_closed(cx.incarnation, now);
             } else {
--- a/crates/placement/src/submission/fleet/loss.rs
+++ b/crates/placement/src/submission/fleet/loss.rs
@@ -2,12 +2,21 @@
 
 use std::time::Duration;
 
+/// What tells that the process of an incarnation has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndSign {
+    /// Its address refuses connections.
+    Refused,
+    /// Another incarnation answers at its address.
+    Replaced,
+}
+
 /// Why the runs on an incarnation count as ended although the worker hasn't listed their ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LossReason {
     /// The lease is over.
     LeaseOver,
-    /// The worker has announced its exit, and its process has ended.
+    /// The worker has announced its exit, and another incarnation answers at its address.
     Exited,
     /// The state or the view has changed since the incarnation was declared lost.
     Unknown,
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -21,7 +21,7 @@
 mod urgent_room;
 mod worker;
 
-pub use loss::{Loss, LossReason};
+pub use loss::{EndSign, Loss, LossReason};
 pub use maintenance::MaintenanceOrder;
 pub use messages::{ListedRun, Observation, Order, OrderAnswer, OrderKind};
 pub use recovery::begun_long_tasks;
@@ -269,20 +269,21 @@
         self.unreachable(incarnation, now);
     }
 
-    /// Records that the address of a worker refuses connections or that another incarnation answers
-    /// there, so that the worker's process has ended. If it had announced its exit, its runs have
-    /// ended with it. Otherwise only the address may be unavailable, and the lease counts.
+    /// Records that the process of a worker has ended, as far as its address tells. A partition may
+    /// refuse connections too, so only another incarnation that answers there proves that the runs
+    /// have ended with the process, if it had announced its exit. Otherwise the lease counts.
     pub fn process_ended(
         &mut self,
         state: &SubmissionState,
         incarnation: IncarnationId,
+        sign: EndSign,
         now: Instant,
     ) {
         self.unreachable(incarnation, now);
         let leaving = state.incarnation(incarnation).is_some_and(|i| i.worker.leaving);
         let view = self.view_mut(incarnation, now);
         view.process_ended = true;
-        view.exited |= leaving;
+        view.exited |= leaving && sign == EndSign::Replaced;
     }
 
     /// Processes a worker's answer to a poll that was sent at `sent`. Returns the
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -42,7 +42,7 @@
     pub(super) process_ended: bool,
     /// Whether it fell silent by closing its connection, so that the moment is known.
     pub(super) closed: bool,
-    /// Whether its process has ended after it had announced its exit.
+    /// Whether another incarnation has answered at its address after it had announced its exit.
     pub(super) exited: bool,
     /// The worker's failures and the pauses that follow from them.
     pub health: Health,
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -18,7 +18,7 @@
     Command, CommandResult, Fleet, IncarnationId, OrderKind, Phase, QueueKey, ReportBound, Step,
     Submission, SubmissionState, TaskId, WorkerInfo, WorkerReport,
     evacuation::{EvacuationOutcome, EvacuationVersion},
-    fleet::{Order, OrderAnswer, evacuation_start_bound, latest_start_ms},
+    fleet::{EndSign, Order, OrderAnswer, evacuation_start_bound, latest_start_ms},
     planner,
     routes::QueuePolicy,
 };
@@ -519,15 +519,17 @@
                 && matches!(worker.link, Link::Open | Link::NoOrders)
                 && worker.info.started_ms == info.started_ms
                 && worker.token <= self.token;
-            if self.polls_time_out && worker.up && worker.link != Link::Open {
+            let refused = worker.link == Link::Refused;
+            if self.polls_time_out && worker.up && worker.link != Link::Open && !refused {
                 self.failing.push((self.now + CALL_TIMEOUT_MS, id));
                 self.polled.insert(id, self.now + CALL_TIMEOUT_MS);
                 continue;
             }
             if !answers {
                 // The address of a worker whose process has ended refuses connections.
-                match !worker.up && matches!(worker.link, Link::Open | Link::NoOrders) {
-                    true => self.fleet.process_ended(&self.state, id, now),
+                let is_refused = !worker.up && matches!(worker.link, Link::Open | Link::NoOrders);
+                match is_refused || worker.link == Link::Refused {
+                    true => self.fleet.process_ended(&self.state, id, EndSign::Refused, now),
                     false => self.fleet.unreachable(id, now),
                 }
                 continue;
@@ -622,6 +624,7 @@
         let worker = self.workers.get_mut(&info.id).unwrap();
         match worker.link {
             _ if !worker.up => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
+            Link::Refused => (OrderAnswer::NotSent, self.now),
             Link::Cut | Link::NoOrders => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
             Link::Delayed(after) => {
                 worker.delayed.push((self.now + after, self.token, order, lease_end));
--- a/crates/placement/tests/all/submission/cluster/reports.rs
+++ b/crates/placement/tests/all/submission/cluster/reports.rs
@@ -82,7 +82,7 @@
             }
             *at = now + REPORT_INTERVAL_MS;
             let delay = match worker.link {
-                Link::Open | Link::NoOrders => ONE_WAY_MS,
+                Link::Open | Link::NoOrders | Link::Refused => ONE_WAY_MS,
                 Link::Delayed(after) => after,
                 Link::Cut => continue,
             };
--- a/crates/placement/tests/all/submission/cluster/worker.rs
+++ b/crates/placement/tests/all/submission/cluster/worker.rs
@@ -15,6 +15,8 @@
     Open,
     /// Calls get no answer and are never carried out.
     Cut,
+    /// Connections are refused although the worker's process runs.
+    Refused,
     /// Calls get no answer, and orders are carried out after this many
     /// milliseconds.
     Delayed(u64),
--- a/crates/placement/tests/all/submission/evidence.rs
+++ b/crates/placement/tests/all/submission/evidence.rs
@@ -4,7 +4,7 @@
 use super::cluster::{Cluster, Link, step, submission, worker};
 use cyclamenloft_placement::submission::{
     Command, EndReason, ListedRun, Observation, Phase, Placement, RunEnd, Step, TaskId, WorkerInfo,
-    WorkerReport,
+    WorkerReport, fleet::EndSign,
 };
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
     w.start_again("wa", 300);
     // A poll is answered by the next life, whose first report is under way.
     let now = w.instant();
-    w.fleet.process_ended(&w.state, 1, now);
+    w.fleet.process_ended(&w.state, 1, EndSign::Replaced, now);
     w.join(other());
     w.run(2_000);
     w.worker("wa").link = Link::Open;
--- a/crates/placement/tests/all/submission/fleet.rs
+++ b/crates/placement/tests/all/submission/fleet.rs
@@ -4,7 +4,7 @@
 use super::cluster::{Cluster, step, submission, worker};
 use cyclamenloft_placement::submission::{
     Command, EndReason, Fleet, Observation, OrderKind, Placement, TaskId, WorkerInfo,
-    fleet::OrderAnswer,
+    fleet::{EndSign, OrderAnswer},
 };
 use std::time::{Duration, Instant};
 
@@ -103,7 +103,7 @@
     let (mut w, mut fleet, now) = placed();
     w.apply(Command::Register(WorkerInfo { draining: true, leaving: true, ..worker("wa", 4) }));
     let soon = now + Duration::from_millis(500);
-    fleet.process_ended(&w.state, 1, now);
+    fleet.process_ended(&w.state, 1, EndSign::Replaced, now);
     assert!(fleet.declare_lost(&w.state, soon).is_empty(), "the run was never listed");
     let listed = cyclamenloft_placement::submission::ListedRun {
         task: TASK,
@@ -114,7 +114,9 @@
     };
     let seen = Observation { running: vec![listed], ..empty_observation() };
     fleet.observe(&w.state, 1, &seen, now, now);
-    fleet.process_ended(&w.state, 1, now);
+    fleet.process_ended(&w.state, 1, EndSign::Refused, now);
+    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "a partition may refuse connections");
+    fleet.process_ended(&w.state, 1, EndSign::Replaced, now);
     assert_eq!(fleet.declare_lost(&w.state, soon).len(), 1);
 }
 
@@ -124,10 +126,10 @@
 fn neither_silence_nor_a_refused_connection_alone_ends_runs() {
     let (mut w, mut fleet, now) = placed();
     let soon = now + Duration::from_millis(1_500);
-    fleet.process_ended(&w.state, 1, now);
+    fleet.process_ended(&w.state, 1, EndSign::Replaced, now);
     assert!(fleet.declare_lost(&w.state, soon).is_empty(), "no exit was announced");
     w.apply(Command::Register(WorkerInfo { draining: true, leaving: true, ..worker("wa", 4) }));
-    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "refused before the announcement");
+    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "ended before the announcement");
     fleet.observe(&w.state, 1, &empty_observation(), soon, soon);
     fleet.unreachable(1, soon);
     let later = soon + Duration::from_millis(1_500);
--- a/crates/placement/tests/all/submission/gone.rs
+++ b/crates/placement/tests/all/submission/gone.rs
@@ -36,6 +36,13 @@
     w.run(8_000);
 }
 
+fn leaves_and_refuses_connections() {
+    let mut w = busy();
+    w.leave("wa", EXIT_MS);
+    w.worker("wa").link = Link::Refused;
+    w.run(8_000);
+}
+
 fn leaves_before_a_new_leader_polls() {
     let mut w = busy();
     w.leave("wa", EXIT_MS);
@@ -58,6 +65,7 @@
 cases! {
     "Guards against runs that count as ended while they go on, because their worker has announced its exit and is silent for a moment.";
     a_worker_that_leaves_and_is_cut_off_keeps_its_runs: leaves_and_is_cut_off;
+    a_worker_that_leaves_behind_a_cut_that_refuses_connections_keeps_its_runs: leaves_and_refuses_connections;
     a_worker_that_leaves_before_a_new_leader_polls_it_keeps_its_runs: leaves_before_a_new_leader_polls;
     a_new_leader_does_not_count_a_leaving_worker_as_gone_unheard: is_not_polled_yet;
 }
--- a/crates/placement/tests/all/submission/loss.rs
+++ b/crates/placement/tests/all/submission/loss.rs
@@ -2,7 +2,8 @@
 
 use super::cluster::{Cluster, step, submission, worker};
 use cyclamenloft_placement::submission::{
-    Command, EndReason, Placement, RunEnd, TaskId, WorkerInfo, fleet::LossReason,
+    Command, EndReason, Placement, RunEnd, TaskId, WorkerInfo,
+    fleet::{EndSign, LossReason},
 };
 use std::time::Duration;
 
@@ -24,7 +25,9 @@
     assert!(loss.lease_left > Duration::from_secs(2), "{loss:?}");
     w.apply(Command::Register(WorkerInfo { draining: true, leaving: true, ..worker("wa", 4) }));
     assert_eq!(w.fleet.loss(&w.state, 1, soon).unwrap().reason, LossReason::Unknown);
-    w.fleet.process_ended(&w.state, 1, soon);
+    w.fleet.process_ended(&w.state, 1, EndSign::Refused, soon);
+    assert_eq!(w.fleet.loss(&w.state, 1, soon).unwrap().reason, LossReason::Unknown);
+    w.fleet.process_ended(&w.state, 1, EndSign::Replaced, soon);
     assert_eq!(w.fleet.loss(&w.state, 1, soon).unwrap().reason, LossReason::Exited);
     let late = now + Duration::from_secs(9);
     let loss = w.fleet.loss(&w.state, 1, late).unwrap();
