The list of a worker is read however many runs fit on it

A worker of 64 cores that runs more than about 17,000 tasks of accepted submissions counts as unreachable: its lease runs out, its runs end, and they are placed again.

Cause: answers of more than 1 MiB were rejected. The limit was derived from 500 ends and as many runs, but the number of runs follows from what callers submit (up to 20,000 tasks a submission, a thousandth of a core each).

Fix: the limit covers 64,000 runs with checkpoints of the usual length, the most that fit on a worker of 64 cores. Answers between replicas have the same limit, which their requests already had.

Not played with that many real runs.

--- a/crates/http/src/keep_alive.rs
+++ b/crates/http/src/keep_alive.rs
@@ -20,9 +20,9 @@
     time::Instant,
 };
 
-/// Maximum size of a response body. The largest list from a worker is smaller: 500
-/// ended runs of about 100 bytes each and as many current ones.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Maximum size of a response body. The largest list from a worker is smaller: with tasks of a
+/// thousandth of a core each, a worker of 64 cores lists 64,000 runs of about 70 bytes each.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// A complete response.
 #[derive(Debug)]
