No orders are derived for a worker that this leader hasn't heard from

Cause: since the search for orders also ran before the worker's first answer. A new leader doesn't know yet which runs have begun, and took those in an evacuated domain for placed ones that must not start.

Evidence: the new leader's line "tasks-back" came 9,123 ms after its election instead of 345 ms, and it sent 268 instead of 69 stops in those seconds.

Fix: queue_orders and queued_order share one condition, that orders may be sent to the worker at all.

Also: a run whose start was rejected gets no stop while its end is being committed; a delayed order whose time passes while others are answered is searched for at once; the order task of an incarnation that is gone can't spin.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -336,13 +336,15 @@
         };
         let now = Instant::now();
         let is_changed = queued_at.replace(change_count) != Some(change_count);
-        let mut queued = take_orders(&cx, &leadership, is_changed, now);
-        if queued.is_empty() && !is_changed && calls.is_empty() {
+        let retry_at = leadership.fleet.borrow().retry_at(cx.incarnation);
+        let search = is_changed || retry_at.is_some_and(|at| at <= now);
+        let mut queued = take_orders(&cx, &leadership, search, now);
+        if queued.is_empty() && !search && calls.is_empty() {
             // An order may have become due because time has passed.
             queued = take_orders(&cx, &leadership, true, now);
         }
         calls.extend(queued.into_iter().map(|order| send_order(&cx, leadership.clone(), order)));
-        let retry_at = leadership.fleet.borrow().retry_at(cx.incarnation, now);
+        let retry_at = leadership.fleet.borrow().retry_at(cx.incarnation);
         let until = retry_at.unwrap_or(now + MAX_ORDER_IDLE).min(now + MAX_ORDER_IDLE);
         drop(leadership);
         let woken = pin!(compio::time::timeout_at(until, cx.wake.changed(change_count)));
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -35,7 +35,7 @@
 use super::{
     advice::Advice,
     backlog::Backlog,
-    command::{Checkpoints, EndReason, RunEnd},
+    command::{Checkpoints, RunEnd},
     demand::Demand,
     health::Health,
     interference::Interference,
@@ -399,7 +399,7 @@
                     view.health.record_stuck(now);
                 }
                 if !start_unconfirmed {
-                    return Some(never_ran(order));
+                    return Some(run.never_ran(order, now));
                 }
             }
             (OrderKind::Start, OrderAnswer::NoTicket) => {
@@ -407,12 +407,12 @@
                 let start_unconfirmed = run.unconfirmed_since.is_some();
                 self.advice.drop_ticket(order.task.step_id(), id, now);
                 if !start_unconfirmed {
-                    return Some(never_ran(order));
+                    return Some(run.never_ran(order, now));
                 }
             }
             (OrderKind::Start, OrderAnswer::Refused) if run.unconfirmed_since.is_none() => {
                 view.health.record_stuck(now);
-                return Some(never_ran(order));
+                return Some(run.never_ran(order, now));
             }
             (kind, OrderAnswer::Unanswered) => {
                 if kind == OrderKind::Start {
@@ -527,11 +527,6 @@
     }
 }
 
-fn never_ran(order: Order) -> RunEnd {
-    let Order { task, attempt, .. } = order;
-    RunEnd { task, attempt, reason: EndReason::NeverRan, checkpoint: "".into() }
-}
-
 fn step_of(state: &SubmissionState, task: TaskId) -> Option<&Step> {
     state.record(task.submission)?.spec.steps.get(usize::from(task.step))
 }
--- a/crates/placement/src/submission/fleet/orders.rs
+++ b/crates/placement/src/submission/fleet/orders.rs
@@ -176,11 +176,18 @@
     /// through all runs on the worker, so it is called when something has changed rather than for
     /// each order.
     pub fn queue_orders(&mut self, state: &SubmissionState, id: IncarnationId, now: Instant) {
-        let Some(incarnation) = state.incarnation(id) else { return };
+        let Some(incarnation) = state.incarnation(id) else {
+            self.views.remove(&id);
+            return;
+        };
         let draining = state.rejects_starts(incarnation);
         let evacuated = state.is_evacuated(incarnation);
         let view = self.view_mut(id, now);
         view.orders.retry_at = None;
+        // Before its first answer the worker may run what this leader knows no start of.
+        if !view.may_get_orders(now) {
+            return;
+        }
         let (mut stops, mut paces, mut starts) = (Vec::new(), Vec::new(), Vec::new());
         for task in &incarnation.runs {
             let Some((record, run)) = record_run(state, id, *task) else { continue };
@@ -215,7 +222,7 @@
         let is_fresh = self.capacity_is_fresh(state, id, now);
         let carried = self.carried.next_stop(state, id, now);
         let view = self.view_mut(id, now);
-        if !view.synced || view.declared_lost || !view.is_reachable(now) {
+        if !view.may_get_orders(now) {
             return None;
         }
         let draining = state.rejects_starts(incarnation);
@@ -266,10 +273,10 @@
         self.queued_order(state, id, now)
     }
 
-    /// Returns the time at which the next delayed order may be sent again.
+    /// Returns the time from which on [`Self::queue_orders`] finds an order that is delayed now.
     #[must_use]
-    pub fn retry_at(&self, id: IncarnationId, now: Instant) -> Option<Instant> {
-        self.view(id)?.orders.retry_at.filter(|at| *at > now)
+    pub fn retry_at(&self, id: IncarnationId) -> Option<Instant> {
+        self.view(id)?.orders.retry_at
     }
 
     /// Records that an order is being sent. Its run gets no other one before
--- a/crates/placement/src/submission/fleet/run.rs
+++ b/crates/placement/src/submission/fleet/run.rs
@@ -2,12 +2,14 @@
 
 use super::{
     super::{
+        command::{EndReason, RunEnd},
         interference::{Interference, TailReport},
         pacing::Pace,
         spec::{Step, TaskId},
         state::{Phase, Record},
     },
-    messages::OrderKind,
+    RESEND_DELAY,
+    messages::{Order, OrderKind},
 };
 use cyclamenloft_types::AttemptNumber;
 use std::time::{Duration, Instant};
@@ -174,6 +176,14 @@
         self.unconfirmed_since.is_some() || self.in_flight == Some(OrderKind::Start)
     }
 
+    /// Returns the end of a run whose start the worker has rejected. The run gets no other order
+    /// while the end is being committed.
+    pub(super) fn never_ran(&mut self, order: Order, now: Instant) -> RunEnd {
+        self.not_before = now + RESEND_DELAY;
+        let Order { task, attempt, .. } = order;
+        RunEnd { task, attempt, reason: EndReason::NeverRan, checkpoint: "".into() }
+    }
+
     /// Returns whether the run is ready to serve requests, so that its reported
     /// tail latency is valid.
     pub(super) fn is_serving(&self) -> bool {
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -62,7 +62,12 @@
     /// Returns whether the worker may get work now.
     #[must_use]
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.synced && !self.declared_lost && self.is_reachable(now) && self.health.may_start(now)
+        self.may_get_orders(now) && self.health.may_start(now)
+    }
+
+    /// Returns whether orders may be sent to the worker now.
+    pub(super) fn may_get_orders(&self, now: Instant) -> bool {
+        self.synced && !self.declared_lost && self.is_reachable(now)
     }
 
     /// Returns whether the worker has answered recently.
--- a/crates/placement/tests/all/submission/evacuation_runs.rs
+++ b/crates/placement/tests/all/submission/evacuation_runs.rs
@@ -152,6 +152,22 @@
     }
 }
 
+/// The workers run the tasks, but the new leader has no answer of a worker yet.
+fn a_new_leader_without_answers() {
+    let mut w = cluster_of(&["wa", "wb"]);
+    w.run(420);
+    w.submit(submission(1, vec![Step { lasting: true, ..step(8) }]));
+    w.run(400);
+    assert_eq!(w.starts.len(), 8, "tasks that have started");
+    order(&mut w, "d1", true);
+    w.elect();
+    let sent = w.sent.len();
+    w.hold_polls(300);
+    w.run(1_000);
+    let stops = w.sent[sent..].iter().filter(|(_, o, _)| o.kind == OrderKind::Stop);
+    assert_eq!(stops.count(), 0, "runs that go on in the evacuated domain");
+}
+
 fn a_new_leader() {
     let mut w = cluster_of(&["wa", "wb"]);
     w.run(420);
@@ -267,6 +283,7 @@
     a_run_whose_stop_was_accepted_is_not_started_again: a_withdrawal_while_runs_are_stopped;
     delayed_starts_are_refused_after_the_bound: delayed_starts;
     the_next_leader_keeps_to_an_evacuation: a_new_leader;
+    a_new_leader_stops_no_run_that_it_has_not_heard_of: a_new_leader_without_answers;
     nothing_starts_while_all_domains_are_evacuated: all_domains;
 }
 
--- a/crates/placement/tests/all/submission/fleet.rs
+++ b/crates/placement/tests/all/submission/fleet.rs
@@ -56,6 +56,18 @@
     an_unhealthy_worker_ends_the_run: Unhealthy => (Some(EndReason::NeverRan), Some(OrderKind::Stop));
 }
 
+/// Guards against a stop of a run whose start was rejected, while its end is being committed.
+#[test]
+fn a_rejected_run_gets_no_order_while_its_end_is_committed() {
+    let (w, mut fleet, now) = placed();
+    let order = fleet.next_order(&w.state, 1, now).unwrap();
+    fleet.order_sent(1, order, now);
+    assert!(fleet.answered(1, order, OrderAnswer::NoRoom, now).is_some());
+    assert_eq!(fleet.queued_order(&w.state, 1, now), None);
+    let soon = now + Duration::from_millis(100);
+    assert_eq!(fleet.next_order(&w.state, 1, soon), None);
+}
+
 /// The first start gets no answer and may still be carried out. Guards against a
 /// run that is declared ended before a stop rules this out.
 #[test]
--- a/crates/placement/tests/all/submission/order_turns.rs
+++ b/crates/placement/tests/all/submission/order_turns.rs
@@ -2,10 +2,12 @@
 
 use super::cluster::{Cluster, Link, policy, step, submission, worker};
 use cyclamenloft_placement::submission::{
-    Command, IncarnationId, OrderKind, Phase, Placement, Step, TaskId, routes::QueuePolicy,
+    Command, IncarnationId, OrderKind, Phase, Placement, Step, TaskId,
+    fleet::{Order, OrderAnswer},
+    routes::QueuePolicy,
 };
 use cyclamenloft_types::Resources;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Number of tasks of a wide submission that fit on one worker.
 const WIDE: u16 = 3_000;
@@ -148,7 +150,7 @@
     w.run(200);
     place_all(&mut w, 1);
     w.run(300);
-    let is_stop = |(_, order, _): &(u64, cyclamenloft_placement::submission::fleet::Order, u64)| {
+    let is_stop = |(_, order, _): &(u64, Order, u64)| {
         order.kind == OrderKind::Stop && order.task.submission == 2
     };
     w.worker("wa").link = Link::NoOrders;
@@ -181,3 +183,25 @@
     }
     assert!(!sent.is_empty() && sent.values().all(|count| *count == 1), "{sent:?}");
 }
+
+/// Guards against an order that isn't sent again in time, because the time has passed while others
+/// were being answered.
+#[test]
+fn a_delayed_order_stays_due_until_it_is_queued_again() {
+    let mut w = idle_cluster();
+    submit(&mut w, 1, 2, tiny(2));
+    place_all(&mut w, 1);
+    let (id, now): (IncarnationId, _) = (1, w.instant());
+    let order = w.fleet.next_order(&w.state, id, now).unwrap();
+    w.fleet.order_sent(id, order, now);
+    w.fleet.answered(id, order, OrderAnswer::Late, now);
+    let retry_at = w.fleet.retry_at(id).unwrap();
+    let late = retry_at + Duration::from_millis(50);
+    let other = w.fleet.queued_order(&w.state, id, late).unwrap();
+    assert_ne!(other.task, order.task);
+    w.fleet.order_sent(id, other, late);
+    w.fleet.answered(id, other, OrderAnswer::Taken, late);
+    assert_eq!(w.fleet.retry_at(id), Some(retry_at));
+    assert_eq!(w.fleet.next_order(&w.state, id, late), Some(order));
+    assert_eq!(w.fleet.retry_at(id), None);
+}
