--- a/crates/placement/tests/all/submission/fleet.rs
+++ b/crates/placement/tests/all/submission/fleet.rs
@@ -138,10 +138,14 @@
 fn neither_silence_nor_a_refused_connection_alone_ends_runs() {
     let (mut w, mut fleet, now) = placed();
     let soon = now + Duration::from_millis(1_500);
-    fleet.process_ended(&w.state, 1, EndSign::Replaced, now);
-    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "no exit was announced");
+    for sign in [EndSign::Refused, EndSign::Replaced] {
+        fleet.process_ended(&w.state, 1, sign, now);
+        assert!(fleet.declare_lost(&w.state, soon).is_empty(), "no exit was announced: {sign:?}");
+    }
     w.apply(Command::Register(WorkerInfo { draining: true, leaving: true, ..worker("wa", 4) }));
-    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "ended before the announcement");
+    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "both signs before the announcement");
+    fleet.process_ended(&w.state, 1, EndSign::Refused, soon);
+    assert!(fleet.declare_lost(&w.state, soon).is_empty(), "refused after the announcement");
     fleet.observe(&w.state, 1, &empty_observation(), soon, soon);
     fleet.unreachable(1, soon);
     let later = soon + Duration::from_millis(1_500);
--- a/crates/placement/tests/all/submission/planning.rs
+++ b/crates/placement/tests/all/submission/planning.rs
@@ -379,17 +379,21 @@
     assert_eq!((on(1), on(2), on(3)), (5, 1, 0));
 }
 
-/// Submits a short task of low priority for the label `b` each 200 ms, and asserts that each is
+/// Submits short tasks for the label `b`, one of each priority each 200 ms, and asserts that each is
 /// done.
 fn assert_label_is_served(w: &mut Cluster) {
-    for id in 100..105 {
-        let submission = submission(id, vec![Step { label: Some("b".into()), ..step(1) }]);
-        let policy = QueuePolicy { priority: 2, ..policy() };
-        w.apply(Command::Submit { submission, policy, at_ms: w.instant_ms() });
+    for n in 0..5 {
+        for priority in [0, 2] {
+            let id = 100 + 10 * u64::from(priority) + n;
+            let submission = submission(id, vec![Step { label: Some("b".into()), ..step(1) }]);
+            let policy = QueuePolicy { priority, ..policy() };
+            w.apply(Command::Submit { submission, policy, at_ms: w.instant_ms() });
+        }
         w.run(200);
     }
     w.run(3_000);
-    let left: Vec<u64> = (100..105).filter(|id| w.phase(*id) != Phase::Complete).collect();
+    let ids = (100..105).chain(120..125);
+    let left: Vec<u64> = ids.filter(|id| w.phase(*id) != Phase::Complete).collect();
     assert!(left.is_empty(), "left undone: {left:?}");
 }
 
