--- a/review/standin-2/cancelled.rs
+++ b/review/standin-2/cancelled.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     Verdict, note,
-    proxy::{self, Cut, Fate},
+    proxy::{self, Cut, Fate, Whom},
     site::{PEER_PORT, Site, ZONES, job},
     worker::{Config, Events, Worker},
 };
@@ -53,6 +53,7 @@
             cpu: 16_000,
             gpu: 0,
             controls: (1..=3).map(|n| site.control(n)).collect(),
+            cut: Cut::default(),
         };
         Worker::start(config, &events);
     }
@@ -67,7 +68,7 @@
             return Ok(Verdict::NotRun("the entry host doesn't run".into()));
         };
         note!("network: entry-1 is cut off from all replicas for {CUT:?}");
-        cut.begin(process, CUT);
+        cut.begin(Whom::Process(process), CUT);
     }
     thread::sleep(UNTIL_CALL);
     let began = Instant::now();
--- a/review/standin-2/long_tasks.rs
+++ b/review/standin-2/long_tasks.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Verdict, note,
+    proxy::Cut,
     site::{Site, ZONES, job},
     worker::{Config, Event, Events, Worker},
 };
@@ -43,6 +44,7 @@
             cpu: 16_000,
             gpu: 0,
             controls: (1..=3).map(|n| site.control(n)).collect(),
+            cut: Cut::default(),
         };
         Worker::start(config, &events);
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,9 +3,11 @@
 //! the case was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod cancelled;
+mod flapping;
 mod http;
 mod json;
 mod long_tasks;
+mod pending;
 mod proxy;
 mod record;
 mod refused;
@@ -45,6 +47,8 @@
         "twice" => twice::play(&trouble),
         "refused" => refused::play(&trouble),
         "cancelled" => cancelled::play(&trouble),
+        "pending" => pending::play(&trouble),
+        "flapping" => flapping::play(&trouble),
         "long-tasks" => long_tasks::play(&trouble),
         _ => Ok(Verdict::NotRun(format!("there is no case {case}"))),
     };
--- a/review/standin-2/replaced.rs
+++ b/review/standin-2/replaced.rs
@@ -4,6 +4,7 @@
     Verdict,
     http::{self, Reply},
     note,
+    proxy::Cut,
     site::{CATCH_UP, RECOVERY, Site, ZONES, job},
     worker::{Config, Events, Worker},
 };
@@ -50,6 +51,7 @@
             cpu: 16_000,
             gpu: 0,
             controls: replicas.map(|n| site.control(n)).to_vec(),
+            cut: Cut::default(),
         };
         Worker::start(config, &events);
     }
--- a/review/standin-2/twice.rs
+++ b/review/standin-2/twice.rs
@@ -67,6 +67,7 @@
             cpu: 16_000,
             gpu: 0,
             controls: (1..=3).map(|n| site.control(n)).collect(),
+            cut: Cut::default(),
         };
         workers.push(Worker::start(config, &events));
     }
