review/10: a task that takes four minutes is stopped again and again

Cause: a run whose whole percent doesn't change for 1.5 s counts as stuck. Case: review/10, one submission of ten takes 240 s in place of the 60 s that it states.

--- a/review/standin-2/long_tasks.rs
+++ b/review/standin-2/long_tasks.rs
@@ -1,4 +1,4 @@
-//! Submissions whose tasks take several minutes.
+//! One submission of ten takes four times as long as it states.
 
 use crate::{
     Verdict, note,
@@ -11,9 +11,12 @@
     time::{Duration, Instant},
 };
 
-/// Time that a task takes, and what it takes without the disruption.
-const LONG_MS: u64 = 300_000;
-const SHORT_MS: u64 = 20_000;
+/// Time that the tasks of the long submission are stated to take.
+const STATED_MS: u32 = 60_000;
+/// Factor by which they take longer.
+const FACTOR: u32 = 4;
+/// Number of other submissions.
+const OTHERS: u32 = 9;
 /// Time after the submission from which the state is checked.
 const FINISH: Duration = Duration::from_secs(14);
 /// Time over which it is checked.
@@ -23,7 +26,7 @@
 const ID: &str = "00000000000000e1";
 
 pub fn play(trouble: &str) -> io::Result<Verdict> {
-    let takes_ms = if trouble == "0" { SHORT_MS } else { LONG_MS };
+    let takes_ms = if trouble == "0" { STATED_MS } else { STATED_MS * FACTOR };
     let mut site = Site::new(3, false)?;
     for number in 1..=3 {
         site.start("control", number, true)?;
@@ -52,9 +55,11 @@
         return Ok(Verdict::NotRun("the entry host isn't ready".into()));
     }
     thread::sleep(Duration::from_secs(2));
-    let spec = format!("ms={takes_ms}");
-    let estimate_ms = u32::try_from(takes_ms).unwrap_or(u32::MAX);
-    let reply = site.client(1, "POST", ID, &job(&spec, 2, 0, estimate_ms, false));
+    for n in 0..OTHERS {
+        let id = format!("{:016x}", 0xe2 + n);
+        site.client(1, "POST", &id, &job("ms=1000", 2, 0, 1_000, false));
+    }
+    let reply = site.client(1, "POST", ID, &job(&format!("ms={takes_ms}"), 2, 0, STATED_MS, false));
     if reply.is_none_or(|r| r.status != 200) {
         return Ok(Verdict::NotRun("the submission isn't accepted".into()));
     }
@@ -70,6 +75,7 @@
         }
     }
     let all = events.all();
+    let all: Vec<Event> = all.into_iter().filter(|e| e.task.starts_with(ID)).collect();
     let starts = all.iter().filter(|e| e.what == "start").count();
     let stops = all.iter().filter(|e| e.what == "stopped").count();
     note!("{starts} starts, {stops} stops, state {state}");
