--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod long_tasks;
+mod occurrences;
 mod pending;
 mod proxy;
 mod record;
@@ -47,6 +48,7 @@
         "twice" => twice::play(&trouble),
         "refused" => refused::play(&trouble),
         "cancelled" => cancelled::play(&trouble),
+        "occurrences" => occurrences::play(&trouble),
         "pending" => pending::play(&trouble),
         "flapping" => flapping::play(&trouble),
         "long-tasks" => long_tasks::play(&trouble),
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -35,6 +35,8 @@
 
 /// The bounds that the settings state, as on the sheets of small deployments.
 pub const CATCH_UP: Duration = Duration::from_secs(4);
+/// Memory of a machine of the core, in MB.
+pub const MEMORY_MB: u64 = 256;
 pub const RECOVERY: Duration = Duration::from_secs(12);
 
 /// A process of the deployment.
@@ -121,7 +123,7 @@
              \"ip\":\"{ip}\",\"bind_ip\":\"{bind_ip}\",\"zone\":\"{zone}\",\"region\":\"area\",\
              \"zones\":{{{zones}}},\"listen\":{{{listen}}},\"port_range\":[{PEER_PORT},7735],\
              \"seeds\":[{seeds}],\"bootstrap\":{first_start},\"fault_counted\":{counted},\
-             \"limits\":{{\"cpu_quota\":0.5,\"cores\":1,\"memory_mb\":256,\"max_fds\":4096,\
+             \"limits\":{{\"cpu_quota\":0.5,\"cores\":1,\"memory_mb\":{MEMORY_MB},\"max_fds\":4096,\
              \"link_mbps\":1000.0,\"disk_mb\":128}},\"data_dir\":{data},\
              \"discovery\":\"registration\",\"entry\":\"vip\",\"heartbeat_ms\":1000,\
              \"fault_tolerance\":{{\"machines\":1,\"zones\":1,\"regions\":0}},\
