A lost leader's time to be replaced counts from its last message

A host joins, the leader's host is removed a second later, and 4.1 s after the start of the new host another one loses its disk.

Cause: the next leader gave the former one the whole replacement delay from its own first look, on top of the election. Checks were 0.5 s apart and a replacement took two of them. A voter that doesn't lead had another 0.9 s for which it counts as responsive.

Change: a follower remembers when it last heard from its leader, and the silence of that member counts from then once it leads itself; a member that answers it within 0.3 s stays. The silence of other voters counts from their newest answered message. Checks are 0.1 s apart, and the changes of one replacement follow each other at once. A host that joins asks all known replicas at the same time, so that a lost one delays none.

The two tests the_silence_of_a_lost_leader_counts_from_its_last_message and the_silence_of_a_voter_counts_from_its_last_answer fail with the old starting points (None instead of Promote(4)); a_former_leader_that_answers_stays guards the other side.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -5,7 +5,7 @@
     membership::{MembershipChange, MembershipPolicy},
     node::{Node, own_id},
     port::Port,
-    protocol::{GroupStatus, PeerRequest, PeerResponse},
+    protocol::{PeerRequest, PeerResponse},
     transport::replica_id,
 };
 use cyclamenloft_replication::{MemberKind, MemberStatus, Role};
@@ -18,12 +18,14 @@
 /// Pause between two attempts to join.
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for an answer while joining.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for a member to report its failure domain; the next attempt
 /// follows a second later.
 const DOMAIN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time between two checks of the members by the leader.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks of the members.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a membership change that failed.
+const CHANGE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time between two checks by a member whether it still is one.
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a leader after which a member asks to be added: far longer than an election.
@@ -36,7 +38,7 @@
     let me = own_id(&node);
     let seeds: Vec<ReplicaId> = node.settings.seeds.iter().map(|ip| replica_id(*ip)).collect();
     let forms_group = node.settings.first_start && seeds.contains(&me);
-    let mut join_peers = JoinPeers::new(me, seeds);
+    let mut known_members: Vec<ReplicaId> = Vec::new();
     let started = Instant::now();
     loop {
         let status = node.replica.status();
@@ -48,51 +50,38 @@
             compio::time::sleep(MEMBER_CHECK_INTERVAL).await;
             continue;
         }
-        if let Some(to) = join_peers.next() {
-            let until = Instant::now() + JOIN_TIMEOUT;
-            match node.peers.request(to, &PeerRequest::Join(me), until).await {
-                Ok(PeerResponse::Standing(group_status)) => join_peers.update(&group_status),
-                Ok(_) => {}
-                Err(e) => tracing::debug!(peer = to, error = %e, "not asked to join"),
-            }
+        // The seeds are always asked, since a replica that answers before the group is formed
+        // knows no members.
+        let mut to: Vec<ReplicaId> = seeds.iter().chain(&known_members).copied().collect();
+        to.sort_unstable();
+        to.dedup();
+        to.retain(|id| *id != me);
+        if let Some(members) = ask_to_join(&node, &to).await {
+            known_members = members;
         }
         compio::time::sleep(JOIN_PAUSE).await;
     }
 }
 
-/// The replicas that a host asks to add it to the group: the last known leader
-/// first, then members and seeds in turn. The seeds are never dropped, since a
-/// replica that answers before the group is formed knows no members.
-struct JoinPeers {
-    me: ReplicaId,
-    seeds: Vec<ReplicaId>,
-    leader: Option<ReplicaId>,
-    members: Vec<ReplicaId>,
-    next_index: usize,
-}
-
-impl JoinPeers {
-    fn new(me: ReplicaId, seeds: Vec<ReplicaId>) -> Self {
-        Self { me, seeds, leader: None, members: Vec::new(), next_index: 0 }
-    }
-
-    fn next(&mut self) -> Option<ReplicaId> {
-        if let Some(leader) = self.leader.take() {
-            return Some(leader);
-        }
-        let known = self.members.iter().chain(&self.seeds).filter(|id| **id != self.me);
-        let known: Vec<ReplicaId> = known.copied().collect();
-        let next = known.get(self.next_index % known.len().max(1)).copied();
-        self.next_index += 1;
-        next
-    }
-
-    fn update(&mut self, group_status: &GroupStatus) {
-        self.leader = group_status.leader.filter(|id| *id != self.me);
-        if !group_status.members.is_empty() {
-            self.members.clone_from(&group_status.members);
+/// Asks replicas to add this host to the group. They are asked at the same time, so that one that
+/// doesn't answer delays none of the others. Returns the members that the replica with the highest
+/// term knows.
+async fn ask_to_join<P: Port>(node: &Node<P>, to: &[ReplicaId]) -> Option<Vec<ReplicaId>> {
+    let until = Instant::now() + JOIN_TIMEOUT;
+    let req = PeerRequest::Join(own_id(node));
+    let calls = to.iter().map(|id| async {
+        match node.peers.request(*id, &req, until).await {
+            Ok(PeerResponse::Standing(group_status)) => Some(group_status),
+            Ok(_) => None,
+            Err(e) => {
+                tracing::debug!(peer = *id, error = %e, "not asked to join");
+                None
+            }
         }
-    }
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    let formed = answers.into_iter().flatten().filter(|s| !s.members.is_empty());
+    formed.max_by_key(|s| s.term).map(|s| s.members)
 }
 
 /// Adds a host as a learner if this replica leads.
@@ -107,15 +96,18 @@
     PeerResponse::Standing(node.group_status())
 }
 
-/// Makes the membership changes that are due while this replica leads. Runs until the task
-/// is cancelled.
+/// Makes the membership changes that are due while this replica leads. Those that replace a voter
+/// follow each other at once, because the group tolerates no other loss between them. Runs until
+/// the task is cancelled.
 pub(crate) async fn maintain<P: Port>(node: Rc<Node<P>>) {
     let mut policy =
         MembershipPolicy::new(node.settings.replacement_delay, node.settings.tolerated_losses);
+    let mut pause = CHECK_INTERVAL;
     loop {
-        compio::time::sleep(CHECK_INTERVAL).await;
+        compio::time::sleep(pause).await;
+        pause = CHECK_INTERVAL;
         if !node.leads() {
-            policy.reset();
+            policy.observe_as_follower(&node.replica.status());
             continue;
         }
         fetch_domains(&node, &mut policy).await;
@@ -128,9 +120,13 @@
             MembershipChange::Remove(id) => node.replica.remove(id).await,
         };
         match result {
-            Ok(()) => tracing::info!(decision = "members", change = ?change, outcome = "done"),
+            Ok(()) => {
+                tracing::info!(decision = "members", change = ?change, outcome = "done");
+                pause = Duration::ZERO;
+            }
             Err(e) => {
-                tracing::info!(decision = "members", change = ?change, outcome = "later", detail = %e)
+                tracing::info!(decision = "members", change = ?change, outcome = "later", detail = %e);
+                pause = CHANGE_RETRY_PAUSE;
             }
         }
     }
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -16,6 +16,9 @@
 /// How long a voter without a replacement may be unresponsive before it is removed. It is far
 /// longer than a restart, a suspension or a network partition of a few seconds.
 const REMOVAL_DELAY: Duration = Duration::from_secs(15);
+/// How long a new leader has been sending to a member before the member may count as unresponsive:
+/// two heartbeats. The member was silent towards this replica before, but may answer it now.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A membership change that should be made now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +39,10 @@
     /// Match index of each member, and the last time at which the member was responsive and
     /// the index had changed or had reached the commit index.
     progress: BTreeMap<ReplicaId, (u64, Instant)>,
+    /// The leader that this replica followed last, and when it was last heard.
+    former_leader: Option<(ReplicaId, Instant)>,
+    /// When this replica was first seen to lead.
+    leads_since: Option<Instant>,
     /// Failure domains of the members that have reported theirs.
     domains: BTreeMap<ReplicaId, DomainName>,
 }
@@ -47,12 +54,29 @@
     #[must_use]
     pub fn new(replacement_delay: Duration, tolerated_losses: usize) -> Self {
         let min_voters = MIN_VOTERS.max(tolerated_losses * 2).min(MAX_VOTERS);
-        Self { replacement_delay, min_voters, progress: BTreeMap::new(), domains: BTreeMap::new() }
+        Self {
+            replacement_delay,
+            min_voters,
+            progress: BTreeMap::new(),
+            former_leader: None,
+            leads_since: None,
+            domains: BTreeMap::new(),
+        }
     }
 
     /// Forgets the members' progress, which only a leader observes.
     pub fn reset(&mut self) {
         self.progress.clear();
+        self.leads_since = None;
+    }
+
+    /// Records the status of this replica while it follows. If it is elected next, the silence of
+    /// its leader counts from the last message of that leader.
+    pub fn observe_as_follower(&mut self, status: &Status) {
+        self.reset();
+        let Some(heard_at) = status.leader_heard_at else { return };
+        let id = status.leader.or(self.former_leader.map(|(id, _)| id));
+        self.former_leader = id.map(|id| (id, heard_at));
     }
 
     /// Returns whether the failure domain of a member is known.
@@ -74,8 +98,10 @@
         now: Instant,
     ) -> Option<MembershipChange> {
         self.observe(status, now);
+        let observed_enough = self.leads_since.is_some_and(|at| now >= at + FIRST_ANSWER_TIMEOUT);
         let silent_for = |id: ReplicaId, delay: Duration| {
-            id != me && self.progress.get(&id).is_some_and(|(_, at)| now >= *at + delay)
+            let is_silent = |(_, at): &(u64, Instant)| now >= *at + delay;
+            id != me && observed_enough && self.progress.get(&id).is_some_and(is_silent)
         };
         let is_voter = |m: &&MemberStatus| m.kind != MemberKind::Learner;
         let voters: Vec<_> = status.members.iter().filter(is_voter).collect();
@@ -106,12 +132,16 @@
     }
 
     fn observe(&mut self, status: &Status, now: Instant) {
+        self.leads_since.get_or_insert(now);
+        let former_leader = self.former_leader.take();
         for m in &status.members {
             let matched = m.matched.unwrap_or(0);
-            let last_progress = self.progress.entry(m.id).or_insert((matched, now));
+            let heard_at = former_leader.filter(|(id, _)| *id == m.id).map_or(now, |(_, at)| at);
+            let last_progress = self.progress.entry(m.id).or_insert((matched, heard_at));
             let is_current = m.responsive && matched >= status.committed;
             if last_progress.0 != matched || is_current {
-                *last_progress = (matched, now);
+                let answered_at = m.answered_at.unwrap_or(now);
+                *last_progress = (matched, answered_at.max(last_progress.1));
             }
         }
         self.progress.retain(|id, _| status.members.iter().any(|m| m.id == *id));
--- a/crates/dispatch/tests/all/membership.rs
+++ b/crates/dispatch/tests/all/membership.rs
@@ -38,6 +38,7 @@
         becomes: None,
         matched: Some(if *responsive { 100 } else { 40 }),
         responsive: *responsive,
+        answered_at: None,
     };
     Status {
         incarnation: 1,
@@ -151,6 +152,73 @@
     assert_eq!(policy.next_change(&members, LEADER, elected + REPLACEMENT_DELAY), Some(Promote(4)));
 }
 
+/// The former leader is replaced by a deadline that counts from its loss, and the election has taken
+/// a part of that time. Otherwise the group can't bear the next loss in time.
+#[test]
+fn the_silence_of_a_lost_leader_counts_from_its_last_message() {
+    const FORMER: u64 = 2;
+    let heard_at = Instant::now();
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
+    let following = Status {
+        role: Role::Follower,
+        leader: Some(FORMER),
+        leader_heard_at: Some(heard_at),
+        ..status(&[voter(1), voter(FORMER), voter(3), learner(4)])
+    };
+    policy.observe_as_follower(&following);
+    // A candidate knows no leader.
+    policy.observe_as_follower(&Status { role: Role::Candidate, leader: None, ..following });
+    let members = status(&[voter(1), silent(FORMER), voter(3), learner(4)]);
+    let elected = heard_at + Duration::from_millis(1_600);
+    assert_eq!(policy.next_change(&members, LEADER, elected), None);
+    let before = heard_at + REPLACEMENT_DELAY - Duration::from_millis(1);
+    assert_eq!(policy.next_change(&members, LEADER, before), None);
+    let due = heard_at + REPLACEMENT_DELAY;
+    assert_eq!(policy.next_change(&members, LEADER, due), Some(Promote(4)));
+}
+
+/// A former leader that was suspended, or cut off from this replica alone, answers the new leader.
+#[test]
+fn a_former_leader_that_answers_stays() {
+    const FORMER: u64 = 2;
+    let heard_at = Instant::now();
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
+    policy.observe_as_follower(&Status {
+        role: Role::Follower,
+        leader: Some(FORMER),
+        leader_heard_at: Some(heard_at),
+        ..status(&[voter(1), voter(FORMER), voter(3), learner(4)])
+    });
+    // Elected so late that the silence alone would do.
+    let elected = heard_at + REPLACEMENT_DELAY * 2;
+    let not_yet = status(&[voter(1), silent(FORMER), voter(3), learner(4)]);
+    assert_eq!(policy.next_change(&not_yet, LEADER, elected), None);
+    let answered = status(&[voter(1), voter(FORMER), voter(3), learner(4)]);
+    for ms in [100, 200, 1_000, 10_000] {
+        let now = elected + Duration::from_millis(ms);
+        assert_eq!(policy.next_change(&answered, LEADER, now), None, "after {ms} ms");
+    }
+}
+
+/// A member counts as responsive for an election timeout after its last answer, which is no part
+/// of the time that it has to answer again.
+#[test]
+fn the_silence_of_a_voter_counts_from_its_last_answer() {
+    let mut policy = MembershipPolicy::new(REPLACEMENT_DELAY, 1);
+    let began = Instant::now();
+    let mut members = status(&[voter(1), voter(2), voter(3), learner(4)]);
+    policy.next_change(&members, LEADER, began);
+    let answered_at = began + Duration::from_secs(5);
+    members.members[2].answered_at = Some(answered_at);
+    let observed = answered_at + Duration::from_millis(850);
+    assert_eq!(policy.next_change(&members, LEADER, observed), None);
+    members.members[2].responsive = false;
+    let due = answered_at + REPLACEMENT_DELAY;
+    let before = due - Duration::from_millis(1);
+    assert_eq!(policy.next_change(&members, LEADER, before), None);
+    assert_eq!(policy.next_change(&members, LEADER, due), Some(Promote(4)));
+}
+
 /// The replacement goes to the domain with the fewest voters.
 #[test]
 fn a_learner_of_the_domain_with_fewest_voters_is_preferred() {
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -225,13 +225,12 @@
     /// election timeout. True for this replica itself.
     pub fn responded_recently(&self, identity: Identity, now: Instant) -> bool {
         let within = |at: Instant| now < at + self.cfg.election_timeout;
-        identity == self.me
-            || self
-                .leader_state
-                .as_ref()
-                .and_then(|l| l.progress_of(identity))
-                .and_then(|p| p.acked_sent_at)
-                .is_some_and(within)
+        identity == self.me || self.answered_at(identity).is_some_and(within)
+    }
+
+    /// Returns when the newest message that the follower `identity` has answered was sent.
+    pub fn answered_at(&self, identity: Identity) -> Option<Instant> {
+        self.leader_state.as_ref()?.progress_of(identity)?.acked_sent_at
     }
 
     /// Returns the last entry known to be durable on the follower `identity`.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -77,6 +77,10 @@
     /// Whether the member has answered the leader within the last election timeout; false
     /// if this replica isn't leader.
     pub responsive: bool,
+    /// When the newest message that the member has answered was sent; `None` if there is none
+    /// or this replica isn't leader.
+    #[serde(skip)]
+    pub answered_at: Option<Instant>,
 }
 
 struct Inner<M: StateMachine> {
@@ -338,6 +342,7 @@
             becomes: m.restore,
             matched: self.matched(m.identity()),
             responsive: leads && self.responded_recently(m.identity(), now),
+            answered_at: self.answered_at(m.identity()),
         };
         Status {
             incarnation: self.me.incarnation,
