A refusal of a submission holds for its earlier attempts

The client's only call was answered 503, and its task ran: an entry host behind a cut of 1.6 s sent the submission twice, the leader refused the second attempt, and the first one arrived when its reason had passed.

Cause: the leader decided on one attempt, and the answer was told for the whole call. Attempts use different connections and may arrive in any order.

Evidence: the record of the case: the refused attempt at 1.6 s, the start of the task after an attempt that arrived 3 s after it was sent.

Change: a leader numbers its refusals within its term, an attempt carries the last number that its sender knew of, and one from before the refusal of its submission, or of another term, is rejected as stale. Its sender repeats it at once with the newer number if its client still waits. A submission isn't refused while another attempt of it is being committed. This works whatever the order and delay of the attempts, because a stamp is older than every refusal that is made after the attempt was sent; a change of the leader needs no memory, since stamps of another term are stale.

--- a/crates/dispatch/src/group_client.rs
+++ b/crates/dispatch/src/group_client.rs
@@ -9,6 +9,7 @@
     metrics::Metrics,
     notify::Notify,
     protocol::{GroupStatus, PeerRequest, PeerResponse},
+    refusals::RefusalStamp,
     transport::{Peers, replica_id, replica_ip},
 };
 use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result};
@@ -54,6 +55,8 @@
     /// leader has answered.
     leader: Cell<Option<(ReplicaId, Instant)>>,
     loss: RefCell<LeaderLoss>,
+    /// The last refusal of a leader that is known.
+    refusals: Cell<RefusalStamp>,
     held: RefCell<HeldRequests>,
     /// Tells each held request that it may be sent. Without the sender it is dropped.
     released: RefCell<BTreeMap<HeldId, oneshot::Sender<()>>>,
@@ -102,6 +105,7 @@
             group_status: RefCell::new(None),
             leader: Cell::new(None),
             loss: RefCell::new(LeaderLoss::new(now)),
+            refusals: Cell::default(),
             held: RefCell::new(HeldRequests::new(now)),
             released: RefCell::default(),
             hold_changed: Notify::default(),
@@ -202,6 +206,7 @@
         let leads = group_status.leads;
         self.loss.borrow_mut().set_member_count(group_status.members.len());
         if leads {
+            self.record_refusal(RefusalStamp { term: group_status.term, number: 0 });
             self.record_leader(to);
         } else {
             self.loss.borrow_mut().record_answer(to, Instant::now());
@@ -227,6 +232,13 @@
         }
     }
 
+    /// Records a refusal of a leader. Returns whether it is a later one than those known.
+    fn record_refusal(&self, stamp: RefusalStamp) -> bool {
+        let known = self.refusals.get();
+        self.refusals.set(known.max(stamp));
+        known < stamp
+    }
+
     /// Records that a call to `leader` failed, unless a leader has answered after it was sent.
     fn record_failure(&self, leader: ReplicaId, sent: Instant) {
         if self.leader.get().is_some_and(|(id, at)| id == leader && at <= sent) {
@@ -259,8 +271,17 @@
                 Decision::Forward => until,
             };
             if let Some((leader, _)) = leader {
-                match self.attempt(leader, req, until).await {
-                    Ok(response @ (PeerResponse::NotLeader(_) | PeerResponse::Unsure)) => {
+                let req = req.stamped(self.refusals.get());
+                match self.attempt(leader, &req, until).await {
+                    Ok(PeerResponse::Stale(stamp)) if self.record_refusal(stamp) => {
+                        self.record_leader(leader);
+                        continue;
+                    }
+                    Ok(
+                        response @ (PeerResponse::NotLeader(_)
+                        | PeerResponse::Unsure
+                        | PeerResponse::Stale(_)),
+                    ) => {
                         if response == PeerResponse::Unsure {
                             pending.delivery = Delivery::MayHaveArrived;
                         }
@@ -268,6 +289,9 @@
                         self.record_failure(leader, Instant::now());
                     }
                     Ok(response) => {
+                        if let PeerResponse::Busy { stamp, .. } = response {
+                            self.record_refusal(stamp);
+                        }
                         self.record_leader(leader);
                         return ForwardOutcome::Response(response);
                     }
--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -10,6 +10,7 @@
     notify::Notify,
     port::Port,
     recovery::{Recovery, RecoveryStep},
+    refusals::Refusals,
     relay::{self, Relays, WorkerCaller},
     reports,
     round::RoundTimes,
@@ -63,6 +64,7 @@
     pub fleet: RefCell<Fleet>,
     /// The replicas that call workers.
     pub relays: Relays,
+    pub refusals: RefCell<Refusals>,
     worker_tasks: RefCell<BTreeMap<IncarnationId, WorkerTasks>>,
     ended_since: RefCell<BTreeMap<SubmissionId, Instant>>,
     /// The incarnations for which tasks were started last.
@@ -77,6 +79,7 @@
             token,
             fleet: RefCell::new(Fleet::new(longest_lease, now)),
             relays: Relays::new(token),
+            refusals: RefCell::new(Refusals::new(token)),
             worker_tasks: RefCell::default(),
             ended_since: RefCell::default(),
             known_incarnations: Cell::default(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod port;
 pub mod protocol;
 pub mod recovery;
+pub mod refusals;
 pub mod relay;
 pub mod reports;
 pub mod round;
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -1,7 +1,10 @@
 //! Requests of entry hosts and replicas to a replica, and the responses, encoded with
 //! postcard.
 
-use crate::relay::{RelayRequest, RelayedAnswer};
+use crate::{
+    refusals::RefusalStamp,
+    relay::{RelayRequest, RelayedAnswer},
+};
 use cyclamenloft_placement::submission::{
     ReportStamp, RouteTable, Step, Submission, SubmissionId, WorkerReport,
     evacuation::EvacuationVersion, state::Phase, waves::Wave,
@@ -10,6 +13,7 @@
     ConfigNumber, DomainName, Error, ErrorKind, LogIndex, ReplicaId, Result, Term, WorkerId,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::borrow::Cow;
 
 /// Path on which a replica accepts requests.
 pub const ASK_PATH: &str = "/ask";
@@ -80,6 +84,8 @@
         path: Box<str>,
         /// The submission.
         draft: Draft,
+        /// The last refusal that the sender knows of.
+        stamp: RefusalStamp,
     },
     /// Asks for the state of a submission, or for the number of pending
     /// submissions of a queue.
@@ -113,6 +119,20 @@
     Reported(Vec<ReportStamp>),
 }
 
+impl PeerRequest {
+    /// Returns the request as it is sent now, by a sender that knows of the refusals up to `stamp`.
+    #[must_use]
+    pub fn stamped(&self, stamp: RefusalStamp) -> Cow<'_, Self> {
+        match self {
+            Self::Submit { host, path, draft, .. } => {
+                let (host, path, draft) = (host.clone(), path.clone(), draft.clone());
+                Cow::Owned(Self::Submit { host, path, draft, stamp })
+            }
+            _ => Cow::Borrowed(self),
+        }
+    }
+}
+
 /// The progress of a submission, as reported to clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Progress {
@@ -170,6 +190,8 @@
     Busy {
         /// Delay before a retry, in seconds.
         retry_after_s: u32,
+        /// This refusal.
+        stamp: RefusalStamp,
     },
     /// Nothing was done, because this replica doesn't lead. Contains the leader if it is
     /// known.
@@ -180,6 +202,9 @@
     RelayOpened(DomainName),
     /// Answers [`RelayRequest::Answers`].
     Answers(Vec<RelayedAnswer>),
+    /// Nothing was done, because the submission may have been sent before the leader refused it. It
+    /// may be sent again with this stamp.
+    Stale(RefusalStamp),
 }
 
 /// Encodes a request or a response.
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -6,6 +6,7 @@
     node::{Node, wall_ms},
     port::Port,
     protocol::{Draft, PeerRequest, PeerResponse, Progress},
+    refusals::{RefusalStamp, SubmissionKey},
     reports,
 };
 use cyclamenloft_placement::submission::{
@@ -29,7 +30,9 @@
             Ok(index) => PeerResponse::ReadIndex(index),
             Err(e) => failure_response(&e),
         },
-        PeerRequest::Submit { host, path, draft } => submit(node, &host, &path, draft).await,
+        PeerRequest::Submit { host, path, draft, stamp } => {
+            submit(node, &host, &path, draft, stamp).await
+        }
         PeerRequest::Read { host, path } => node.state(|s| read(s, &host, &path)),
         PeerRequest::Cancel { host, path } => cancel(node, &host, &path).await,
         // The leader doesn't relay calls.
@@ -70,36 +73,100 @@
     Ok(ResolvedPath { key: queue.key(), policy: queue.policy.clone(), id })
 }
 
-async fn submit<P: Port>(node: &Node<P>, host: &str, path: &str, draft: Draft) -> PeerResponse {
-    let resolved = match node.state(|s| resolve_path(s, host, path)) {
-        Ok(resolved) => resolved,
-        Err(response) => return response,
-    };
-    let Some(id) = resolved.id else {
-        return PeerResponse::Invalid("the path names a queue but no submission".into());
+async fn submit<P: Port>(
+    node: &Node<P>,
+    host: &str,
+    path: &str,
+    draft: Draft,
+    stamp: RefusalStamp,
+) -> PeerResponse {
+    let Some(leadership) = node.leading() else { return PeerResponse::NotLeader(None) };
+    let key = SubmissionKey::new(host, path);
+    let refusals = &leadership.refusals;
+    if refusals.borrow().is_stale(key, stamp) {
+        let newest = refusals.borrow().newest();
+        tracing::info!(decision = "submit", path, ?stamp, ?newest, outcome = "stale");
+        node.metrics.count("submit", "stale");
+        return PeerResponse::Stale(newest);
+    }
+    let is_committing = refusals.borrow().is_committing(key);
+    let (submission, policy, backdated) = match check_submission(node, host, path, draft, key) {
+        Ok(checked) => checked,
+        // The attempt that is being committed may yet be accepted.
+        Err(_) if is_committing => return PeerResponse::Unsure,
+        Err(refused) => {
+            refusals.borrow_mut().record(key);
+            return refused.into_response(refusals.borrow().newest());
+        }
     };
-    let submission = draft.into_submission(id, resolved.key);
-    if let Err(e) = submission.check() {
-        return PeerResponse::Invalid(e.detail);
+    // It stays recorded if the outcome is unknown or the caller leaves: the entry may be committed
+    // later in this term.
+    refusals.borrow_mut().begin_commit(key);
+    let response = accept(node, submission, policy, backdated).await;
+    if response != PeerResponse::Unsure {
+        refusals.borrow_mut().end_commit(key);
     }
-    let backdated = match admit(node, &submission, &resolved.policy) {
-        Ok(backdated) => backdated,
-        Err(refusal) => {
+    response
+}
+
+/// Why a submission isn't accepted.
+enum Refused {
+    /// It can't be accepted at all or not under this configuration.
+    Unfit(PeerResponse),
+    /// It can't be served in time.
+    Busy { retry_after_s: u32 },
+}
+
+impl Refused {
+    fn into_response(self, stamp: RefusalStamp) -> PeerResponse {
+        match self {
+            Self::Unfit(response) => response,
+            Self::Busy { retry_after_s } => PeerResponse::Busy { retry_after_s, stamp },
+        }
+    }
+}
+
+/// Decides whether a submission is accepted. Returns it with the policy of its queue and the time by
+/// which its acceptance is backdated, in milliseconds.
+fn check_submission<P: Port>(
+    node: &Node<P>,
+    host: &str,
+    path: &str,
+    draft: Draft,
+    key: SubmissionKey,
+) -> Result<(Submission, QueuePolicy, u64), Refused> {
+    let resolved = node.state(|s| resolve_path(s, host, path)).map_err(Refused::Unfit)?;
+    let invalid = |detail: Box<str>| Refused::Unfit(PeerResponse::Invalid(detail));
+    let no_id = || invalid("the path names a queue but no submission".into());
+    let id = resolved.id.ok_or_else(no_id)?;
+    let submission = draft.into_submission(id, resolved.key);
+    submission.check().map_err(|e| invalid(e.detail))?;
+    match admit(node, &submission, &resolved.policy, key) {
+        Ok(backdated) => Ok((submission, resolved.policy, backdated)),
+        Err(Refusal { reason, retry_after_s }) => {
             let (open, version) = node.state(|s| (s.open_count(), s.routes().number));
-            let Refusal { reason, retry_after_s } = refusal;
             let submission = format!("{id:016x}");
             tracing::info!(decision = "submit", %submission, open, version, retry_after_s, outcome = reason);
             node.metrics.count("submit", reason);
-            return PeerResponse::Busy { retry_after_s };
+            Err(Refused::Busy { retry_after_s })
         }
-    };
+    }
+}
+
+async fn accept<P: Port>(
+    node: &Node<P>,
+    submission: Submission,
+    policy: QueuePolicy,
+    backdated: u64,
+) -> PeerResponse {
+    let id = submission.id;
     tracing::debug!(event = "submission", submission = %format_args!("{id:016x}"), steps = ?submission.steps);
     let tasks: u32 = submission.steps.iter().map(|s| u32::from(s.count)).sum();
     let steps = submission.steps.len();
     let version = node.state(|s| s.routes().number);
     let is_resend = node.state(|s| s.record(id).is_some());
     let at_ms = wall_ms().saturating_sub(backdated);
-    let command = Command::Submit { submission, policy: resolved.policy, at_ms };
+    let command = Command::Submit { submission, policy, at_ms };
     let response = match node.propose(command).await {
         Ok(CommandResult::IdTaken) => {
             PeerResponse::Invalid("the id is already used by another submission".into())
@@ -123,8 +190,13 @@
     node: &Node<P>,
     submission: &Submission,
     policy: &QueuePolicy,
+    key: SubmissionKey,
 ) -> Result<u64, Refusal> {
     let leadership = node.leading();
+    // A resend of a submission that this leader accepted and has not yet committed.
+    if leadership.as_ref().is_some_and(|l| l.refusals.borrow().is_committing(key)) {
+        return Ok(0);
+    }
     let mut fleet = leadership.as_ref().map(|l| l.fleet.borrow_mut());
     let (now, wall_ms) = (Instant::now(), wall_ms());
     node.state(|s| {
--- a/crates/dispatch/tests/all/group_client.rs
+++ b/crates/dispatch/tests/all/group_client.rs
@@ -2,10 +2,11 @@
 
 use bytes::Bytes;
 use cyclamenloft_dispatch::{
-    PeerRequest, PeerResponse,
+    Draft, PeerRequest, PeerResponse,
     group_client::{ForwardOutcome, GroupClient},
     leader_loss::RELEASE_INTERVAL,
     protocol::{GroupStatus, decode, encode},
+    refusals::RefusalStamp,
 };
 use cyclamenloft_http::{
     Request, Response, StopHandle, bind, full, read_limited, serve, server::Handler, stop_pair,
@@ -32,6 +33,8 @@
     Follows,
     /// It leads, but doesn't answer a request before the client gives up.
     Stuck,
+    /// It leads, and rejects submissions that were sent before its refusal with this number.
+    Refused(u64),
 }
 
 /// A replica, and when it got each request other than a status query.
@@ -47,7 +50,7 @@
     async fn handle(&self, req: Request, _remote: SocketAddr) -> Response {
         let body: Bytes = read_limited(req.into_body(), 1 << 20).await.unwrap_or_default();
         let replica = &self.0;
-        let leads = replica.mode.get() == Mode::Leads;
+        let leads = matches!(replica.mode.get(), Mode::Leads | Mode::Refused(_));
         let response = match decode(&body).unwrap() {
             PeerRequest::Where => PeerResponse::Standing(GroupStatus {
                 leader: None,
@@ -57,11 +60,17 @@
                 domain: "z".into(),
                 configured: 1,
             }),
-            _ => {
+            req => {
                 replica.requests.borrow_mut().push(Instant::now());
                 match replica.mode.get() {
                     Mode::Leads => PeerResponse::Done,
                     Mode::Follows => PeerResponse::NotLeader(None),
+                    Mode::Refused(number) => match req {
+                        PeerRequest::Submit { stamp, .. } if stamp.number >= number => {
+                            PeerResponse::Done
+                        }
+                        _ => PeerResponse::Stale(RefusalStamp { term: 1, number }),
+                    },
                     Mode::Stuck => {
                         compio::time::sleep(Duration::from_secs(10)).await;
                         return text_response(StatusCode::OK, "");
@@ -171,6 +180,36 @@
     });
 }
 
+/// Guards against clients that have to retry because their entry host doesn't know of a refusal that
+/// the leader gave another one.
+#[test]
+fn a_submission_from_before_a_refusal_is_sent_again_at_once() {
+    run(async {
+        let (leader, _stop) = start(5, 1, Mode::Leads);
+        let client = client(5);
+        assert_eq!(forward(&client, 60_000).await, ForwardOutcome::Response(PeerResponse::Done));
+        leader.mode.set(Mode::Refused(7));
+        leader.requests.borrow_mut().clear();
+        let draft = Draft {
+            payload: "".into(),
+            steps: Vec::new(),
+            first_due_ms: 0,
+            interval_ms: 0,
+            occurrences: 1,
+        };
+        let stamp = RefusalStamp::default();
+        let submit = PeerRequest::Submit { host: "h".into(), path: "/q/1".into(), draft, stamp };
+        let until = Instant::now() + Duration::from_secs(60);
+        let outcome = client.forward(&submit, until).await;
+        assert_eq!(outcome, ForwardOutcome::Response(PeerResponse::Done));
+        assert_eq!(leader.requests.borrow().len(), 2);
+        // The next one carries the newer stamp.
+        let outcome = client.forward(&submit, until).await;
+        assert_eq!(outcome, ForwardOutcome::Response(PeerResponse::Done));
+        assert_eq!(leader.requests.borrow().len(), 3);
+    });
+}
+
 /// Guards against clients that wait out their time limit while all core hosts are down.
 #[test]
 fn a_request_is_refused_at_once_when_no_replica_has_answered_for_long() {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod messages;
 mod recovery;
+mod refusals;
 mod reports;
 mod round;
 mod run_log;
