A cancel that finds no submission holds for attempts on their way

The answer that there is no such submission said nothing of attempts that were on their way.

Change: the leader records a refusal of the submission before it commits the cancel, so an earlier attempt is stale.

What remains: an entry host whose client still waits for the answer to its submission repeats a stale attempt, also after a cancel of the same client.

--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -255,6 +255,12 @@
         return PeerResponse::Invalid("the path names a queue but no submission".into());
     };
     let begun = node.state(|s| s.record(id).filter(|r| r.phase == Phase::Open).map(|r| r.begun));
+    if node.state(|s| s.record(id).is_none())
+        && let Some(leadership) = node.leading()
+    {
+        // An attempt to hand the submission in may arrive after the answer that there is none.
+        leadership.refusals.borrow_mut().record(SubmissionKey::new(host, path));
+    }
     let response = match node.propose(Command::Cancel(vec![id])).await {
         Ok(CommandResult::Unknown) => PeerResponse::Gone,
         Ok(_) => PeerResponse::Done,
