A worker's next life rejects calls to its former one

Cause: both lives have the same id, and were called with the same token. A poll for the former life names a lease end on its clock, which is far ahead of the next life's; the worker grants itself hold_max_ms (10 s) from its arrival. The leader counted only the 7 s that it had granted itself, and placed the tasks elsewhere while they still ran.

Evidence: in the record the first runs end `lapsed` 10 s after a moment within half a second of the restart; the leader logs `lease-over` 0.03 to 1.7 s earlier.

Change: the low 8 bits of a token count the lives that one holder calls, so a life rejects what was meant for earlier ones from its first answer on, whoever sent it and however late it arrives. Runs on a life that had an earlier one don't count as ended before hold_max_ms after that answer. A next leader treats lives of the last 20 s in the same way.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::{
     evacuation,
     load::{LAG_INTERVAL, LoadReport},
-    node::{Node, wall_ms},
+    node::{MAX_LEASE, Node, wall_ms},
     notify::Notify,
     port::Port,
     recovery::{Recovery, RecoveryStep},
@@ -77,7 +77,7 @@
     fn new(token: Term, longest_lease: Duration, recovery: Recovery, now: Instant) -> Self {
         Self {
             token,
-            fleet: RefCell::new(Fleet::new(longest_lease, now)),
+            fleet: RefCell::new(Fleet::new(longest_lease.min(MAX_LEASE), now)),
             relays: Relays::new(token),
             refusals: RefCell::new(Refusals::new(token)),
             worker_tasks: RefCell::default(),
@@ -230,9 +230,12 @@
                 node.state(|s| leadership.fleet.borrow_mut().retain(s));
                 let held = node.state(|s| {
                     let newest = newest_at(s);
+                    let fleet = leadership.fleet.borrow();
                     leadership.relays.retain(|w| {
-                        let replaced = newest.get(&w.addr).is_some_and(|at| w.started_ms < *at);
-                        !replaced && !s.is_outdated(&w.id, w.started_ms)
+                        if s.is_outdated(&w.id, w.started_ms) {
+                            return !fleet.has_answered(s, &w.id);
+                        }
+                        newest.get(&w.addr).is_none_or(|at| w.started_ms >= *at)
                     })
                 });
                 node.metrics.level("held", held);
@@ -380,6 +383,8 @@
     let elected_at = if elected.term == term { elected.at } else { now };
     let recovery = Recovery::new(elected_at, node.state(begun_long_tasks));
     let leadership = Rc::new(Leadership::new(term, node.settings.longest_lease, recovery, now));
+    leadership.fleet.borrow_mut().set_longest_accepted(node.settings.longest_lease);
+    node.state(|s| leadership.fleet.borrow_mut().record_recent_lives(s, wall_ms()));
     leadership.fleet.borrow_mut().set_report_bound(node.settings.report_bound);
     leadership.fleet.borrow_mut().interference =
         node.state(|s| Interference::from_learned(s.learned()));
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -60,7 +60,7 @@
 /// restarted elsewhere only after its lease has expired, and users require the
 /// restart within nine seconds. Network partitions of six seconds should not
 /// end any run.
-const MAX_LEASE: Duration = Duration::from_millis(7_000);
+pub(crate) const MAX_LEASE: Duration = Duration::from_millis(7_000);
 
 /// Settings of a replica.
 #[derive(Clone, Debug)]
@@ -128,12 +128,7 @@
     /// # Errors
     ///
     /// A setting is invalid, or the folder is damaged or in use.
-    pub async fn open(
-        mut settings: NodeSettings,
-        port: P,
-        metrics: Rc<Metrics>,
-    ) -> Result<Rc<Self>> {
-        settings.longest_lease = settings.longest_lease.min(MAX_LEASE);
+    pub async fn open(settings: NodeSettings, port: P, metrics: Rc<Metrics>) -> Result<Rc<Self>> {
         let me = replica_id(settings.ip);
         let seeds = settings.seeds.iter().map(|ip| replica_id(*ip));
         let initial: Vec<Member> = seeds.map(|id| Member { id, kind: MemberKind::Voter }).collect();
--- a/crates/dispatch/src/relay/agent.rs
+++ b/crates/dispatch/src/relay/agent.rs
@@ -148,7 +148,7 @@
         RelayRequest::Calls { calls, .. } => {
             let Some(session) = node.agent.session(token) else { return PeerResponse::Outdated };
             let now = Instant::now();
-            for RelayedCall { number, worker, call } in calls {
+            for RelayedCall { number, worker, token, call } in calls {
                 let id = worker.id.clone();
                 let connection = session.connection(&node.port, worker, now);
                 let (node, session) = (node.clone(), session.clone());
--- a/crates/dispatch/src/relay/calls.rs
+++ b/crates/dispatch/src/relay/calls.rs
@@ -87,12 +87,13 @@
         match &route.path {
             Path::Direct(connection) => port.poll(connection, call).await,
             Path::Relayed(session) => {
+                let token = call.token;
                 let call = WorkerCall::Poll {
                     lease_end_ms: call.lease_end_ms,
                     acknowledged: call.acknowledged,
                     wait_ms: u32::try_from(call.wait.as_millis()).unwrap_or(u32::MAX),
                 };
-                session.call(self.endpoint.clone(), call).await?.into_polled()
+                session.call(self.endpoint.clone(), token, call).await?.into_polled()
             }
         }
     }
@@ -103,9 +104,9 @@
             Path::Direct(connection) => return port.order(connection, &call).await,
             Path::Relayed(session) => session,
         };
-        let OrderCall { order, payload, checkpoint, ticket, lease_end_ms, .. } = call;
+        let OrderCall { order, token, payload, checkpoint, ticket, lease_end_ms } = call;
         let call = WorkerCall::Order { order, payload, checkpoint, ticket, lease_end_ms };
-        match session.call(self.endpoint.clone(), call).await {
+        match session.call(self.endpoint.clone(), token, call).await {
             Ok(super::CallAnswer::Ordered(answer, detail)) => OrderResponse { answer, detail },
             Ok(_) => OrderResponse {
                 answer: OrderAnswer::Unanswered,
--- a/crates/dispatch/src/relay/holders.rs
+++ b/crates/dispatch/src/relay/holders.rs
@@ -7,23 +7,35 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-/// Number of low bits of a fencing token that count the changes within a term. A change takes
-/// a round trip at least, so a term would have to last years to use them up.
+/// Number of bits of a fencing token that count the changes within a term. A change takes a round
+/// trip at least, so a term would have to last years to use them up.
 const CHANGE_BITS: u32 = 24;
+/// Number of low bits of a fencing token that count the lives of a worker that one holder calls.
+const LIFE_BITS: u32 = 8;
+/// Last life of a worker that is counted under one token. The next one is called under a new token.
+const LAST_LIFE: Term = (1 << LIFE_BITS) - 1;
 
 /// The replica that calls a worker, and its token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// The replica, or `None` for the leader itself.
     pub replica: Option<ReplicaId>,
-    /// Fencing token of its calls.
+    /// Fencing token of its calls to the worker.
     pub token: Term,
 }
 
+impl Holder {
+    /// Returns the token that was issued to the replica, without the number of the worker's life.
+    #[must_use]
+    pub fn issued(&self) -> Term {
+        self.token & !LAST_LIFE
+    }
+}
+
 /// Returns the term in which a fencing token was issued.
 #[must_use]
 pub fn term_of(token: Term) -> Term {
-    token >> CHANGE_BITS
+    token >> (CHANGE_BITS + LIFE_BITS)
 }
 
 /// Whether a new leader's first calls to the workers of a failure domain wait for a session.
@@ -56,7 +68,9 @@
 /// The replicas that call workers for the leader of one term.
 ///
 /// Tokens are issued in ascending order, each to one replica. A worker's holder changes only to
-/// one with a higher token, so that the worker rejects what the former one may still send.
+/// one with a higher token, so that the worker rejects what the former one may still send. The token
+/// rises with each life of a worker, too: a life that has begun under the name of a former one accepts
+/// the calls to that one until it has seen a higher token.
 #[derive(Debug)]
 pub struct Holders {
     term: Term,
@@ -79,7 +93,7 @@
         Self {
             term,
             issued: 0,
-            own: term << CHANGE_BITS,
+            own: term << (CHANGE_BITS + LIFE_BITS),
             open: BTreeMap::new(),
             overloaded: false,
             last: BTreeMap::new(),
@@ -89,7 +103,7 @@
     /// Issues a token that is higher than all earlier ones, for a session that is to be opened.
     pub fn issue(&mut self) -> Term {
         self.issued += 1;
-        (self.term << CHANGE_BITS) | self.issued
+        ((self.term << CHANGE_BITS) | self.issued) << LIFE_BITS
     }
 
     /// Records that a replica of `domain` has accepted a session.
@@ -117,7 +131,7 @@
     }
 
     /// Forgets the workers for which `may_return` is false, because a later incarnation runs in
-    /// their place. Their tokens no longer matter.
+    /// their place and, if it has the same name, has been called. Their tokens no longer matter.
     pub fn retain(&mut self, may_return: impl Fn(&WorkerEndpoint) -> bool) {
         self.last.retain(|worker, _| may_return(worker));
     }
@@ -130,18 +144,43 @@
 
     /// Returns the holder that is to call a worker of `domain` next.
     pub fn next_holder(&mut self, domain: &str, worker: &WorkerEndpoint) -> Holder {
-        let next = self.choose(domain, &worker.id, self.last.get(worker).copied());
+        let next = match self.last.get(worker) {
+            Some(last) => self.choose(domain, &worker.id, Some(*last)),
+            None => self.first_holder(domain, worker),
+        };
         if self.last.get(worker) != Some(&next) {
             self.last.insert(worker.clone(), next);
         }
         next
     }
 
+    /// Returns the holder of a life that is called for the first time. Its token is higher than those
+    /// of the calls to former lives.
+    fn first_holder(&mut self, domain: &str, worker: &WorkerEndpoint) -> Holder {
+        let first = WorkerEndpoint { started_ms: 0, ..worker.clone() };
+        let former = self.last.range(first..worker.clone());
+        let Some(former) = former.map(|(_, holder)| *holder).max_by_key(|h| h.token) else {
+            return self.choose(domain, &worker.id, None);
+        };
+        let next = self.choose(domain, &worker.id, Some(former));
+        if next.token > former.token {
+            return next;
+        }
+        match next == former && former.token & LAST_LIFE < LAST_LIFE {
+            true => Holder { token: former.token + 1, ..former },
+            false => Holder { replica: None, token: self.issue() },
+        }
+    }
+
     fn choose(&self, domain: &str, worker: &str, current: Option<Holder>) -> Holder {
-        let is_next = |next: &Holder| current.is_none_or(|c| c == *next || c.token < next.token);
+        let is_same = |next: &Holder| current.is_some_and(|c| c.issued() == next.token);
         let wanted = self.open.get(domain).or_else(|| self.any_session(worker));
-        if let Some(holder) = wanted.filter(|h| is_next(h)) {
-            return *holder;
+        match (wanted, current) {
+            (Some(holder), Some(current)) if is_same(holder) => return current,
+            (Some(holder), current) if current.is_none_or(|c| c.token < holder.token) => {
+                return *holder;
+            }
+            _ => {}
         }
         let is_own = |c: &Holder| c.replica.is_none();
         current.filter(is_own).unwrap_or(Holder { replica: None, token: self.own })
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -85,6 +85,8 @@
     pub number: CallNumber,
     /// The worker to call.
     pub worker: WorkerEndpoint,
+    /// Fencing token of the call.
+    pub token: Term,
     /// The call.
     pub call: WorkerCall,
 }
@@ -142,7 +144,7 @@
 pub enum RelayRequest {
     /// Opens a session; a session with a lower token ends.
     Open {
-        /// Fencing token of all calls of the session.
+        /// Token of the session. Those of its calls differ only in the number of the worker's life.
         token: Term,
     },
     /// Hands over calls.
--- a/crates/dispatch/src/relay/session.rs
+++ b/crates/dispatch/src/relay/session.rs
@@ -71,13 +71,18 @@
         self.closed.get()
     }
 
-    /// Makes a call through the replica.
+    /// Makes a call with a fencing token through the replica.
     ///
     /// # Errors
     ///
     /// `NotReached` if the call has certainly not left this host, `PeerUnreachable` if the
     /// worker may have received it.
-    pub async fn call(&self, worker: WorkerEndpoint, call: WorkerCall) -> Result<CallAnswer> {
+    pub async fn call(
+        &self,
+        worker: WorkerEndpoint,
+        token: Term,
+        call: WorkerCall,
+    ) -> Result<CallAnswer> {
         if self.closed.get() {
             return Err(self.error(ErrorKind::NotReached));
         }
@@ -85,7 +90,7 @@
         self.last_call.set(number);
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, tx);
-        self.outbox.borrow_mut().push(RelayedCall { number, worker, call });
+        self.outbox.borrow_mut().push(RelayedCall { number, worker, token, call });
         self.queued.notify();
         rx.await.unwrap_or_else(|_| Err(self.error(ErrorKind::PeerUnreachable)))
     }
@@ -151,7 +156,7 @@
         worker: &WorkerEndpoint,
     ) -> (Holder, Option<Rc<Session>>) {
         let holder = self.holders.borrow_mut().next_holder(domain, worker);
-        (holder, self.sessions.borrow().get(&holder.token).cloned())
+        (holder, self.sessions.borrow().get(&holder.issued()).cloned())
     }
 
     /// Forgets the workers that have been replaced. Returns the number of the others.
--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -28,6 +28,9 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a stop is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Age from which on a life no longer gets calls that were meant for an earlier one, as far as the
+/// clocks of two hosts tell. They may differ by seconds after a step.
+const RECENT_LIFE: Duration = Duration::from_secs(20);
 
 /// The starts that one life of a worker may carry out.
 #[derive(Debug)]
@@ -159,6 +162,21 @@
 }
 
 impl Fleet {
+    /// Sets the longest lease that workers accept, which may be longer than what this leader grants.
+    pub fn set_longest_accepted(&mut self, lease: Duration) {
+        self.longest_accepted = lease.max(self.longest_lease);
+    }
+
+    /// Records which of the known lives have begun so recently that calls of a former leader to their
+    /// earlier lives may still reach them. `wall_ms` is the present time in milliseconds since the
+    /// Unix epoch.
+    pub fn record_recent_lives(&mut self, state: &SubmissionState, wall_ms: u64) {
+        let workers = state.incarnations().map(|(_, i)| &i.worker);
+        let recent = workers
+            .filter(|w| Duration::from_millis(wall_ms.saturating_sub(w.started_ms)) < RECENT_LIFE);
+        self.recent_lives.extend(recent.map(|w| (w.id.clone(), w.started_ms)));
+    }
+
     /// Keeps the tasks back whose starts `successor`, the next life of a worker under the same name,
     /// may carry out: those that the life before hasn't listed and that weren't answered before
     /// `successor` began, and those that were sent more than once. It has to be called before the
@@ -171,6 +189,9 @@
         now: Instant,
         wall_ms: u64,
     ) -> usize {
+        if state.is_successor(&successor.id, successor.started_ms) {
+            self.recent_lives.insert(successor.id.clone(), successor.started_ms);
+        }
         let Some((id, former)) = state.newest_incarnation(&successor.id) else { return 0 };
         if former.worker.started_ms >= successor.started_ms {
             return 0;
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -46,7 +46,7 @@
     state::{Incarnation, IncarnationId, Record, Run, SubmissionState},
     waves::MachineId,
 };
-use cyclamenloft_types::{AttemptNumber, Resources, ServiceName};
+use cyclamenloft_types::{AttemptNumber, Resources, ServiceName, WorkerId};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -70,7 +70,10 @@
 /// The leader's view of the workers during one term.
 #[derive(Debug)]
 pub struct Fleet {
+    /// Longest lease that this leader grants.
     longest_lease: Duration,
+    /// Longest lease that workers accept.
+    longest_accepted: Duration,
     /// Time of the leader's election.
     leader_since: Instant,
     views: BTreeMap<IncarnationId, WorkerView>,
@@ -84,6 +87,8 @@
     waiting: BTreeMap<TaskId, Waiting>,
     /// Starts that were sent to earlier lives of workers.
     carried: carried::CarriedStarts,
+    /// The start time of lives that calls to an earlier life may still reach.
+    recent_lives: BTreeMap<WorkerId, u64>,
     /// Machines that are being drained for maintenance, with the time at which
     /// draining began.
     draining: BTreeMap<MachineId, Instant>,
@@ -108,6 +113,7 @@
     pub fn new(longest_lease: Duration, since: Instant) -> Self {
         Self {
             longest_lease,
+            longest_accepted: longest_lease,
             leader_since: since,
             views: BTreeMap::new(),
             interference: Interference::default(),
@@ -115,6 +121,7 @@
             start_rates: StartRates::default(),
             waiting: BTreeMap::new(),
             carried: carried::CarriedStarts::default(),
+            recent_lives: BTreeMap::new(),
             draining: BTreeMap::new(),
             reports: reports::Reports::default(),
             demand: Demand::new(since),
@@ -155,6 +162,13 @@
         self.views.get(&incarnation)
     }
 
+    /// Returns whether the newest incarnation of a worker has answered this leader.
+    #[must_use]
+    pub fn has_answered(&self, state: &SubmissionState, worker: &str) -> bool {
+        let newest = state.newest_incarnation(worker);
+        newest.and_then(|(id, _)| self.view(id)).is_some_and(|v| v.observed)
+    }
+
     /// Returns the number of incarnations that have a view.
     #[must_use]
     pub fn known_count(&self) -> usize {
@@ -167,6 +181,7 @@
         self.advice.retain(state);
         self.reports.retain(state);
         self.carried.retain(state);
+        self.recent_lives.retain(|id, started_ms| !state.is_outdated(id, *started_ms));
     }
 
     /// Records the long-running tasks without room in a round, each with the
@@ -297,7 +312,14 @@
         now: Instant,
     ) -> Vec<RunEnd> {
         let Some(incarnation) = state.incarnation(id) else { return Vec::new() };
+        let is_recent =
+            self.recent_lives.get(&incarnation.worker.id) == Some(&incarnation.worker.started_ms);
+        let longest_accepted = self.longest_accepted;
         let view = self.view_mut(id, now);
+        if is_recent && !view.observed {
+            // The worker rejects calls to its earlier lives from now on.
+            view.lease.record_calls_to_former(now, longest_accepted);
+        }
         view.lease.record_clock(seen.clock_ms, now);
         view.synced = true;
         view.observed = true;
--- a/crates/placement/src/submission/lease.rs
+++ b/crates/placement/src/submission/lease.rs
@@ -24,8 +24,8 @@
     /// Latest lease end sent in any order, on the worker's clock, in
     /// milliseconds. Orders that got no answer count too.
     granted_ms: u64,
-    /// Latest time at which a former leader may have granted a lease.
-    inherited: Instant,
+    /// Latest end of the leases that this leader hasn't granted to this incarnation.
+    inherited_end: Instant,
 }
 
 impl WorkerLease {
@@ -33,7 +33,8 @@
     /// leader extends the worker's lease after `since`.
     #[must_use]
     pub fn new(longest_lease: Duration, since: Instant) -> Self {
-        Self { longest_lease, reading: None, granted_ms: 0, inherited: since }
+        let inherited_end = since + on_slowest_clock(longest_lease);
+        Self { longest_lease, reading: None, granted_ms: 0, inherited_end }
     }
 
     /// Records a reading of the worker's clock, received at `received`.
@@ -78,17 +79,25 @@
         self.granted_ms = self.granted_ms.max(end_ms);
     }
 
+    /// Records that calls to a former incarnation of the worker may have reached this one up to
+    /// `at`. The end of the lease that they state was meant for another clock, so the worker has
+    /// granted itself up to `longest_accepted` from their arrival.
+    pub fn record_calls_to_former(&mut self, at: Instant, longest_accepted: Duration) {
+        self.inherited_end = self.inherited_end.max(at + on_slowest_clock(longest_accepted));
+    }
+
     /// Returns the time by which all runs on the worker have certainly ended,
     /// if the lease isn't extended.
     #[must_use]
     pub fn latest_end(&self) -> Instant {
-        let inherited = self.inherited + on_slowest_clock(self.longest_lease);
+        let inherited = self.inherited_end;
         let Some((clock_ms, at)) = self.reading else { return inherited + EXPIRY_MARGIN };
         let left = Duration::from_millis(self.granted_ms.saturating_sub(clock_ms));
         inherited.max(at + on_slowest_clock(left)) + EXPIRY_MARGIN
     }
 }
 
+/// Returns how long a worker's clock takes at most to advance by `span`.
 fn on_slowest_clock(span: Duration) -> Duration {
     span.div_f64(SLOWEST_CLOCK)
 }
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -214,6 +214,13 @@
         })
     }
 
+    /// Returns whether an earlier life of the worker was known than the one that started at
+    /// `started_ms`.
+    #[must_use]
+    pub fn is_successor(&self, id: &str, started_ms: u64) -> bool {
+        self.newest.get(id).is_some_and(|(_, newest)| *newest < started_ms)
+    }
+
     /// Returns the incarnations that have ended because `worker` runs in their place: it has the
     /// same name, address or machine and started later.
     pub fn replaced_by(
--- a/crates/placement/tests/all/submission/cluster/lives.rs
+++ b/crates/placement/tests/all/submission/cluster/lives.rs
@@ -40,6 +40,7 @@
             clock_start: now,
             stop_ms: former.stop_ms,
             link: former.link,
+            longest_accepted: former.longest_accepted,
             delayed: std::mem::take(&mut former.delayed),
             ..Worker::new(info.clone())
         };
@@ -47,6 +48,13 @@
         self.reports.push((now + millis, WorkerReport { worker: info, sequence: 1 }));
     }
 
+    /// Lets a poll arrive at a worker that was meant for its former life and names the end of a lease
+    /// on the clock of that life, which was far ahead.
+    pub fn late_poll(&mut self, name: &str) {
+        let now = self.now;
+        self.worker(name).extend(now, u64::MAX);
+    }
+
     /// Cancels a submission without the delay of a commit.
     pub fn cancel(&mut self, id: u64) {
         self.apply(Command::Cancel(vec![id]));
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -228,6 +228,7 @@
     pub fn elect(&mut self) {
         self.token += 1;
         self.fleet = Fleet::new(LEASE, self.instant());
+        self.fleet.record_recent_lives(&self.state, self.now);
         self.fleet.set_report_bound(self.bound);
         self.commits.clear();
         self.orders.clear();
--- /dev/null
+++ b/crates/placement/tests/all/submission/former_lives.rs
@@ -0,0 +1,62 @@
+//! Calls to a former life of a worker that reach the next one under the same name. The simulated
+//! cluster checks at each tick that no task runs twice.
+
+use super::cluster::{Cluster, Link, step, submission, worker};
+use cyclamenloft_placement::submission::{Step, TaskId, WorkerInfo};
+use std::time::Duration;
+
+const TASK: TaskId = TaskId { submission: 1, occurrence: 0, step: 0, index: 0 };
+/// Longest lease that workers accept, twice as long as what the leader grants.
+const LONGEST_ACCEPTED: Duration = Duration::from_secs(6);
+
+fn lasting() -> Step {
+    Step { lasting: true, ..step(1) }
+}
+
+fn other() -> WorkerInfo {
+    WorkerInfo { addr: "10.0.1.1:80".parse().unwrap(), ..worker("wb", 8) }
+}
+
+/// Returns a cluster whose worker `wa` has just started again, and a poll for its former life has
+/// reached it before it was called.
+fn late_poll() -> Cluster {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.worker("wa").longest_accepted = LONGEST_ACCEPTED;
+    w.fleet.set_longest_accepted(LONGEST_ACCEPTED);
+    w.run(410);
+    w.start_again("wa", 50);
+    w.run(30);
+    w.late_poll("wa");
+    w
+}
+
+fn lease_of_the_former_life() {
+    let mut w = late_poll();
+    w.submit(submission(1, vec![lasting()]));
+    w.run(400);
+    assert_eq!(w.running(TASK), ["wa".into()]);
+    w.join(other());
+    w.worker("wa").link = Link::Cut;
+    w.run(8_000);
+    assert_eq!(w.running(TASK), ["wb".into()]);
+}
+
+fn lease_of_the_former_life_under_the_next_leader() {
+    let mut w = late_poll();
+    w.submit(submission(1, vec![lasting()]));
+    w.run(400);
+    w.join(other());
+    w.elect();
+    w.fleet.set_longest_accepted(LONGEST_ACCEPTED);
+    w.run(250);
+    w.worker("wa").link = Link::Cut;
+    w.run(9_000);
+    assert_eq!(w.running(TASK), ["wb".into()]);
+}
+
+cases! {
+    "Guards against a run that goes on after its worker counts as lost, because a call to the former life has extended the lease of the next one.";
+    a_lease_that_a_former_life_was_to_get_is_waited_for: lease_of_the_former_life;
+    the_next_leader_waits_for_a_lease_of_a_former_life:
+        lease_of_the_former_life_under_the_next_leader;
+}
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -24,6 +24,7 @@
 mod evidence;
 mod extremes;
 mod fleet;
+mod former_lives;
 mod gone;
 mod interference;
 mod lease;
