Nothing is started on a life whose successor has reported

Cause: the starts that a next life may carry out are listed when its first report arrives. A placement on the former life that is committed after that and before the report isn't in the list, and its start was sent and carried out by the next life while the task was placed elsewhere.

Change: the former life gets no more orders once its successor has reported. The commit of the report frees what was placed there.

The test nothing_is_started_on_a_life_whose_successor_has_reported failed before ("a start is sent to a life that has ended").

--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -196,6 +196,8 @@
         if former.worker.started_ms >= successor.started_ms {
             return 0;
         }
+        // A placement that is being committed must not be started there.
+        self.view_mut(id, now).superseded = true;
         let view = self.views.get(&id);
         let age_ms = wall_ms.saturating_sub(successor.started_ms);
         let began = now.checked_sub(Duration::from_millis(age_ms) + MAX_CLOCK_DIFFERENCE);
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -149,6 +149,7 @@
             exited: false,
             health: Health::default(),
             declared_lost: false,
+            superseded: false,
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
             stray_reserved: Resources::ZERO,
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -50,6 +50,8 @@
     /// orders, because a run could begin on it while the run's task is placed
     /// elsewhere.
     pub(super) declared_lost: bool,
+    /// Whether the next life of the worker has reported. It would carry out the orders to this one.
+    pub(super) superseded: bool,
     pub(super) runs: BTreeMap<TaskId, RunView>,
     /// Runs that the worker lists but the group doesn't know.
     pub(super) strays: BTreeSet<(TaskId, AttemptNumber)>,
@@ -67,7 +69,7 @@
 
     /// Returns whether orders may be sent to the worker now.
     pub(super) fn may_get_orders(&self, now: Instant) -> bool {
-        self.synced && !self.declared_lost && self.is_reachable(now)
+        self.synced && !self.declared_lost && !self.superseded && self.is_reachable(now)
     }
 
     /// Returns whether the worker has answered recently.
--- a/crates/placement/tests/all/submission/former_lives.rs
+++ b/crates/placement/tests/all/submission/former_lives.rs
@@ -2,7 +2,7 @@
 //! cluster checks at each tick that no task runs twice.
 
 use super::cluster::{Cluster, Link, step, submission, worker};
-use cyclamenloft_placement::submission::{Step, TaskId, WorkerInfo};
+use cyclamenloft_placement::submission::{Command, Step, TaskId, WorkerInfo};
 use std::time::Duration;
 
 const TASK: TaskId = TaskId { submission: 1, occurrence: 0, step: 0, index: 0 };
@@ -54,9 +54,31 @@
     assert_eq!(w.running(TASK), ["wb".into()]);
 }
 
+/// The first report of the next life is being committed while a task is placed.
+fn placed_on_the_former_life() {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.run(410);
+    let next = WorkerInfo { started_ms: w.instant_ms(), ..w.worker("wa").info.clone() };
+    let (now, now_ms) = (w.instant(), w.instant_ms());
+    w.submit(submission(1, vec![lasting()]));
+    w.run(10);
+    w.fleet.hold_back(&w.state, &next, now, now_ms);
+    w.run(60);
+    assert!(w.sent.is_empty(), "a start is sent to a life that has ended: {:?}", w.sent);
+    w.worker("wa").info = next.clone();
+    w.apply(Command::Register(next));
+    w.run(300);
+    assert_eq!(w.running(TASK), ["wa".into()]);
+}
+
 cases! {
     "Guards against a run that goes on after its worker counts as lost, because a call to the former life has extended the lease of the next one.";
     a_lease_that_a_former_life_was_to_get_is_waited_for: lease_of_the_former_life;
     the_next_leader_waits_for_a_lease_of_a_former_life:
         lease_of_the_former_life_under_the_next_leader;
 }
+
+cases! {
+    "Guards against a start that the next life of a worker carries out while the task runs elsewhere.";
+    nothing_is_started_on_a_life_whose_successor_has_reported: placed_on_the_former_life;
+}
