What a silent next life may carry out stays kept back

What callers would see: a task runs twice at once.

Cause: that life counts as lost after half a second, since nothing was granted to it, and the list of the starts that it may carry out was dropped with it.

Change: the list stays until a later life has reported, or until 12 s (the longest time after which the users' workers carry out a call) and the longest lease have passed. A later life inherits the list also if the one before counts as lost by then.

Cost: tasks of a worker that starts again and is then never heard from wait for up to 12 s and hold_max_ms, unless another life of it reports.

--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -8,6 +8,7 @@
 use super::{
     super::{
         command::WorkerInfo,
+        lease::on_slowest_clock,
         spec::TaskId,
         state::{IncarnationId, SubmissionState},
     },
@@ -28,6 +29,9 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a stop is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Longest time after which a call that got no answer may still be carried out. The users' workers
+/// carry out such calls up to 12 s later.
+const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 /// Age from which on a life no longer gets calls that were meant for an earlier one, as far as the
 /// clocks of two hosts tell. They may differ by seconds after a step.
 const RECENT_LIFE: Duration = Duration::from_secs(20);
@@ -39,6 +43,10 @@
     started_ms: u64,
     /// When its first report arrived.
     since: Instant,
+    /// When the runs that it may have begun are over, if it never answers.
+    over_at: Instant,
+    /// Whether it counts as lost.
+    is_lost: bool,
     /// Its incarnation, once the group knows it.
     incarnation: Option<IncarnationId>,
     /// The attempts, each with the times at which a stop was last sent and first accepted.
@@ -64,17 +72,20 @@
         let carried = self.by_worker.get_mut(&worker.id);
         let carried = carried.filter(|c| c.started_ms == worker.started_ms)?;
         carried.incarnation = Some(id);
+        carried.is_lost = false;
         Some(carried)
     }
 
-    /// Forgets the lives that have ended.
+    /// Forgets the lives in whose place another one runs. One that counts as lost before it has
+    /// answered may still begin runs.
     pub(super) fn retain(&mut self, state: &SubmissionState) {
         self.by_worker.retain(|worker, carried| {
-            let Some((id, newest)) = state.newest_incarnation(worker) else { return false };
-            if newest.worker.started_ms == carried.started_ms {
-                carried.incarnation = Some(id);
+            let newest = state.newest_incarnation(worker);
+            match newest.filter(|(_, n)| n.worker.started_ms == carried.started_ms) {
+                Some((id, _)) => carried.incarnation = Some(id),
+                None => carried.is_lost = carried.incarnation.is_some(),
             }
-            newest.worker.started_ms <= carried.started_ms
+            !state.is_outdated(worker, carried.started_ms)
         });
     }
 
@@ -192,12 +203,45 @@
         if state.is_successor(&successor.id, successor.started_ms) {
             self.recent_lives.insert(successor.id.clone(), successor.started_ms);
         }
-        let Some((id, former)) = state.newest_incarnation(&successor.id) else { return 0 };
-        if former.worker.started_ms >= successor.started_ms {
+        self.carried.by_worker.retain(|_, c| !c.is_lost || now < c.over_at);
+        let newest = state.newest_incarnation(&successor.id);
+        if newest.is_some_and(|(_, newest)| newest.worker.started_ms >= successor.started_ms) {
             return 0;
         }
-        // A placement that is being committed must not be started there.
-        self.view_mut(id, now).superseded = true;
+        let mut runs = match newest {
+            Some((id, _)) => {
+                // A placement that is being committed must not be started there.
+                self.view_mut(id, now).superseded = true;
+                self.carried_runs(state, id, successor, now, wall_ms)
+            }
+            None => BTreeMap::new(),
+        };
+        // What an earlier life may still be sent reaches this one.
+        if let Some(earlier) = self.carried.by_worker.remove(&successor.id) {
+            for (task, Stop { attempt, .. }) in earlier.runs {
+                runs.entry(task).or_insert(Stop { attempt, sent: None, accepted: None });
+            }
+        }
+        let count = runs.len();
+        if count > 0 {
+            let started_ms = successor.started_ms;
+            let over_at = now + MAX_CALL_DELAY + on_slowest_clock(self.longest_accepted);
+            let (incarnation, is_lost) = (None, false);
+            let carried = Carried { started_ms, since: now, over_at, is_lost, incarnation, runs };
+            self.carried.by_worker.insert(successor.id.clone(), carried);
+        }
+        count
+    }
+
+    /// Returns the runs on an incarnation whose starts `successor` may carry out.
+    fn carried_runs(
+        &self,
+        state: &SubmissionState,
+        id: IncarnationId,
+        successor: &WorkerInfo,
+        now: Instant,
+        wall_ms: u64,
+    ) -> BTreeMap<TaskId, Stop> {
         let view = self.views.get(&id);
         let age_ms = wall_ms.saturating_sub(successor.started_ms);
         let began = now.checked_sub(Duration::from_millis(age_ms) + MAX_CLOCK_DIFFERENCE);
@@ -209,34 +253,26 @@
                 !is_former || r.unconfirmed_since.is_some()
             })
         };
-        let known = former.runs.iter().filter_map(|task| known_run(state, id, *task));
-        let mut runs: BTreeMap<TaskId, Stop> = known
+        let tasks = state.incarnation(id).into_iter().flat_map(|i| &i.runs);
+        let known = tasks.filter_map(|task| known_run(state, id, *task));
+        known
             .filter(|(task, record, run)| {
                 let step = &record.spec.steps[usize::from(task.step)];
                 !step.copies && may_be_carried(*task, run.attempt)
             })
             .map(|(task, _, run)| (task, Stop { attempt: run.attempt, sent: None, accepted: None }))
-            .collect();
-        // What an earlier life may still be sent reaches this one.
-        if let Some(earlier) = self.carried.by_worker.remove(&successor.id) {
-            for (task, Stop { attempt, .. }) in earlier.runs {
-                runs.entry(task).or_insert(Stop { attempt, sent: None, accepted: None });
-            }
-        }
-        let count = runs.len();
-        if count > 0 {
-            let started_ms = successor.started_ms;
-            let carried = Carried { started_ms, since: now, incarnation: None, runs };
-            self.carried.by_worker.insert(successor.id.clone(), carried);
-        }
-        count
+            .collect()
     }
 
     /// Returns whether the task must not be placed because the next life of its last worker may
     /// still run it.
     #[must_use]
     pub fn is_held_back(&self, task: TaskId, now: Instant) -> bool {
-        let counts = |c: &Carried| c.incarnation.is_some() || now < c.since + COMMIT_TIMEOUT;
+        let counts = |c: &Carried| match (c.incarnation, c.is_lost) {
+            (Some(_), false) => true,
+            (Some(_), true) => now < c.over_at,
+            (None, _) => now < c.since + COMMIT_TIMEOUT,
+        };
         self.carried.by_worker.values().any(|c| counts(c) && c.runs.contains_key(&task))
     }
 
--- a/crates/placement/src/submission/lease.rs
+++ b/crates/placement/src/submission/lease.rs
@@ -98,7 +98,7 @@
 }
 
 /// Returns how long a worker's clock takes at most to advance by `span`.
-fn on_slowest_clock(span: Duration) -> Duration {
+pub(super) fn on_slowest_clock(span: Duration) -> Duration {
     span.div_f64(SLOWEST_CLOCK)
 }
 
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -212,16 +212,26 @@
 
     /// Starts an incarnation of a worker and registers it.
     pub fn join(&mut self, info: WorkerInfo) {
+        self.register(&info, Command::Register(info.clone()));
+        let worker = Worker::new(info);
+        self.workers.insert(worker.info.id.clone(), worker);
+    }
+
+    /// Commits a report of a worker, after what the leader knows of the incarnations that it replaces.
+    fn register(&mut self, info: &WorkerInfo, report: Command) {
         let now = self.instant();
-        let replaced: Vec<IncarnationId> =
-            self.state.replaced_by(&info).map(|(id, _)| id).collect();
-        self.fleet.hold_back(&self.state, &info, now, self.now);
-        let crashed = |id| self.fleet.take_replaced(&self.state, id, &info, now, self.now);
+        let replaced: Vec<IncarnationId> = self.state.replaced_by(info).map(|(id, _)| id).collect();
+        self.fleet.hold_back(&self.state, info, now, self.now);
+        let crashed = |id| self.fleet.take_replaced(&self.state, id, info, now, self.now);
         let silences = replaced.into_iter().filter_map(crashed).collect();
         self.apply(Command::Silent(silences));
-        self.apply(Command::Register(info.clone()));
-        let worker = Worker::new(info);
-        self.workers.insert(worker.info.id.clone(), worker);
+        self.apply(report);
+    }
+
+    /// Returns the fencing token of calls to a life of a worker. Like the leader's, it rises with each
+    /// term and each life.
+    fn token_for(&self, info: &WorkerInfo) -> u64 {
+        (self.token << 32) | info.started_ms
     }
 
     /// Elects another leader, whose only knowledge is the replicated state.
@@ -407,9 +417,7 @@
             std::mem::take(&mut self.reports).into_iter().partition(|(at, _)| *at <= self.now);
         self.reports = later;
         for (_, report) in due as Vec<(u64, WorkerReport)> {
-            let now = self.instant();
-            self.fleet.hold_back(&self.state, &report.worker, now, self.now);
-            self.apply(Command::Report(report));
+            self.register(&report.worker.clone(), Command::Report(report));
         }
     }
 
@@ -512,6 +520,7 @@
             }
             let lease_end = self.fleet.view_mut(id, now).grant(now);
             let acknowledged = self.acknowledged.get(&id).copied().unwrap_or(0);
+            let token = self.token_for(&info);
             let Some(worker) = self.workers.get_mut(&info.id) else {
                 self.fleet.unreachable(id, now);
                 continue;
@@ -519,7 +528,7 @@
             let answers = worker.up
                 && matches!(worker.link, Link::Open | Link::NoOrders)
                 && worker.info.started_ms == info.started_ms
-                && worker.token <= self.token;
+                && worker.token <= token;
             let refused = worker.link == Link::Refused;
             if self.polls_time_out && worker.up && worker.link != Link::Open && !refused {
                 self.failing.push((self.now + CALL_TIMEOUT_MS, id));
@@ -535,7 +544,7 @@
                 }
                 continue;
             }
-            worker.token = self.token;
+            worker.token = token;
             worker.extend(self.now, lease_end.unwrap_or(0));
             worker.ended.retain(|(n, _)| *n > acknowledged);
             let seen = worker.observation(self.now);
@@ -622,17 +631,18 @@
     }
 
     fn send(&mut self, info: &WorkerInfo, order: Order, lease_end: u64) -> (OrderAnswer, u64) {
+        let token = self.token_for(info);
         let worker = self.workers.get_mut(&info.id).unwrap();
         match worker.link {
             _ if !worker.up => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
             Link::Refused => (OrderAnswer::NotSent, self.now),
             Link::Cut | Link::NoOrders => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
             Link::Delayed(after) => {
-                worker.delayed.push((self.now + after, self.token, order, lease_end));
+                worker.delayed.push((self.now + after, token, order, lease_end));
                 (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS)
             }
             Link::Open => {
-                let answer = self.deliver(&info.id, self.token, order, lease_end);
+                let answer = self.deliver(&info.id, token, order, lease_end);
                 (answer, self.now + 2 * ONE_WAY_MS)
             }
         }
--- a/crates/placement/tests/all/submission/cluster/reports.rs
+++ b/crates/placement/tests/all/submission/cluster/reports.rs
@@ -110,7 +110,7 @@
                 reporting.next.insert(name, now + ACK_TIMEOUT_MS);
                 continue;
             }
-            self.apply(Command::Report(report));
+            self.register(&report.worker.clone(), Command::Report(report));
             let acknowledged = &mut reporting.acknowledged[replica];
             if acknowledged.get(&name).is_none_or(|known| stamp.is_newer_than(known)) {
                 acknowledged.insert(name, stamp);
--- a/crates/placement/tests/all/submission/former_lives.rs
+++ b/crates/placement/tests/all/submission/former_lives.rs
@@ -71,6 +71,21 @@
     assert_eq!(w.running(TASK), ["wa".into()]);
 }
 
+/// The next life reports once, and no call to it is ever answered.
+fn silent_next_life() {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.run(410);
+    w.worker("wa").link = Link::Delayed(2_900);
+    w.submit(submission(1, vec![lasting()]));
+    w.run(100);
+    w.start_again("wa", 10);
+    w.join(other());
+    w.run(10_000);
+    assert_eq!(w.running(TASK), Vec::<Box<str>>::new(), "the run on wa has lapsed");
+    w.run(9_000);
+    assert_eq!(w.running(TASK), ["wb".into()]);
+}
+
 cases! {
     "Guards against a run that goes on after its worker counts as lost, because a call to the former life has extended the lease of the next one.";
     a_lease_that_a_former_life_was_to_get_is_waited_for: lease_of_the_former_life;
@@ -81,4 +96,5 @@
 cases! {
     "Guards against a start that the next life of a worker carries out while the task runs elsewhere.";
     nothing_is_started_on_a_life_whose_successor_has_reported: placed_on_the_former_life;
+    a_start_is_kept_back_for_a_life_that_never_answers: silent_next_life;
 }
