A new leader keeps back what next lives may carry out

What callers would see: a task runs twice at once.

Cause: which starts a next life of a worker may still carry out was known only to the leader that registered it. A leader elected before that life had answered placed the tasks at once, and couldn't reach the worker to raise its token.

A new leader takes over those that were not placed since.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -384,7 +384,7 @@
     let recovery = Recovery::new(elected_at, node.state(begun_long_tasks));
     let leadership = Rc::new(Leadership::new(term, node.settings.longest_lease, recovery, now));
     leadership.fleet.borrow_mut().set_longest_accepted(node.settings.longest_lease);
-    node.state(|s| leadership.fleet.borrow_mut().record_recent_lives(s, wall_ms()));
+    node.state(|s| leadership.fleet.borrow_mut().take_over_lives(s, now, wall_ms()));
     leadership.fleet.borrow_mut().set_report_bound(node.settings.report_bound);
     leadership.fleet.borrow_mut().interference =
         node.state(|s| Interference::from_learned(s.learned()));
--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -82,8 +82,11 @@
         self.by_worker.retain(|worker, carried| {
             let newest = state.newest_incarnation(worker);
             match newest.filter(|(_, n)| n.worker.started_ms == carried.started_ms) {
-                Some((id, _)) => carried.incarnation = Some(id),
-                None => carried.is_lost = carried.incarnation.is_some(),
+                Some((id, _)) => {
+                    carried.incarnation = Some(id);
+                    carried.is_lost = false;
+                }
+                None => carried.is_lost |= carried.incarnation.is_some(),
             }
             !state.is_outdated(worker, carried.started_ms)
         });
@@ -178,10 +181,25 @@
         self.longest_accepted = lease.max(self.longest_lease);
     }
 
-    /// Records which of the known lives have begun so recently that calls of a former leader to their
-    /// earlier lives may still reach them. `wall_ms` is the present time in milliseconds since the
-    /// Unix epoch.
-    pub fn record_recent_lives(&mut self, state: &SubmissionState, wall_ms: u64) {
+    /// Takes over from a former leader what its calls to earlier lives may still lead to: the starts
+    /// that the next lives may carry out, and the lives that have begun so recently that calls may still
+    /// reach them. `wall_ms` is the present time in milliseconds since the Unix epoch.
+    pub fn take_over_lives(&mut self, state: &SubmissionState, now: Instant, wall_ms: u64) {
+        for (worker, started_ms, runs) in state.former_runs() {
+            if runs.is_empty() {
+                continue;
+            }
+            let stop = |attempt| Stop { attempt, sent: None, accepted: None };
+            let carried = Carried {
+                started_ms,
+                since: now,
+                over_at: now + self.longest_carried(),
+                is_lost: state.newest_incarnation(worker).is_none(),
+                incarnation: state.newest_incarnation(worker).map(|(id, _)| id),
+                runs: runs.into_iter().map(|(task, attempt)| (task, stop(attempt))).collect(),
+            };
+            self.carried.by_worker.insert(worker.clone(), carried);
+        }
         let workers = state.incarnations().map(|(_, i)| &i.worker);
         let recent = workers
             .filter(|w| Duration::from_millis(wall_ms.saturating_sub(w.started_ms)) < RECENT_LIFE);
@@ -200,6 +218,9 @@
         now: Instant,
         wall_ms: u64,
     ) -> usize {
+        if state.is_outdated(&successor.id, successor.started_ms) {
+            return 0;
+        }
         if state.is_successor(&successor.id, successor.started_ms) {
             self.recent_lives.insert(successor.id.clone(), successor.started_ms);
         }
@@ -217,7 +238,10 @@
             None => BTreeMap::new(),
         };
         // What an earlier life may still be sent reaches this one.
+        let mut is_lost = false;
         if let Some(earlier) = self.carried.by_worker.remove(&successor.id) {
+            // A life that counts as lost may have returned.
+            is_lost = earlier.is_lost;
             for (task, Stop { attempt, .. }) in earlier.runs {
                 runs.entry(task).or_insert(Stop { attempt, sent: None, accepted: None });
             }
@@ -225,9 +249,9 @@
         let count = runs.len();
         if count > 0 {
             let started_ms = successor.started_ms;
-            let over_at = now + MAX_CALL_DELAY + on_slowest_clock(self.longest_accepted);
-            let (incarnation, is_lost) = (None, false);
-            let carried = Carried { started_ms, since: now, over_at, is_lost, incarnation, runs };
+            let over_at = now + self.longest_carried();
+            let carried =
+                Carried { started_ms, since: now, over_at, is_lost, incarnation: None, runs };
             self.carried.by_worker.insert(successor.id.clone(), carried);
         }
         count
@@ -264,14 +288,20 @@
             .collect()
     }
 
+    /// Returns how long a run may go on that a call to a former life begins, if the worker is never
+    /// called again.
+    fn longest_carried(&self) -> Duration {
+        MAX_CALL_DELAY + on_slowest_clock(self.longest_accepted)
+    }
+
     /// Returns whether the task must not be placed because the next life of its last worker may
     /// still run it.
     #[must_use]
     pub fn is_held_back(&self, task: TaskId, now: Instant) -> bool {
         let counts = |c: &Carried| match (c.incarnation, c.is_lost) {
+            (_, true) => now < c.over_at,
             (Some(_), false) => true,
-            (Some(_), true) => now < c.over_at,
-            (None, _) => now < c.since + COMMIT_TIMEOUT,
+            (None, false) => now < c.since + COMMIT_TIMEOUT,
         };
         self.carried.by_worker.values().any(|c| counts(c) && c.runs.contains_key(&task))
     }
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -18,6 +18,7 @@
 pub mod demand;
 pub mod evacuation;
 pub mod fleet;
+mod former_runs;
 pub mod health;
 pub mod interference;
 pub mod lease;
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -12,13 +12,14 @@
     },
     crashes::Crashes,
     evacuation::Evacuations,
+    former_runs::FormerRuns,
     interference::LearnedPair,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
     waves::{Maintenance, Wave, WaveNumber},
 };
 use cyclamenloft_replication::StateMachine;
-use cyclamenloft_types::{Error, ErrorKind, LogIndex, Resources, Result, WorkerId};
+use cyclamenloft_types::{AttemptNumber, Error, ErrorKind, LogIndex, Resources, Result, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -55,9 +56,12 @@
     crashes: Crashes,
     #[serde(skip)]
     reports: BTreeMap<IncarnationId, LastReport>,
-    /// Stored last.
+    /// Stored after those.
     #[serde(skip)]
     evacuations: Evacuations,
+    /// Stored last.
+    #[serde(skip)]
+    former_runs: FormerRuns,
 }
 
 /// What is kept of the reports of an incarnation, in addition to the data of the last one.
@@ -350,6 +354,7 @@
             return CommandResult::Done;
         }
         let over: Vec<IncarnationId> = self.replaced_by(worker).map(|(id, _)| id).collect();
+        self.record_former_runs(worker, &over);
         for id in over {
             self.crash_incarnation(id, &[], true);
         }
@@ -371,6 +376,37 @@
         self.give_up()
     }
 
+    /// Records which runs end because `worker` takes the place of earlier lives of the same name.
+    fn record_former_runs(&mut self, worker: &WorkerInfo, over: &[IncarnationId]) {
+        let records = &self.records;
+        let run_on = |task: &TaskId, id: IncarnationId| {
+            let record = records.get(&task.submission).filter(|r| r.phase == Phase::Open)?;
+            let known = record.task(*task).filter(|t| !t.done)?;
+            let has_copies = record.spec.steps.get(usize::from(task.step))?.copies;
+            let run = known.runs.iter().find(|run| run.incarnation == id && !has_copies)?;
+            Some((*task, run.attempt))
+        };
+        let former = over.iter().filter_map(|id| Some((*id, self.incarnations.get(id)?)));
+        let former = former.filter(|(_, i)| i.worker.id == worker.id);
+        let runs = former.flat_map(|(id, i)| i.runs.iter().filter_map(move |t| run_on(t, id)));
+        let runs: Vec<_> = runs.collect();
+        let is_current = |task, attempt| is_unplaced(records, task, attempt);
+        self.former_runs.record(&worker.id, worker.started_ms, runs, is_current);
+    }
+
+    /// Returns the workers whose newest life may carry out starts that were sent to earlier ones: the
+    /// start time of that life, and the tasks with their last attempts. Tasks that were placed
+    /// since are left out.
+    pub(super) fn former_runs(
+        &self,
+    ) -> impl Iterator<Item = (&WorkerId, u64, Vec<(TaskId, AttemptNumber)>)> {
+        self.former_runs.iter().map(|(worker, of_worker)| {
+            let runs = of_worker.runs.iter().map(|(task, attempt)| (*task, *attempt));
+            let is_current = |(t, a): &(TaskId, AttemptNumber)| is_unplaced(&self.records, *t, *a);
+            (worker, of_worker.started_ms, runs.filter(is_current).collect())
+        })
+    }
+
     fn record_report(&mut self, id: IncarnationId, capacity: Resources, sequence: Option<u64>) {
         let last = self.reports.entry(id).or_insert(LastReport { sequence: 0, largest: capacity });
         last.sequence = last.sequence.max(sequence.unwrap_or(0));
@@ -605,11 +641,23 @@
             };
             if self.records.get(id).is_some_and(idle) {
                 self.records.remove(id);
+                self.former_runs.forget(*id);
             }
         }
     }
 }
 
+/// Returns whether the last attempt of an open task is this one, and none is placed.
+fn is_unplaced(
+    records: &BTreeMap<SubmissionId, Record>,
+    task: TaskId,
+    attempt: AttemptNumber,
+) -> bool {
+    let record = records.get(&task.submission).filter(|r| r.phase == Phase::Open);
+    let known = record.and_then(|r| r.task(task));
+    known.is_some_and(|t| !t.done && t.attempt == attempt && t.runs.is_empty())
+}
+
 /// Returns whether maintenance of the worker's machine was ordered and is not over. The worker ends
 /// with it, also if the order has got no answer yet.
 fn is_under_maintenance(waves: &BTreeMap<WaveNumber, Wave>, worker: &WorkerInfo) -> bool {
@@ -669,10 +717,14 @@
         let added = (&self.crashes, &self.reports);
         let encoded =
             postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&added, bytes));
-        // A state that never had an evacuation is stored as by earlier versions.
-        let encoded = match self.evacuations.version() {
-            0 => encoded,
-            _ => encoded.and_then(|bytes| postcard::to_extend(&self.evacuations, bytes)),
+        // A state that has neither is stored as by earlier versions.
+        let encoded = match (self.evacuations.version(), self.former_runs.is_empty()) {
+            (0, true) => encoded,
+            (_, true) => encoded.and_then(|bytes| postcard::to_extend(&self.evacuations, bytes)),
+            (_, false) => {
+                let last = (&self.evacuations, &self.former_runs);
+                encoded.and_then(|bytes| postcard::to_extend(&last, bytes))
+            }
         };
         encoded.unwrap_or_else(|e| {
             tracing::error!(error = %e, "snapshot of submissions was not encoded");
@@ -690,7 +742,11 @@
             let (added, rest) = postcard::take_from_bytes(rest).map_err(corrupt)?;
             (state.crashes, state.reports) = added;
             if !rest.is_empty() {
-                state.evacuations = postcard::from_bytes(rest).map_err(corrupt)?;
+                let (evacuations, rest) = postcard::take_from_bytes(rest).map_err(corrupt)?;
+                state.evacuations = evacuations;
+                if !rest.is_empty() {
+                    state.former_runs = postcard::from_bytes(rest).map_err(corrupt)?;
+                }
             }
         }
         Ok(state)
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -238,7 +238,7 @@
     pub fn elect(&mut self) {
         self.token += 1;
         self.fleet = Fleet::new(LEASE, self.instant());
-        self.fleet.record_recent_lives(&self.state, self.now);
+        self.fleet.take_over_lives(&self.state, self.instant(), self.now);
         self.fleet.set_report_bound(self.bound);
         self.commits.clear();
         self.orders.clear();
--- a/crates/placement/tests/all/submission/lives.rs
+++ b/crates/placement/tests/all/submission/lives.rs
@@ -148,8 +148,25 @@
     assert!(play(&[(Delayed(1, 1_186), 10), (StartAgain(1, 16), 10)]).is_empty());
 }
 
+fn late_report_of_a_former_life() {
+    use Fault::{Cut, Delayed, HoldPolls, Reconnect, StartAgain};
+    let faults = [
+        (StartAgain(2, 16), 10),
+        (Reconnect(0), 10),
+        (Delayed(2, 100), 10),
+        (Cut(1), 661),
+        (HoldPolls(100), 341),
+        (StartAgain(1, 21), 10),
+        (Delayed(3, 1_896), 10),
+        (HoldPolls(100), 391),
+        (StartAgain(3, 5), 10),
+    ];
+    assert!(play(&faults).is_empty());
+}
+
 cases! {
     "Guards against the mixes of faults in which a task ran twice in the random series.";
     an_exit_behind_a_slow_link_is_safe: exit_behind_a_slow_link;
     a_new_life_behind_a_slow_link_is_safe: new_life_behind_a_slow_link;
+    a_late_report_of_a_former_life_is_safe: late_report_of_a_former_life;
 }
