Runs on former lives are kept by task, until the task is placed

Cause: kept them by worker, and what was placed since was only left out when a leader read the list. On a site with many workers that start again the lists grew until the next life of the same worker, and each submission that was forgotten searched all.

Change: a map by task.

Measured: 416 tests of the package pass, the change of the leader (a_held_up_start_is_kept_back_over_a_change_of_the_leader) among them.

--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -186,9 +186,6 @@
     /// reach them. `wall_ms` is the present time in milliseconds since the Unix epoch.
     pub fn take_over_lives(&mut self, state: &SubmissionState, now: Instant, wall_ms: u64) {
         for (worker, started_ms, runs) in state.former_runs() {
-            if runs.is_empty() {
-                continue;
-            }
             let stop = |attempt| Stop { attempt, sent: None, accepted: None };
             let carried = Carried {
                 started_ms,
--- a/crates/placement/src/submission/former_runs.rs
+++ b/crates/placement/src/submission/former_runs.rs
@@ -8,53 +8,39 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The runs on the former lives of one worker.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct OfWorker {
-    /// Start time of the newest life, in milliseconds since the Unix epoch.
-    pub started_ms: u64,
-    /// The last attempt of each task.
-    pub runs: BTreeMap<TaskId, AttemptNumber>,
-}
-
-/// Runs on former lives, by worker.
+/// The last run of a task, if it has ended because another life of its worker took the place of the
+/// one on which it ran. A task has none once it is placed again.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct FormerRuns {
-    by_worker: BTreeMap<WorkerId, OfWorker>,
+    by_task: BTreeMap<TaskId, (WorkerId, AttemptNumber)>,
 }
 
 impl FormerRuns {
     pub fn is_empty(&self) -> bool {
-        self.by_worker.is_empty()
+        self.by_task.is_empty()
     }
 
-    /// Records that a life that began at `started_ms` has taken the place of one with these runs. Of
-    /// the runs on lives before, only those that `is_current` are kept.
-    pub fn record(
-        &mut self,
-        worker: &WorkerId,
-        started_ms: u64,
-        runs: impl IntoIterator<Item = (TaskId, AttemptNumber)>,
-        is_current: impl Fn(TaskId, AttemptNumber) -> bool,
-    ) {
-        let mut known = self.by_worker.remove(worker).unwrap_or_default();
-        known.runs.retain(|task, attempt| is_current(*task, *attempt));
-        known.runs.extend(runs);
-        known.started_ms = started_ms;
-        if !known.runs.is_empty() {
-            self.by_worker.insert(worker.clone(), known);
-        }
+    /// Records that a run has ended because another life of `worker` has begun.
+    pub fn record(&mut self, task: TaskId, attempt: AttemptNumber, worker: &WorkerId) {
+        self.by_task.insert(task, (worker.clone(), attempt));
     }
 
-    /// Forgets the runs of a submission.
-    pub fn forget(&mut self, id: SubmissionId) {
-        for of_worker in self.by_worker.values_mut() {
-            of_worker.runs.retain(|task, _| task.submission != id);
-        }
-        self.by_worker.retain(|_, of_worker| !of_worker.runs.is_empty());
+    /// Forgets the run of a task that is placed again.
+    pub fn forget(&mut self, task: TaskId) {
+        self.by_task.remove(&task);
+    }
+
+    /// Forgets the runs of a submission that has ended.
+    pub fn forget_submission(&mut self, id: SubmissionId) {
+        self.by_task.retain(|task, _| task.submission != id);
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&WorkerId, &OfWorker)> {
-        self.by_worker.iter()
+    /// Returns the runs by worker.
+    pub fn by_worker(&self) -> BTreeMap<&WorkerId, Vec<(TaskId, AttemptNumber)>> {
+        let mut by_worker: BTreeMap<&WorkerId, Vec<_>> = BTreeMap::new();
+        for (task, (worker, attempt)) in &self.by_task {
+            by_worker.entry(worker).or_default().push((*task, *attempt));
+        }
+        by_worker
     }
 }
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -378,32 +378,32 @@
 
     /// Records which runs end because `worker` takes the place of earlier lives of the same name.
     fn record_former_runs(&mut self, worker: &WorkerInfo, over: &[IncarnationId]) {
-        let records = &self.records;
-        let run_on = |task: &TaskId, id: IncarnationId| {
-            let record = records.get(&task.submission).filter(|r| r.phase == Phase::Open)?;
-            let known = record.task(*task).filter(|t| !t.done)?;
-            let has_copies = record.spec.steps.get(usize::from(task.step))?.copies;
-            let run = known.runs.iter().find(|run| run.incarnation == id && !has_copies)?;
-            Some((*task, run.attempt))
-        };
         let former = over.iter().filter_map(|id| Some((*id, self.incarnations.get(id)?)));
-        let former = former.filter(|(_, i)| i.worker.id == worker.id);
-        let runs = former.flat_map(|(id, i)| i.runs.iter().filter_map(move |t| run_on(t, id)));
-        let runs: Vec<_> = runs.collect();
-        let is_current = |task, attempt| is_unplaced(records, task, attempt);
-        self.former_runs.record(&worker.id, worker.started_ms, runs, is_current);
+        for (id, incarnation) in former.filter(|(_, i)| i.worker.id == worker.id) {
+            for task in &incarnation.runs {
+                let record = self.records.get(&task.submission);
+                let Some(record) = record.filter(|r| r.phase == Phase::Open) else { continue };
+                let has_copies =
+                    record.spec.steps.get(usize::from(task.step)).is_none_or(|s| s.copies);
+                let Some(known) = record.task(*task).filter(|t| !t.done && !has_copies) else {
+                    continue;
+                };
+                if let Some(run) = known.runs.iter().find(|run| run.incarnation == id) {
+                    self.former_runs.record(*task, run.attempt, &worker.id);
+                }
+            }
+        }
     }
 
-    /// Returns the workers whose newest life may carry out starts that were sent to earlier ones: the
-    /// start time of that life, and the tasks with their last attempts. Tasks that were placed
-    /// since are left out.
+    /// Returns the tasks whose last run was on a former life of a worker and that have not been placed
+    /// since, with the number of that run: by worker, with the start time of its newest life. That
+    /// life may carry out the starts of these runs.
     pub(super) fn former_runs(
         &self,
     ) -> impl Iterator<Item = (&WorkerId, u64, Vec<(TaskId, AttemptNumber)>)> {
-        self.former_runs.iter().map(|(worker, of_worker)| {
-            let runs = of_worker.runs.iter().map(|(task, attempt)| (*task, *attempt));
-            let is_current = |(t, a): &(TaskId, AttemptNumber)| is_unplaced(&self.records, *t, *a);
-            (worker, of_worker.started_ms, runs.filter(is_current).collect())
+        self.former_runs.by_worker().into_iter().filter_map(|(worker, runs)| {
+            let (_, started_ms) = self.newest.get(worker)?;
+            Some((worker, *started_ms, runs))
         })
     }
 
@@ -417,6 +417,7 @@
     fn close(&mut self, id: SubmissionId) {
         self.open.remove(&id);
         self.crashes.forget_submission(id);
+        self.former_runs.forget_submission(id);
     }
 
     fn record_silent(&mut self, silences: &[Silence]) {
@@ -546,6 +547,7 @@
         task.runs.push(Run { incarnation: p.incarnation, attempt: p.attempt });
         incarnation.reserved = sum;
         incarnation.runs.insert(p.task);
+        self.former_runs.forget(p.task);
         record.level_failures(p.task);
         record.begun = true;
         true
@@ -641,23 +643,11 @@
             };
             if self.records.get(id).is_some_and(idle) {
                 self.records.remove(id);
-                self.former_runs.forget(*id);
             }
         }
     }
 }
 
-/// Returns whether the last attempt of an open task is this one, and none is placed.
-fn is_unplaced(
-    records: &BTreeMap<SubmissionId, Record>,
-    task: TaskId,
-    attempt: AttemptNumber,
-) -> bool {
-    let record = records.get(&task.submission).filter(|r| r.phase == Phase::Open);
-    let known = record.and_then(|r| r.task(task));
-    known.is_some_and(|t| !t.done && t.attempt == attempt && t.runs.is_empty())
-}
-
 /// Returns whether maintenance of the worker's machine was ordered and is not over. The worker ends
 /// with it, also if the order has got no answer yet.
 fn is_under_maintenance(waves: &BTreeMap<WaveNumber, Wave>, worker: &WorkerInfo) -> bool {
