--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -4,6 +4,8 @@
 //! any token and attempt. So a start that was sent to a life that has ended may be carried out by
 //! the next one under the same name. The tasks of such starts are not placed elsewhere before the
 //! next life has accepted a stop of them, after which it rejects the start, and lists no such run.
+//! A further life and the next leader take the list over. A life that never answers keeps it until the
+//! latest such call and the lease that it brings are over.
 
 use super::{
     super::{
@@ -41,7 +43,7 @@
 struct Carried {
     /// Start time of that life, in milliseconds since the Unix epoch.
     started_ms: u64,
-    /// When its first report arrived.
+    /// When its first report arrived, or when this leader took the list over.
     since: Instant,
     /// When the runs that it may have begun are over, if it never answers.
     over_at: Instant,
--- a/crates/placement/src/submission/former_runs.rs
+++ b/crates/placement/src/submission/former_runs.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// The last run of a task, if it has ended because another life of its worker took the place of the
-/// one on which it ran. A task has none once it is placed again.
+/// The tasks whose last run ended because another life of its worker took the place of the one on
+/// which it ran, until they are placed again.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct FormerRuns {
     by_task: BTreeMap<TaskId, (WorkerId, AttemptNumber)>,
