--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     leader::Leadership,
-    node::Node,
+    node::{Node, wall_ms},
     notify::Notify,
     port::{OrderCall, OrderResponse, PollCall, Port, end_sign},
     recovery::RecoveryStep,
@@ -124,6 +124,8 @@
 struct Progress {
     /// Number of the last end of a run that the group has committed.
     acknowledged: Cell<u64>,
+    /// When the worker first answered.
+    first_answer: Cell<Option<Instant>>,
     /// Whether a listed run that was never placed has been logged.
     has_logged: Cell<bool>,
 }
@@ -226,8 +228,11 @@
         }
     };
     leadership.record_recovery(RecoveryStep::FirstPoll);
+    if progress.first_answer.get().is_none() {
+        progress.first_answer.set(Some(now));
+    }
     record_never_placed(cx, progress, &observation);
-    process_observation(cx, leadership, &observation, sent).await?;
+    process_observation(cx, leadership, progress, &observation, sent).await?;
     let has_new_end = last_end > acknowledged.get();
     acknowledged.set(acknowledged.get().max(last_end));
     // No poll waits while the worker lists an end that can't be taken.
@@ -249,9 +254,29 @@
     }
 }
 
+/// Logs that runs count as over because the worker doesn't list them, and how long this life of the
+/// worker has gone on: one that has just begun may have lost the ends of its runs to a call that was
+/// meant for the life before.
+fn record_not_listed<P: Port>(
+    cx: &Context<P>,
+    progress: &Progress,
+    observation: &Observation,
+    runs: usize,
+    now: Instant,
+) {
+    let known = progress.first_answer.get().map(|at| now.saturating_duration_since(at));
+    let known_ms = known.map(|known| u64::try_from(known.as_millis()).unwrap_or(u64::MAX));
+    tracing::info!(
+        event = "not-listed", worker = %cx.worker, life = cx.incarnation, runs,
+        life_ms = wall_ms().saturating_sub(observation.started_ms), known_ms,
+        acknowledged = progress.acknowledged.get()
+    );
+}
+
 async fn process_observation<P: Port>(
     cx: &Context<P>,
     leadership: &Leadership,
+    progress: &Progress,
     observation: &Observation,
     sent: Instant,
 ) -> Result<()> {
@@ -271,6 +296,10 @@
             let is_same = |l: &RunEnd| (l.task, l.attempt) == (end.task, end.attempt);
             observation.ended.iter().any(is_same)
         };
+        let absent = ends.iter().filter(|end| !is_listed(end)).count();
+        if absent > 0 {
+            record_not_listed(cx, progress, observation, absent, now);
+        }
         let source = |end: &RunEnd| if is_listed(end) { "listed" } else { "not-listed" };
         cx.commit_ends(leadership, ends, source).await?;
     }
