A task isn't placed while a call to start it may still be carried out

Cause: absence counted as proof once more. A start that got no answer may be carried out up to 12 s later, by whichever life of the worker is up then, and a new life rejects nothing until it is called. What such calls may still do was kept only for runs that end because another life takes the place of theirs. A worker that counts as lost when its lease is over, one whose connections are refused and a run that was withdrawn freed their tasks at once, and the next leader knew of none.

Change: the group's state keeps each start that was placed until it is settled. The leader counts the calls of each: one is spent when it is answered, or when it was the only one and the worker lists the run. A task isn't placed again while a call of an earlier attempt is under way, whatever ended that attempt and whoever leads, unless the worker's newest life has answered this leader and doesn't list the run (it rejects the call by its token, its attempts or its clock), or a worker of another name runs at the address. Otherwise it waits until 12 s and the longest lease after the last call that the worker may carry out. Settled starts are committed four times a second; a new leader takes the others for sent until its election. The planner skips held tasks instead of dropping their placements at the end, so that they take no room from others.

Why it works: after that time, or after such an answer, no life of the worker can begin the run any more, so no second one can meet it.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -45,6 +45,8 @@
 /// Time between two checks of the waiting tasks, the learned interference and the submissions
 /// whose retention time has passed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two commits of the starts that can't be carried out any more.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Maximum number of log lines about waiting tasks per second.
 const MAX_WAITING_LINES: usize = 3;
@@ -255,6 +257,26 @@
     }
 }
 
+/// Commits which starts can't be carried out any more while this replica leads, so that the next
+/// leader needn't wait for their calls. Runs until the task is cancelled.
+pub(crate) async fn settle_starts<P: Port>(node: Rc<Node<P>>) {
+    loop {
+        compio::time::sleep(SETTLE_INTERVAL).await;
+        let leadership = node.leadership.borrow().clone();
+        let Some(leadership) = leadership.filter(|_| node.leads()) else { continue };
+        let settled = node.state(|s| {
+            node.metrics.level("starts-open", s.open_starts().count());
+            leadership.fleet.borrow().settled_starts(s, Instant::now())
+        });
+        for command in Command::settled(settled) {
+            if let Err(e) = node.propose(command).await {
+                tracing::info!(event = "starts-not-settled", error = %e);
+                break;
+            }
+        }
+    }
+}
+
 /// Returns the start time of the newest incarnation at each address.
 fn newest_at(state: &SubmissionState) -> BTreeMap<SocketAddr, u64> {
     let mut newest = BTreeMap::new();
@@ -405,17 +427,20 @@
     let now = Instant::now();
     let lost = node.state(|s| leadership.fleet.borrow_mut().declare_lost(s, now));
     for (incarnation, checkpoints) in lost {
-        let (worker, loss) = node.state(|s| {
+        let (worker, loss, under_way) = node.state(|s| {
             let worker = s.incarnation(incarnation).map(|l| (l.worker.id.clone(), l.runs.len()));
-            (worker, leadership.fleet.borrow().loss(s, incarnation, now))
+            let fleet = leadership.fleet.borrow();
+            (worker, fleet.loss(s, incarnation, now), fleet.starts_under_way(s, incarnation))
         });
         node.propose(Command::lost(incarnation, checkpoints)).await?;
         if let (Some((worker, runs)), Some(loss)) = (worker, loss) {
             tracing::info!(
                 decision = "worker", %worker, life = incarnation, runs,
                 reason = loss.reason.as_str(), silent_ms = loss.silent_for.map(as_ms),
-                lease_left_ms = as_ms(loss.lease_left), observed = loss.observed, outcome = "lost"
+                lease_left_ms = as_ms(loss.lease_left), observed = loss.observed,
+                starts_under_way = under_way, outcome = "lost"
             );
+            node.metrics.count_many("worker", "starts-under-way", under_way as u64);
             node.metrics.count("lost", loss.reason.as_str());
         }
         node.metrics.count("worker", "lost");
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -163,6 +163,7 @@
         compio::runtime::spawn(members::join(node.clone())).detach();
         compio::runtime::spawn(members::maintain(node.clone())).detach();
         compio::runtime::spawn(leader::housekeep(node.clone())).detach();
+        compio::runtime::spawn(leader::settle_starts(node.clone())).detach();
         compio::runtime::spawn(leader::measure_lag(Rc::downgrade(&node))).detach();
         if node.settings.report_bound.is_some() {
             compio::runtime::spawn(reports::send(Rc::downgrade(&node))).detach();
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -3,6 +3,7 @@
 use super::{
     evacuation::{EvacuationOutcome, EvacuationVersion},
     interference::LearnedPair,
+    open_starts::RunId,
     record::IncarnationId,
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
@@ -290,6 +291,9 @@
         /// The leader's wall clock at acceptance, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
+    /// Records that the starts of these runs can't be carried out any more, or that no further one
+    /// can.
+    Settled(Vec<RunId>),
 }
 
 /// The result of a [`Command`], returned to its proposer.
--- a/crates/placement/src/submission/command_size.rs
+++ b/crates/placement/src/submission/command_size.rs
@@ -5,6 +5,7 @@
 use super::{
     command::{Checkpoints, Command, RunEnd, Silence, SilentRun},
     interference::LearnedPair,
+    open_starts::RunId,
     record::IncarnationId,
     spec::SubmissionId,
 };
@@ -55,6 +56,13 @@
         parts.into_iter().map(Self::Forget).collect()
     }
 
+    /// Returns the commands that record that starts can't be carried out any more.
+    #[must_use]
+    pub fn settled(runs: Vec<RunId>) -> Vec<Self> {
+        let parts = split(runs, MAX_CONTENT_BYTES, usize::MAX);
+        parts.into_iter().map(Self::Settled).collect()
+    }
+
     /// Returns the command that stores the learned interference, as far as it fits.
     #[must_use]
     pub fn learned(pairs: Vec<LearnedPair>) -> Self {
--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -16,6 +16,7 @@
     },
     Fleet, known_run,
     messages::{Observation, Order, OrderAnswer, OrderKind},
+    start_calls::MAX_CALL_DELAY,
 };
 use cyclamenloft_types::{AttemptNumber, WorkerId};
 use std::{
@@ -31,9 +32,6 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which a stop is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Longest time after which a call that got no answer may still be carried out. The users' workers
-/// carry out such calls up to 12 s later.
-const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 /// Age from which on a life no longer gets calls that were meant for an earlier one, as far as the
 /// clocks of two hosts tell. They may differ by seconds after a step.
 const RECENT_LIFE: Duration = Duration::from_secs(20);
@@ -199,6 +197,7 @@
             };
             self.carried.by_worker.insert(worker.clone(), carried);
         }
+        self.take_over_starts(state, now);
         let workers = state.incarnations().map(|(_, i)| &i.worker);
         let recent = workers
             .filter(|w| Duration::from_millis(wall_ms.saturating_sub(w.started_ms)) < RECENT_LIFE);
@@ -293,10 +292,8 @@
         MAX_CALL_DELAY + on_slowest_clock(self.longest_accepted)
     }
 
-    /// Returns whether the task must not be placed because the next life of its last worker may
-    /// still run it.
-    #[must_use]
-    pub fn is_held_back(&self, task: TaskId, now: Instant) -> bool {
+    /// Returns whether the next life of the task's last worker may still run it.
+    pub(super) fn is_carried(&self, task: TaskId, now: Instant) -> bool {
         let counts = |c: &Carried| match (c.incarnation, c.is_lost) {
             (_, true) => now < c.over_at,
             (Some(_), false) => true,
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod reports;
 mod run;
 mod silence;
+mod start_calls;
 mod start_deadline;
 mod start_rate;
 mod tails;
@@ -87,6 +88,8 @@
     waiting: BTreeMap<TaskId, Waiting>,
     /// Starts that were sent to earlier lives of workers.
     carried: carried::CarriedStarts,
+    /// Calls to start runs that may still be carried out.
+    start_calls: start_calls::StartCalls,
     /// The start time of lives that calls to an earlier life may still reach.
     recent_lives: BTreeMap<WorkerId, u64>,
     /// Machines that are being drained for maintenance, with the time at which
@@ -121,6 +124,7 @@
             start_rates: StartRates::default(),
             waiting: BTreeMap::new(),
             carried: carried::CarriedStarts::default(),
+            start_calls: start_calls::StartCalls::default(),
             recent_lives: BTreeMap::new(),
             draining: BTreeMap::new(),
             reports: reports::Reports::default(),
@@ -149,9 +153,11 @@
             exited: false,
             health: Health::default(),
             declared_lost: false,
+            granted_at: None,
             superseded: false,
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
+            listed_strays: BTreeSet::new(),
             stray_reserved: Resources::ZERO,
             orders: orders::OrderQueue::default(),
         })
@@ -178,6 +184,7 @@
 
     /// Removes data about incarnations and submissions that have ended.
     pub fn retain(&mut self, state: &SubmissionState) {
+        self.retain_starts(state);
         self.views.retain(|id, _| state.incarnation(*id).is_some());
         self.advice.retain(state);
         self.reports.retain(state);
@@ -339,6 +346,7 @@
         for listed in seen.running.iter().filter(|run| !run.is_never_placed(state)) {
             view.observe_run(&known, listed, now);
         }
+        view.listed_strays.clone_from(&view.strays);
         let stray_reserved = view.strays.iter().filter_map(|(task, _)| step_of(state, *task));
         view.stray_reserved = stray_reserved
             .fold(Resources::ZERO, |sum, step| sum.checked_add(&step.reserved()).unwrap_or(sum));
@@ -361,6 +369,9 @@
             }
         }
         self.carried.observe(state, id, seen, sent);
+        let running = seen.running.iter().map(|l| (l.task, l.attempt));
+        let listed = running.chain(seen.ended.iter().map(|e| (e.task, e.attempt)));
+        listed.for_each(|run| self.start_calls.record_listed(run));
         let is_fresh = self.capacity_is_fresh(state, id, now);
         samples.iter().for_each(|sample| self.run_times.record(sample, now));
         if let Some(view) = self.views.get_mut(&id) {
@@ -394,6 +405,7 @@
         now: Instant,
     ) -> Option<RunEnd> {
         self.carried.record_answer(id, order, answer, now);
+        self.start_calls.record_answer(order, answer);
         let view = self.views.get_mut(&id)?;
         view.orders.record_answer(order, answer);
         let run = view.runs.get_mut(&order.task).filter(|r| r.attempt == order.attempt)?;
--- a/crates/placement/src/submission/fleet/orders.rs
+++ b/crates/placement/src/submission/fleet/orders.rs
@@ -283,6 +283,7 @@
     /// [`Self::answered`] is called.
     pub fn order_sent(&mut self, id: IncarnationId, order: Order, now: Instant) {
         self.carried.record_sent(id, order, now);
+        self.start_calls.record_sent(id, order, now);
         let view = self.view_mut(id, now);
         if order.kind == OrderKind::Stop {
             view.strays.remove(&(order.task, order.attempt));
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -50,11 +50,15 @@
     /// orders, because a run could begin on it while the run's task is placed
     /// elsewhere.
     pub(super) declared_lost: bool,
+    /// When the last call was sent that extends the lease, if there was one.
+    pub(super) granted_at: Option<Instant>,
     /// Whether the next life of the worker has reported. It would carry out the orders to this one.
     pub(super) superseded: bool,
     pub(super) runs: BTreeMap<TaskId, RunView>,
-    /// Runs that the worker lists but the group doesn't know.
+    /// Runs that the worker lists but the group doesn't know, and that are to be stopped.
     pub(super) strays: BTreeSet<(TaskId, AttemptNumber)>,
+    /// All such runs that the worker listed last.
+    pub(super) listed_strays: BTreeSet<(TaskId, AttemptNumber)>,
     /// Resources of the runs that the worker listed last and the group doesn't know.
     pub(super) stray_reserved: Resources,
     pub(super) orders: OrderQueue,
@@ -93,6 +97,7 @@
         }
         let end_ms = self.lease.next_end_ms(now)?.min(deadline_ms);
         self.lease.record_granted(end_ms);
+        self.granted_at = Some(now);
         Some(end_ms)
     }
 }
--- a/crates/placement/src/submission/lease.rs
+++ b/crates/placement/src/submission/lease.rs
@@ -10,7 +10,7 @@
 const SLOWEST_CLOCK: f64 = 0.975;
 /// Time after the end of a lease until the leader counts it as expired. A worker
 /// ends its runs slightly after the lease, because timers fire late.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
+pub(super) const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 
 /// A worker's clock and the lease granted to the worker, as known to the
 /// leader.
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -23,6 +23,7 @@
 pub mod interference;
 pub mod lease;
 pub mod load_policy;
+mod open_starts;
 pub mod pacing;
 pub mod planner;
 mod record;
@@ -39,6 +40,7 @@
 pub use demand::{Demand, Forecast};
 pub use fleet::{Fleet, ListedRun, Observation, OrderKind, ReportBound, ReportStamp};
 pub use load_policy::LoadPolicy;
+pub use open_starts::{OpenStart, RunId};
 pub use routes::{Queue, QueueKey, RouteTable, Service};
 pub use spec::{Step, Submission, SubmissionId, TaskId};
 pub use state::{IncarnationId, Phase, SubmissionState};
--- a/crates/placement/src/submission/planner/mod.rs
+++ b/crates/placement/src/submission/planner/mod.rs
@@ -86,7 +86,7 @@
     }
     let is_full = round.is_full();
     let Round {
-        mut placed,
+        placed,
         waiting,
         tallies,
         short_tallies,
@@ -110,7 +110,6 @@
     let services = shortages.into_memory(&fleet.urgent_room.services, &held);
     fleet.urgent_room.services = services;
     fleet.urgent_room.record_round(&withheld, &released, now);
-    placed.retain(|p| !fleet.is_held_back(p.task, now));
     placed
 }
 
--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -132,6 +132,9 @@
                 self.skipped_tasks = true;
                 return false;
             }
+            if fleet.is_held_back(state, task, now) {
+                return true;
+            }
             let pending = PendingTask { record, task, step };
             let is_split = step.lasting && !step.gang;
             match turn {
@@ -411,7 +414,11 @@
     }
 
     fn place_gang(&mut self, first: PendingTask<'a>) {
-        if self.placed.len() + usize::from(first.step.count) > MAX_ROUND {
+        let mut members = (0..first.step.count).map(|index| TaskId { index, ..first.task });
+        let (state, fleet, now) = (self.state, self.fleet, self.cx.now);
+        if self.placed.len() + usize::from(first.step.count) > MAX_ROUND
+            || members.any(|member| fleet.is_held_back(state, member, now))
+        {
             return self.tally_waiting(first);
         }
         let mut members = self.place_isolated_gang(first);
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -14,6 +14,7 @@
     evacuation::Evacuations,
     former_runs::FormerRuns,
     interference::LearnedPair,
+    open_starts::{OpenStart, OpenStarts, RunId},
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
     waves::{Maintenance, Wave, WaveNumber},
@@ -59,9 +60,12 @@
     /// Stored after those.
     #[serde(skip)]
     evacuations: Evacuations,
-    /// Stored last.
+    /// Stored after those.
     #[serde(skip)]
     former_runs: FormerRuns,
+    /// Stored last.
+    #[serde(skip)]
+    open_starts: OpenStarts,
 }
 
 /// What is kept of the reports of an incarnation, in addition to the data of the last one.
@@ -407,6 +411,21 @@
         })
     }
 
+    /// Returns the starts that may still be carried out, as far as the group knows.
+    pub fn open_starts(&self) -> impl Iterator<Item = (RunId, &OpenStart)> {
+        self.open_starts.iter()
+    }
+
+    /// Returns the starts of a task that may still be carried out, as far as the group knows.
+    pub(super) fn open_starts_of(&self, task: TaskId) -> impl Iterator<Item = (RunId, &OpenStart)> {
+        self.open_starts.of_task(task)
+    }
+
+    /// Returns the start of a run if it may still be carried out, as far as the group knows.
+    pub(super) fn open_start(&self, run: RunId) -> Option<&OpenStart> {
+        self.open_starts.get(run)
+    }
+
     fn record_report(&mut self, id: IncarnationId, capacity: Resources, sequence: Option<u64>) {
         let last = self.reports.entry(id).or_insert(LastReport { sequence: 0, largest: capacity });
         last.sequence = last.sequence.max(sequence.unwrap_or(0));
@@ -418,6 +437,7 @@
         self.open.remove(&id);
         self.crashes.forget_submission(id);
         self.former_runs.forget_submission(id);
+        self.open_starts.forget_submission(id);
     }
 
     fn record_silent(&mut self, silences: &[Silence]) {
@@ -510,6 +530,7 @@
         if let Some(task) = record.task_mut(p.task) {
             task.runs.retain(|run| run.incarnation != p.incarnation);
         }
+        self.open_starts.forget((p.task, p.attempt));
         self.release(p.incarnation, p.task, reserved);
     }
 
@@ -528,7 +549,8 @@
             return false;
         }
         let step = &record.spec.steps[usize::from(p.task.step)];
-        let (most, reserved) = (if step.copies { MAX_COPIES } else { 1 }, step.reserved());
+        let has_copies = step.copies;
+        let (most, reserved) = (if has_copies { MAX_COPIES } else { 1 }, step.reserved());
         let Some(task) = record.task_mut(p.task) else { return false };
         let Some(incarnation) = self.incarnations.get_mut(&p.incarnation) else { return false };
         let elsewhere = task.runs.iter().all(|run| run.incarnation != p.incarnation);
@@ -548,6 +570,9 @@
         incarnation.reserved = sum;
         incarnation.runs.insert(p.task);
         self.former_runs.forget(p.task);
+        if !has_copies {
+            self.open_starts.record((p.task, p.attempt), &incarnation.worker);
+        }
         record.level_failures(p.task);
         record.begun = true;
         true
@@ -595,6 +620,7 @@
         let exhausted = !lasting && !is_done && is_exhausted;
         if finished {
             record.left[k][step] -= 1;
+            self.open_starts.forget_task(end.task);
         }
         if record.spec.steps[step].gang {
             record.propagate_end(end, finished);
@@ -696,6 +722,10 @@
                 self.record_silent(silences);
                 CommandResult::Done
             }
+            Command::Settled(runs) => {
+                runs.iter().for_each(|run| self.open_starts.forget(*run));
+                CommandResult::Done
+            }
             Command::Evacuate { domain, on, expected, at_ms } => {
                 let outcome = self.evacuations.apply(domain, *on, *expected, *at_ms);
                 CommandResult::Evacuated(outcome, self.evacuations.version_of(domain))
@@ -707,15 +737,19 @@
         let added = (&self.crashes, &self.reports);
         let encoded =
             postcard::to_stdvec(self).and_then(|bytes| postcard::to_extend(&added, bytes));
-        // A state that has neither is stored as by earlier versions.
-        let encoded = match (self.evacuations.version(), self.former_runs.is_empty()) {
-            (0, true) => encoded,
-            (_, true) => encoded.and_then(|bytes| postcard::to_extend(&self.evacuations, bytes)),
-            (_, false) => {
-                let last = (&self.evacuations, &self.former_runs);
-                encoded.and_then(|bytes| postcard::to_extend(&last, bytes))
-            }
+        // A state that lacks the last parts is stored as by earlier versions.
+        let parts = match () {
+            () if !self.open_starts.is_empty() => 3,
+            () if !self.former_runs.is_empty() => 2,
+            () => usize::from(self.evacuations.version() > 0),
         };
+        let last = (&self.evacuations, &self.former_runs, &self.open_starts);
+        let encoded = encoded.and_then(|bytes| match parts {
+            0 => Ok(bytes),
+            1 => postcard::to_extend(last.0, bytes),
+            2 => postcard::to_extend(&(last.0, last.1), bytes),
+            _ => postcard::to_extend(&last, bytes),
+        });
         encoded.unwrap_or_else(|e| {
             tracing::error!(error = %e, "snapshot of submissions was not encoded");
             Vec::new()
@@ -735,7 +769,11 @@
                 let (evacuations, rest) = postcard::take_from_bytes(rest).map_err(corrupt)?;
                 state.evacuations = evacuations;
                 if !rest.is_empty() {
-                    state.former_runs = postcard::from_bytes(rest).map_err(corrupt)?;
+                    let (former_runs, rest) = postcard::take_from_bytes(rest).map_err(corrupt)?;
+                    state.former_runs = former_runs;
+                    if !rest.is_empty() {
+                        state.open_starts = postcard::from_bytes(rest).map_err(corrupt)?;
+                    }
                 }
             }
         }
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -40,6 +40,8 @@
 const CALL_TIMEOUT_MS: u64 = 700;
 /// Time between two polls of a worker.
 const POLL_PERIOD_MS: u64 = 200;
+/// Time between two commits of the starts that are settled.
+const SETTLE_MS: u64 = 250;
 /// Time that passes with each tick of the simulation.
 const TICK_MS: u64 = 5;
 /// Time until a worker's report of a changed capacity arrives.
@@ -568,6 +570,10 @@
     fn decide(&mut self) {
         let now = self.instant();
         self.fleet.retain(&self.state);
+        if self.now.is_multiple_of(SETTLE_MS) {
+            let settled = self.fleet.settled_starts(&self.state, now);
+            Command::settled(settled).into_iter().for_each(|c| self.propose(c));
+        }
         let silences = self.fleet.take_silent(&self.state, now, self.now);
         if !silences.is_empty() {
             self.propose(Command::Silent(silences));
--- a/crates/placement/tests/all/submission/evacuation.rs
+++ b/crates/placement/tests/all/submission/evacuation.rs
@@ -3,8 +3,8 @@
 
 use super::cluster::{policy, step, submission, worker};
 use cyclamenloft_placement::submission::{
-    Command, CommandResult, IncarnationId, Placement, Silence, SilentRun, SubmissionState, TaskId,
-    WorkerInfo, WorkerReport,
+    Command, CommandResult, IncarnationId, Placement, RunId, Silence, SilentRun, SubmissionState,
+    TaskId, WorkerInfo, WorkerReport,
     evacuation::{EvacuationOutcome, EvacuationVersion},
 };
 use cyclamenloft_replication::StateMachine;
@@ -87,6 +87,9 @@
     let silence = Silence { incarnation: 2, at_ms: 90, runs: vec![run], checkpoints: vec![] };
     g.apply(Command::Silent(vec![silence]));
     g.apply(Command::Lost { incarnation: 2, checkpoints: vec![] });
+    // The earlier version kept no starts that may still be carried out.
+    let open: Vec<RunId> = g.state.open_starts().map(|(run, _)| run).collect();
+    g.apply(Command::Settled(open));
     g
 }
 
--- a/crates/placement/tests/all/submission/evacuation_runs.rs
+++ b/crates/placement/tests/all/submission/evacuation_runs.rs
@@ -139,7 +139,7 @@
 /// The starts were sent before the order and are carried out as long after it as they may be.
 fn delayed_starts() {
     for delay in [100, 600, 1_200, 2_000, 2_600, 4_000] {
-        let mut w = cluster_of(&["wa", "wb"]);
+        let mut w = cluster_of(&["wa", "wb"]).with_reports(None);
         w.run(420);
         w.worker("wa").link = Link::Delayed(delay);
         w.submit(submission(1, vec![step(8)]));
