Polls that follow one without an answer name no lease and acknowledge nothing

Cause: every poll repeated the number of the last end that was acknowledged to its life, and one to a silent worker repeated the last end of the lease. Until the next life of a worker has reported, it is polled as the former one. It knows no token, and its clock and the numbers of its ends start anew: it granted itself the longest lease and forgot its own ends up to that number.

Now a poll states both only if the poll before it was answered by this life and the worker counts as reachable (Fleet::next_poll, fleet/polls.rs). It acknowledges what the last answer listed and the group has committed since, once; what is lost on the way is listed again and acknowledged then. Calls to a worker that isn't reachable get no lease at all: `grant` returned the former end, and returns None; such an order isn't sent. A silent worker was never granted more time before either, and the poll after its next answer, which is sent at once, grants the lease. A poll by a new replica in place of a silent one states nothing, and the next one does. WorkerView::granted_at is the time of the last call that named a lease.

gone::a_poll_for_the_former_life_takes_no_end_of_the_next (real replicas, stand-in worker) failed on: "attempt 2 [...] the task is already done"; it passes. With the former rule put into next_poll, seven of the tests in submission::polls failed. The simulated workers now carry out polls that were meant for their former life; former_lives::a_poll_of_a_former_life_takes_no_end_of_the_next uses that, but with the former rule an earlier form of it passed (probably its start was never sent), and the present form was not run against that rule. The first form of the test in gone had passed on as well, since the life reported before it had been polled.

What remains: the one poll that is sent right after an answer still states both, and may be held up until the next life is there.

--- a/crates/dispatch/src/port.rs
+++ b/crates/dispatch/src/port.rs
@@ -30,12 +30,12 @@
 /// waits for the next end of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct PollCall {
-    /// End of the lease on the worker's clock, in milliseconds; `None` until that
-    /// clock is known.
+    /// End of the lease on the worker's clock, in milliseconds; `None` if the poll grants none.
     pub lease_end_ms: Option<u64>,
     /// Fencing token.
     pub token: Term,
-    /// Number of the last end of a run that the group has committed.
+    /// Number of the last end of a run that the poll acknowledges, because the group has committed
+    /// it; 0 if there is nothing new to acknowledge.
     pub acknowledged: u64,
     /// How long the worker may wait for the end of a run before it answers.
     pub wait: Duration,
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -58,7 +58,7 @@
     Poll {
         /// End of the lease on the worker's clock, in milliseconds.
         lease_end_ms: Option<u64>,
-        /// Number of the last end of a run that the group has committed.
+        /// Number of the last end of a run that the poll acknowledges; 0 if there is none.
         acknowledged: u64,
         /// How long the worker may wait for the end of a run, in milliseconds.
         wait_ms: u32,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -13,7 +13,7 @@
 use cyclamenloft_placement::submission::{
     Command, CommandResult, IncarnationId, Observation, RunEnd, SubmissionId, SubmissionState,
     TaskId,
-    fleet::{Order, OrderAnswer, OrderKind},
+    fleet::{Order, OrderAnswer, OrderKind, PollTerms},
     state::Phase,
 };
 use cyclamenloft_types::{AttemptNumber, ErrorKind, Result, WorkerId};
@@ -122,7 +122,7 @@
 /// What the polls of one incarnation have led to.
 #[derive(Default)]
 struct Progress {
-    /// Number of the last end of a run that the group has committed.
+    /// Number of the last end of a run that a poll has acknowledged.
     acknowledged: Cell<u64>,
     /// When the worker first answered.
     first_answer: Cell<Option<Instant>>,
@@ -175,10 +175,9 @@
     leadership: &Leadership,
     progress: &Progress,
 ) -> Result<Duration> {
-    let acknowledged = &progress.acknowledged;
     let sent = Instant::now();
     let (route, is_new_holder) = cx.caller.choose_route(&cx.node.port, &leadership.relays);
-    let wait = {
+    let (wait, terms) = {
         let mut fleet = leadership.fleet.borrow_mut();
         let idle =
             cx.node.state(|s| s.incarnation(cx.incarnation).is_none_or(|l| l.runs.is_empty()));
@@ -192,7 +191,8 @@
         // token.
         view.synced &= !is_new_holder;
         let close_watch = view.needs_close_watch() || delays_starts || awaits_stops;
-        let responsive = view.synced && view.is_reachable(sent) && !lacks_lease;
+        let responsive =
+            view.synced && view.answers_polls() && view.is_reachable(sent) && !lacks_lease;
         let wait = match (responsive, idle, close_watch) {
             (false, ..) => Duration::ZERO,
             (_, true, _) if !delays_starts && !awaits_stops => IDLE_WAIT,
@@ -203,11 +203,11 @@
             POLL_INTERVAL_PER_WORKER * u32::try_from(fleet.known_count()).unwrap_or(u32::MAX);
         let wait = if responsive { wait.max(min_wait).min(IDLE_WAIT) } else { wait };
         fleet.poll_sent(cx.incarnation, wait, sent);
-        wait
+        (wait, fleet.next_poll(cx.incarnation, sent))
     };
-    let lease_end_ms = grant_lease(leadership, cx.incarnation, sent);
-    let call =
-        PollCall { lease_end_ms, token: route.token(), acknowledged: acknowledged.get(), wait };
+    let PollTerms { lease_end_ms, acknowledged } = terms;
+    progress.acknowledged.set(progress.acknowledged.get().max(acknowledged));
+    let call = PollCall { lease_end_ms, token: route.token(), acknowledged, wait };
     cx.node.metrics.count("look", "sent");
     let result = cx.caller.poll(&cx.node.port, &route, call).await;
     let now = Instant::now();
@@ -233,8 +233,8 @@
     }
     record_never_placed(cx, progress, &observation);
     process_observation(cx, leadership, progress, &observation, sent).await?;
-    let has_new_end = last_end > acknowledged.get();
-    acknowledged.set(acknowledged.get().max(last_end));
+    leadership.fleet.borrow_mut().ends_committed(cx.incarnation, last_end);
+    let has_new_end = last_end > acknowledged;
     // No poll waits while the worker lists an end that can't be taken.
     let answers_early = !has_new_end && sent.elapsed() + MIN_RETRY_PAUSE < wait;
     Ok(if answers_early { MIN_RETRY_PAUSE } else { Duration::ZERO })
@@ -346,13 +346,6 @@
     }
 }
 
-/// Extends the worker's lease if the worker is reachable. Returns the end of the lease on
-/// the worker's clock, in milliseconds, to be sent with the next poll or order; `None`
-/// until that clock is known.
-fn grant_lease(leadership: &Leadership, incarnation: IncarnationId, now: Instant) -> Option<u64> {
-    leadership.fleet.borrow_mut().view_mut(incarnation, now).grant(now)
-}
-
 /// Sends orders to the worker while this replica leads. Runs until the task is cancelled.
 pub(crate) async fn send_orders<P: Port>(cx: Context<P>) {
     let mut calls = FuturesUnordered::new();
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod maintenance;
 mod messages;
 mod orders;
+mod polls;
 mod recovery;
 mod reports;
 mod run;
@@ -24,6 +25,7 @@
 pub use loss::{EndSign, Loss, LossReason};
 pub use maintenance::MaintenanceOrder;
 pub use messages::{ListedRun, Observation, Order, OrderAnswer, OrderKind};
+pub use polls::PollTerms;
 pub use recovery::begun_long_tasks;
 pub use reports::{ReportBound, ReportStamp, StaleChange};
 pub use start_deadline::{evacuation_start_bound, latest_start_ms};
@@ -142,6 +144,9 @@
             // The worker hasn't been polled yet, so its silence doesn't mean anything.
             reachable_until: now + ANSWER_GRACE,
             observed: false,
+            answers_polls: false,
+            listed_end: 0,
+            granted_at: None,
             silent_since: None,
             silence_taken: false,
             process_ended: false,
@@ -324,6 +329,8 @@
         view.lease.record_clock(seen.clock_ms, now);
         view.synced = true;
         view.observed = true;
+        view.answers_polls = true;
+        view.listed_end = 0;
         view.silent_since = None;
         view.silence_taken = false;
         view.process_ended = false;
--- a/crates/placement/src/submission/fleet/worker.rs
+++ b/crates/placement/src/submission/fleet/worker.rs
@@ -34,6 +34,13 @@
     pub(super) reachable_until: Instant,
     /// Whether the worker has ever answered this leader's polls.
     pub(super) observed: bool,
+    /// Whether the last poll was answered by this life.
+    pub(super) answers_polls: bool,
+    /// Number of the last end in the last answer, once the group has committed it and until a poll
+    /// acknowledges it; 0 if there is none.
+    pub(super) listed_end: u64,
+    /// Time of the last call that named the end of a lease.
+    pub granted_at: Option<Instant>,
     /// Time of the first poll without an answer since the last one with an answer.
     pub(super) silent_since: Option<Instant>,
     /// Whether stock has been taken of what ran when the worker became unreachable.
@@ -72,15 +79,22 @@
         self.synced && !self.declared_lost && !self.superseded && self.is_reachable(now)
     }
 
+    /// Returns whether this life of the worker has answered the last poll, so that the next one may
+    /// grant a lease.
+    #[must_use]
+    pub fn answers_polls(&self) -> bool {
+        self.answers_polls
+    }
+
     /// Returns whether the worker has answered recently.
     #[must_use]
     pub fn is_reachable(&self, now: Instant) -> bool {
         now < self.reachable_until
     }
 
-    /// Returns the end of the lease to send with the next order, and records it
-    /// as granted. The lease of an unreachable worker isn't extended, so that
-    /// its runs end in time and can be placed elsewhere.
+    /// Returns the end of the lease to send with the next call, and records it
+    /// as granted. An unreachable worker is granted none, so that its runs end
+    /// in time and can be placed elsewhere.
     pub fn grant(&mut self, now: Instant) -> Option<u64> {
         self.grant_until(now, u64::MAX)
     }
@@ -89,10 +103,11 @@
     /// on its own clock. A deadline doesn't shorten what the worker has been granted before.
     pub fn grant_until(&mut self, now: Instant, deadline_ms: u64) -> Option<u64> {
         if !self.is_reachable(now) {
-            return self.lease.granted_end_ms().map(|end_ms| end_ms.min(deadline_ms));
+            return None;
         }
         let end_ms = self.lease.next_end_ms(now)?.min(deadline_ms);
         self.lease.record_granted(end_ms);
+        self.granted_at = Some(now);
         Some(end_ms)
     }
 }
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -18,7 +18,7 @@
     Command, CommandResult, Fleet, IncarnationId, OrderKind, Phase, QueueKey, ReportBound, Step,
     Submission, SubmissionState, TaskId, WorkerInfo, WorkerReport,
     evacuation::{EvacuationOutcome, EvacuationVersion},
-    fleet::{EndSign, Order, OrderAnswer, evacuation_start_bound, latest_start_ms},
+    fleet::{EndSign, Order, OrderAnswer, PollTerms, evacuation_start_bound, latest_start_ms},
     planner,
     routes::QueuePolicy,
 };
@@ -80,7 +80,6 @@
     pub unnoted_ends_are_void: bool,
     /// Polls that are to fail: time and incarnation.
     failing: Vec<(u64, IncarnationId)>,
-    acknowledged: BTreeMap<IncarnationId, u64>,
     index: u64,
     /// The queue's advisor, if it has one.
     pub advisor: Option<Advisor>,
@@ -187,7 +186,6 @@
             polls_time_out: false,
             unnoted_ends_are_void: false,
             failing: Vec::new(),
-            acknowledged: BTreeMap::new(),
             index: 0,
             advisor: None,
             machines: None,
@@ -244,7 +242,6 @@
         self.orders.clear();
         self.failing.clear();
         self.polled.clear();
-        self.acknowledged.clear();
     }
 
     /// Accepts a submission without the delay of a commit.
@@ -518,8 +515,7 @@
                 self.polled.insert(id, self.polls_held_until);
                 continue;
             }
-            let lease_end = self.fleet.view_mut(id, now).grant(now);
-            let acknowledged = self.acknowledged.get(&id).copied().unwrap_or(0);
+            let PollTerms { lease_end_ms, acknowledged } = self.fleet.next_poll(id, now);
             let token = self.token_for(&info);
             let Some(worker) = self.workers.get_mut(&info.id) else {
                 self.fleet.unreachable(id, now);
@@ -535,6 +531,11 @@
                 self.polled.insert(id, self.now + CALL_TIMEOUT_MS);
                 continue;
             }
+            let is_reached = worker.up && matches!(worker.link, Link::Open | Link::NoOrders);
+            if is_reached && !answers && worker.token <= token {
+                // The next life carries out what was meant for this one.
+                worker.carry_out_poll(self.now, token, lease_end_ms, acknowledged);
+            }
             if !answers {
                 // The address of a worker whose process has ended refuses connections.
                 let is_refused = !worker.up && matches!(worker.link, Link::Open | Link::NoOrders);
@@ -544,14 +545,13 @@
                 }
                 continue;
             }
-            worker.token = token;
-            worker.extend(self.now, lease_end.unwrap_or(0));
-            worker.ended.retain(|(n, _)| *n > acknowledged);
+            worker.carry_out_poll(self.now, token, lease_end_ms, acknowledged);
             let seen = worker.observation(self.now);
-            let last = worker.listed_ends().last().map_or(acknowledged, |(n, _)| *n);
-            self.acknowledged.insert(id, last);
+            let last = worker.listed_ends().last().map_or(0, |(n, _)| *n);
             let sent = now - Duration::from_millis(1);
             let ends = self.fleet.observe(&self.state, id, &seen, sent, now);
+            // There is no other poll before the ends are committed.
+            self.fleet.ends_committed(id, last);
             if !ends.is_empty() {
                 self.propose(Command::Ended { incarnation: id, ends });
             }
--- a/crates/placement/tests/all/submission/cluster/worker.rs
+++ b/crates/placement/tests/all/submission/cluster/worker.rs
@@ -146,6 +146,19 @@
         self.delayed.clear();
     }
 
+    /// Carries out what a poll states.
+    pub(super) fn carry_out_poll(
+        &mut self,
+        now: u64,
+        token: u64,
+        lease_end_ms: Option<u64>,
+        acknowledged: u64,
+    ) {
+        self.token = token;
+        self.extend(now, lease_end_ms.unwrap_or(0));
+        self.ended.retain(|(n, _)| *n > acknowledged);
+    }
+
     pub(super) fn extend(&mut self, now: u64, end: u64) {
         let longest =
             self.clock_ms(now) + u64::try_from(self.longest_accepted.as_millis()).unwrap();
--- a/crates/placement/tests/all/submission/former_lives.rs
+++ b/crates/placement/tests/all/submission/former_lives.rs
@@ -2,7 +2,7 @@
 //! cluster checks at each tick that no task runs twice.
 
 use super::cluster::{Cluster, Link, step, submission, worker};
-use cyclamenloft_placement::submission::{Command, Step, TaskId, WorkerInfo};
+use cyclamenloft_placement::submission::{Command, Phase, Step, TaskId, WorkerInfo};
 use std::time::Duration;
 
 const TASK: TaskId = TaskId { submission: 1, occurrence: 0, step: 0, index: 0 };
@@ -93,6 +93,30 @@
         lease_of_the_former_life_under_the_next_leader;
 }
 
+/// The next life ends a run `done` that was to be started on the former one. Until it reports, it is
+/// polled as the former one, which had ended more runs.
+fn end_on_the_next_life() {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.submit(submission(2, vec![step(4)]));
+    w.run(2_010);
+    assert_eq!(w.phase(2), Phase::Complete);
+    w.worker("wa").link = Link::Delayed(200);
+    w.submit(submission(1, vec![step(1)]));
+    w.run(100);
+    w.start_again("wa", 1_800);
+    w.worker("wa").link = Link::Open;
+    w.run(1_000);
+    assert!(w.starts.iter().any(|(task, ..)| *task == TASK), "the next life has not begun the run");
+    w.run(7_000);
+    assert_eq!(w.phase(1), Phase::Complete);
+    assert_eq!(w.starts.iter().filter(|(task, ..)| *task == TASK).count(), 1, "{:?}", w.starts);
+}
+
+cases! {
+    "Guards against a run whose end is forgotten because a poll acknowledges ends of the former life.";
+    a_poll_of_a_former_life_takes_no_end_of_the_next: end_on_the_next_life;
+}
+
 cases! {
     "Guards against a start that the next life of a worker carries out while the task runs elsewhere.";
     nothing_is_started_on_a_life_whose_successor_has_reported: placed_on_the_former_life;
--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -32,6 +32,7 @@
 mod loss;
 mod order_turns;
 mod planning;
+mod polls;
 mod recovery;
 mod refusal;
 mod report_age;
