--- a/crates/placement/tests/all/submission/mod.rs
+++ b/crates/placement/tests/all/submission/mod.rs
@@ -33,6 +33,7 @@
 mod order_turns;
 mod outliving_calls;
 mod planning;
+mod polls;
 mod recovery;
 mod refusal;
 mod report_age;
