--- a/crates/placement/tests/all/submission/cluster/lives.rs
+++ b/crates/placement/tests/all/submission/cluster/lives.rs
@@ -43,9 +43,10 @@
     /// Kills a worker for good.
     pub fn end_life(&mut self, name: &str) {
         let worker = self.worker(name);
-        let delayed = std::mem::take(&mut worker.delayed);
+        let (delayed, polls) =
+            (std::mem::take(&mut worker.delayed), std::mem::take(&mut worker.delayed_polls));
         worker.crash();
-        worker.delayed = delayed;
+        (worker.delayed, worker.delayed_polls) = (delayed, polls);
         self.next_lives.forget(name);
     }
 
@@ -120,6 +121,9 @@
             link: former.link,
             longest_accepted: former.longest_accepted,
             delayed: std::mem::take(&mut former.delayed),
+            delayed_polls: std::mem::take(&mut former.delayed_polls),
+            late_calls: former.late_calls,
+            unnoted: std::mem::take(&mut former.unnoted),
             ..Worker::new(info.clone())
         };
         self.workers.insert(name.into(), next);
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -13,6 +13,7 @@
 pub use lives::NextLife;
 pub use reports::{BATCH_MS, REPORT_INTERVAL_MS, Reporting, bound};
 pub use services::{Advisor, Machines};
+use worker::Poll;
 pub use worker::{Link, Worker};
 
 use cyclamenloft_placement::submission::{
@@ -79,6 +80,13 @@
     /// Whether a task may start again although a run of it is done, if the lease of that run's
     /// worker expired before its end was acknowledged, as the users' rules permit.
     pub unnoted_ends_are_void: bool,
+    /// Whether polls too are carried out late or by another life than the one they are meant for,
+    /// and the end of a lease that another life gets is far ahead of its clock.
+    pub calls_cross_lives: bool,
+    /// Longest lease that workers accept, as the leader knows it.
+    pub longest_accepted: Duration,
+    /// Tasks of which an end `done` was taken note of.
+    noted: BTreeSet<TaskId>,
     /// Polls that are to fail: time and incarnation.
     failing: Vec<(u64, IncarnationId)>,
     acknowledged: BTreeMap<IncarnationId, u64>,
@@ -189,6 +197,9 @@
             polls_held_until: 0,
             polls_time_out: false,
             unnoted_ends_are_void: false,
+            calls_cross_lives: false,
+            longest_accepted: LEASE,
+            noted: BTreeSet::new(),
             failing: Vec::new(),
             acknowledged: BTreeMap::new(),
             index: 0,
@@ -242,6 +253,7 @@
     pub fn elect(&mut self) {
         self.token += 1;
         self.fleet = Fleet::new(LEASE, self.instant());
+        self.fleet.set_longest_accepted(self.longest_accepted);
         self.fleet.take_over_lives(&self.state, self.instant(), self.now);
         self.fleet.set_report_bound(self.bound);
         self.commits.clear();
@@ -308,6 +320,7 @@
             self.maintain();
             self.decide();
             self.order();
+            self.take_note();
             self.check();
         }
     }
@@ -343,6 +356,8 @@
         let is_void = |w: &Worker| self.unnoted_ends_are_void && w.unnoted.contains(&task);
         let is_done = known.done && !self.workers.values().any(is_void);
         assert!(!is_done, "{task} starts at {} although it is done", self.now);
+        let is_noted = self.noted.contains(&task);
+        assert!(!is_noted, "{task} starts at {} although its end was taken note of", self.now);
         self.check_evacuation(task, worker);
         self.starts.push((task, worker.into(), self.now));
         if let Some(after) = self.fatal.get(&task) {
@@ -351,6 +366,22 @@
         }
     }
 
+    /// Takes note of the ends that were acknowledged, and checks that their tasks haven't started
+    /// since.
+    fn take_note(&mut self) {
+        for worker in self.workers.values_mut() {
+            for (task, done_at) in std::mem::take(&mut worker.noted) {
+                let record = self.state.record(task.submission).unwrap();
+                if record.spec.steps[usize::from(task.step)].copies {
+                    continue;
+                }
+                let late = self.starts.iter().find(|(t, _, at)| *t == task && *at > done_at);
+                assert!(late.is_none(), "{task} was done at {done_at} and started later: {late:?}");
+                self.noted.insert(task);
+            }
+        }
+    }
+
     /// Checks that a task that has just started isn't in a domain that was evacuated long before.
     fn check_evacuation(&self, task: TaskId, worker: &str) {
         let domain = &self.workers[worker].info.domain;
@@ -433,7 +464,10 @@
     /// Delivers delayed orders and lets runs proceed. What arrives while a worker is down is lost.
     fn work(&mut self) {
         let now = self.now;
-        self.workers.values_mut().filter(|w| !w.up).for_each(|w| w.delayed.retain(|l| l.0 > now));
+        for worker in self.workers.values_mut().filter(|w| !w.up) {
+            worker.delayed.retain(|l| l.0 > now);
+            worker.delayed_polls.retain(|p| p.0 > now);
+        }
         let up = self.workers.iter().filter(|(_, w)| w.up);
         let names: Vec<Box<str>> = up.map(|(name, _)| name.clone()).collect();
         for name in &names {
@@ -442,6 +476,10 @@
             let (due, later) =
                 std::mem::take(&mut worker.delayed).into_iter().partition(|l| l.0 <= now);
             worker.delayed = later;
+            let (polls, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut worker.delayed_polls).into_iter().partition(|p| p.0 <= now);
+            worker.delayed_polls = later;
+            polls.into_iter().for_each(|(_, poll)| worker.take_poll(now, poll));
             for (_, token, order, lease_end) in due as Vec<(u64, u64, Order, u64)> {
                 self.deliver(name, token, order, lease_end);
             }
@@ -457,6 +495,9 @@
         let (now, runs_indefinitely) = (self.now, self.runs_indefinitely(order.task));
         let worker = self.workers.get_mut(name).unwrap();
         let before = worker.runs.len();
+        // The lower half of a token tells the life.
+        let is_own = token & u64::from(u32::MAX) == worker.info.started_ms;
+        let lease_end = if self.calls_cross_lives && !is_own { u64::MAX } else { lease_end };
         let answer = worker.take(now, token, order, lease_end, runs_indefinitely);
         if worker.runs.len() > before {
             self.started(order.task, name);
@@ -532,6 +573,30 @@
                 self.fleet.unreachable(id, now);
                 continue;
             };
+            let poll = Poll {
+                started_ms: info.started_ms,
+                token,
+                lease_end: lease_end.unwrap_or(0),
+                acknowledged,
+            };
+            if self.calls_cross_lives
+                && let Link::Delayed(after) = worker.link_of_call()
+            {
+                worker.delayed_polls.push((self.now + after, poll));
+                self.failing.push((self.now + CALL_TIMEOUT_MS, id));
+                self.polled.insert(id, self.now + CALL_TIMEOUT_MS);
+                continue;
+            }
+            let is_open = matches!(worker.link, Link::Open | Link::NoOrders);
+            if self.calls_cross_lives
+                && worker.up
+                && is_open
+                && worker.info.started_ms > info.started_ms
+            {
+                worker.take_poll(self.now, poll);
+                self.fleet.process_ended(&self.state, id, EndSign::Replaced, now);
+                continue;
+            }
             let answers = worker.up
                 && matches!(worker.link, Link::Open | Link::NoOrders)
                 && worker.info.started_ms == info.started_ms
@@ -551,9 +616,7 @@
                 }
                 continue;
             }
-            worker.token = token;
-            worker.extend(self.now, lease_end.unwrap_or(0));
-            worker.ended.retain(|(n, _)| *n > acknowledged);
+            worker.take_poll(self.now, poll);
             let seen = worker.observation(self.now);
             let last = worker.listed_ends().last().map_or(acknowledged, |(n, _)| *n);
             self.acknowledged.insert(id, last);
@@ -640,7 +703,11 @@
     fn send(&mut self, info: &WorkerInfo, order: Order, lease_end: u64) -> (OrderAnswer, u64) {
         let token = self.token_for(info);
         let worker = self.workers.get_mut(&info.id).unwrap();
-        match worker.link {
+        match worker.link_of_call() {
+            Link::Delayed(after) if self.calls_cross_lives => {
+                worker.delayed.push((self.now + after, token, order, lease_end));
+                (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS)
+            }
             _ if !worker.up => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
             Link::Refused => (OrderAnswer::NotSent, self.now),
             Link::Cut | Link::NoOrders => (OrderAnswer::Unanswered, self.now + CALL_TIMEOUT_MS),
--- a/crates/placement/tests/all/submission/cluster/worker.rs
+++ b/crates/placement/tests/all/submission/cluster/worker.rs
@@ -40,6 +40,15 @@
     stops_at: Option<u64>,
 }
 
+/// A poll: the life for which it is meant, and what it brings.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Poll {
+    pub(super) started_ms: u64,
+    pub(super) token: u64,
+    pub(super) lease_end: u64,
+    pub(super) acknowledged: u64,
+}
+
 /// A simulated worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -75,6 +84,16 @@
     pub(super) highest_ended: BTreeMap<TaskId, u32>,
     /// Delayed orders: time of arrival, token, order and end of the lease.
     pub(super) delayed: Vec<(u64, u64, Order, u64)>,
+    /// Delayed polls, with the times of their arrival.
+    pub(super) delayed_polls: Vec<(u64, Poll)>,
+    /// Calls that are to be delayed although the link is open: how many, and by how many
+    /// milliseconds.
+    pub late_calls: (u32, u64),
+    /// `done` ends that were acknowledged in this tick before the lease expired: task and time of
+    /// the end.
+    pub(super) noted: Vec<(TaskId, u64)>,
+    /// When each run that ended `done` did so, by the number of its end.
+    pub(super) done_at: BTreeMap<u64, u64>,
     /// Time at which the worker's clock showed 0.
     pub(super) clock_start: u64,
     /// Rate of the worker's clock, in percent.
@@ -107,6 +126,10 @@
             last_end: 0,
             highest_ended: BTreeMap::new(),
             delayed: Vec::new(),
+            delayed_polls: Vec::new(),
+            late_calls: (0, 0),
+            noted: Vec::new(),
+            done_at: BTreeMap::new(),
             clock_start: 0,
             clock_rate: 100,
             max_listed_ends: usize::MAX,
@@ -146,6 +169,39 @@
         self.delayed.clear();
     }
 
+    /// Returns the state that the link has for the next call.
+    pub(super) fn link_of_call(&mut self) -> Link {
+        match (self.link, &mut self.late_calls) {
+            (Link::Open, (count, millis)) if *count > 0 => {
+                *count -= 1;
+                Link::Delayed(*millis)
+            }
+            (link, _) => link,
+        }
+    }
+
+    /// Carries out a poll, unless its token is outdated. The end of a lease that was meant for the
+    /// clock of another life may be as late as any.
+    pub(super) fn take_poll(&mut self, now: u64, poll: Poll) {
+        if poll.token < self.token {
+            return;
+        }
+        self.token = poll.token;
+        let is_own = poll.started_ms == self.info.started_ms;
+        self.extend(now, if is_own { poll.lease_end } else { u64::MAX });
+        self.acknowledge(poll.acknowledged);
+    }
+
+    /// Forgets the ends up to this number.
+    pub(super) fn acknowledge(&mut self, acknowledged: u64) {
+        for (number, end) in self.ended.extract_if(.., |(n, _)| *n <= acknowledged) {
+            let is_noted = end.reason == EndReason::Done && !self.unnoted.contains(&end.task);
+            if let Some(at) = self.done_at.remove(&number).filter(|_| is_noted) {
+                self.noted.push((end.task, at));
+            }
+        }
+    }
+
     pub(super) fn extend(&mut self, now: u64, end: u64) {
         let longest =
             self.clock_ms(now) + u64::try_from(self.longest_accepted.as_millis()).unwrap();
@@ -194,7 +250,7 @@
                 let stop_ms = self.stop_ms;
                 match self.runs.get_mut(&task).filter(|_| running) {
                     Some(run) if stop_ms > 0 => drop(run.stops_at.get_or_insert(now + stop_ms)),
-                    Some(_) => self.end(task, attempt, EndReason::Stopped),
+                    Some(_) => self.end(now, task, attempt, EndReason::Stopped),
                     None => {}
                 }
                 OrderAnswer::Taken
@@ -208,13 +264,16 @@
         }
     }
 
-    pub(super) fn end(&mut self, task: TaskId, attempt: u32, reason: EndReason) {
+    pub(super) fn end(&mut self, now: u64, task: TaskId, attempt: u32, reason: EndReason) {
         self.runs.remove(&task);
         self.highest_ended.entry(task).and_modify(|h| *h = attempt.max(*h)).or_insert(attempt);
         self.last_end += 1;
         if reason == EndReason::Failed {
             self.failed.push((task, attempt));
         }
+        if reason == EndReason::Done {
+            self.done_at.insert(self.last_end, now);
+        }
         let end = RunEnd { task, attempt, reason, checkpoint: "".into() };
         self.ended.push((self.last_end, end));
     }
@@ -240,7 +299,7 @@
             }
         }
         for (task, attempt, reason) in ended {
-            self.end(task, attempt, reason);
+            self.end(now, task, attempt, reason);
         }
     }
 
