Two faults that the series of late calls finds beside the hold of starts

- A start is sent twice: the second copy is answered, and its run is done and acknowledged while the first copy is still under way.
The worker starts again behind a cut, and that life carries out the first copy.
Holding placements back can't prevent it.
- The next life carries out a start for the former one, and its run is done before it reports.
The polls for the former life that reach it meanwhile acknowledge that life's ends and remove the end from the next one's list.
The leader never sees it and places the task again.

--- a/crates/placement/tests/all/submission/outliving_calls.rs
+++ b/crates/placement/tests/all/submission/outliving_calls.rs
@@ -156,6 +156,34 @@
     }
 }
 
+/// The second copy of the start is answered and its run is done, and the first copy arrives in the
+/// next life.
+fn sent_again_and_done() {
+    for delay_ms in DELAYS_MS {
+        let mut w = held_up(step(1), delay_ms);
+        w.calls_cross_lives = true;
+        w.worker("wa").link = Link::Open;
+        w.run(2_500);
+        assert_eq!(w.phase(1), Phase::Complete);
+        crash(&mut w, NextLife { down_ms: 1_000, ..CUT_OFF });
+        outlast_calls(&mut w);
+    }
+}
+
+/// A start for the former life is carried out by the next one, and its run is done before that life
+/// reports. The polls meanwhile are those for the former life, of which four ends are acknowledged.
+fn acknowledged_for_the_former_life() {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.calls_cross_lives = true;
+    w.submit(submission(1, vec![step(4)]));
+    w.run(2_010);
+    assert_eq!(w.phase(1), Phase::Complete);
+    w.crash_for("wa", NextLife { down_ms: 0, report_ms: 1_500, link: Link::Open });
+    w.submit(submission(2, vec![step(1)]));
+    w.run(4_000);
+    assert_eq!(w.phase(2), Phase::Complete);
+}
+
 fn reachable_next_life() {
     for delay_ms in DELAYS_MS {
         let mut w = held_up(lasting(1), delay_ms);
@@ -193,6 +221,12 @@
 cases! {
     "Guards against a start that a later life of a lost worker carries out after the task is done.";
     a_start_outlives_its_worker_and_its_task: done_elsewhere;
+    a_copy_of_a_start_outlives_its_worker_and_its_task: sent_again_and_done;
+}
+
+cases! {
+    "Guards against a task that runs again since its end was removed from the next life's list by an acknowledgment for the life before.";
+    an_acknowledgment_for_a_former_life_removes_no_end: acknowledged_for_the_former_life;
 }
 
 /// The task is placed on `wa`, whose link is cut before a start is answered or, if `began`, after
