Calls to start a run are followed until each is over

Causes, all in what counts as under way: - A run that a later life lists as a stray spent the only call, so its start was settled and the task placed while the run was being stopped. It stays open as long as that life lists it. - A start that was sent twice, or that a former leader may have sent, never ceased to be under way. It does once the life that it was meant for answers a poll that was sent 12 s after it: whatever had arrived, that life carried out. - The answer that a run has begun may come from another life. Until the life that was meant lists the run, the lease that the call brought is waited for. - A call may leave a relay later than it was handed over (an unanswered one counts as sent when its answer was given up), and leases of a returned worker, or of a view that an idle order task removed, were overlooked. Long-running tasks that are held count as waiting, so that they keep their turn.

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -265,8 +265,10 @@
         let leadership = node.leadership.borrow().clone();
         let Some(leadership) = leadership.filter(|_| node.leads()) else { continue };
         let settled = node.state(|s| {
+            let (fleet, now) = (leadership.fleet.borrow(), Instant::now());
             node.metrics.level("starts-open", s.open_starts().count());
-            leadership.fleet.borrow().settled_starts(s, Instant::now())
+            node.metrics.level("starts-held", fleet.held_starts(s, now));
+            fleet.settled_starts(s, now)
         });
         for command in Command::settled(settled) {
             if let Err(e) = node.propose(command).await {
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -291,8 +291,8 @@
         /// The leader's wall clock at acceptance, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
-    /// Records that the starts of these runs can't be carried out any more, or that no further one
-    /// can.
+    /// Records that the starts of these runs, which have begun or ended, can't be carried out any
+    /// more.
     Settled(Vec<RunId>),
 }
 
--- a/crates/placement/src/submission/fleet/mod.rs
+++ b/crates/placement/src/submission/fleet/mod.rs
@@ -375,9 +375,7 @@
             }
         }
         self.carried.observe(state, id, seen, sent);
-        let running = seen.running.iter().map(|l| (l.task, l.attempt));
-        let listed = running.chain(seen.ended.iter().map(|e| (e.task, e.attempt)));
-        listed.for_each(|run| self.start_calls.record_listed(run));
+        self.observe_starts(id, seen, sent);
         let is_fresh = self.capacity_is_fresh(state, id, now);
         samples.iter().for_each(|sample| self.run_times.record(sample, now));
         if let Some(view) = self.views.get_mut(&id) {
@@ -411,7 +409,7 @@
         now: Instant,
     ) -> Option<RunEnd> {
         self.carried.record_answer(id, order, answer, now);
-        self.start_calls.record_answer(order, answer);
+        self.start_calls.record_answer(order, answer, now);
         let view = self.views.get_mut(&id)?;
         view.orders.record_answer(order, answer);
         let run = view.runs.get_mut(&order.task).filter(|r| r.attempt == order.attempt)?;
--- a/crates/placement/src/submission/fleet/orders.rs
+++ b/crates/placement/src/submission/fleet/orders.rs
@@ -176,10 +176,7 @@
     /// through all runs on the worker, so it is called when something has changed rather than for
     /// each order.
     pub fn queue_orders(&mut self, state: &SubmissionState, id: IncarnationId, now: Instant) {
-        let Some(incarnation) = state.incarnation(id) else {
-            self.views.remove(&id);
-            return;
-        };
+        let Some(incarnation) = state.incarnation(id) else { return };
         let draining = state.rejects_starts(incarnation);
         let evacuated = state.is_evacuated(incarnation);
         let view = self.view_mut(id, now);
--- a/crates/placement/src/submission/planner/round.rs
+++ b/crates/placement/src/submission/planner/round.rs
@@ -133,6 +133,9 @@
                 return false;
             }
             if fleet.is_held_back(state, task, now) {
+                if step.lasting {
+                    self.waiting.push((task, Duration::ZERO));
+                }
                 return true;
             }
             let pending = PendingTask { record, task, step };
--- a/crates/placement/tests/all/submission/outliving_calls.rs
+++ b/crates/placement/tests/all/submission/outliving_calls.rs
@@ -319,6 +319,90 @@
     assert_eq!(w.running(TASK), ["wb".into()]);
 }
 
+/// The next life carries out the held-up start before it reports. Its stops take a while and, if
+/// `is_cut`, it is cut off before one arrives.
+fn stray_is_stopped(is_cut: bool) {
+    for delay_ms in DELAYS_MS {
+        let mut w = held_up(lasting(1), delay_ms);
+        crash(&mut w, LATE_REPORT);
+        w.run(AFTER_LOSS.down_ms + 5);
+        w.worker("wa").stop_ms = 900;
+        while w.state.newest_incarnation("wa").is_none() {
+            w.run(5);
+        }
+        w.run(if is_cut { 5 } else { 2_000 });
+        w.worker("wa").link = if is_cut { Link::Cut } else { Link::Open };
+        outlast_calls(&mut w);
+        assert_eq!(w.running(TASK).len(), 1, "starts held up for {delay_ms} ms");
+    }
+}
+
+fn stray_is_stopped_slowly() {
+    stray_is_stopped(false);
+}
+
+fn stray_is_cut_off() {
+    stray_is_stopped(true);
+}
+
+/// The start is sent to a life that has ended and answered by the next one, which is cut off before
+/// it reports and accepts a longer lease.
+fn taken_by_the_next_life() {
+    let mut w = Cluster::new([worker("wa", 4)]);
+    w.calls_cross_lives = true;
+    w.fleet.set_longest_accepted(LONGEST_ACCEPTED);
+    w.run(20_005);
+    w.submit(submission(1, vec![lasting(1)]));
+    w.run(25);
+    w.start_again("wa", 20_000);
+    w.worker("wa").longest_accepted = LONGEST_ACCEPTED;
+    while w.starts.is_empty() {
+        w.run(5);
+    }
+    w.run(10);
+    w.worker("wa").link = Link::Cut;
+    w.join(other());
+    outlast_calls(&mut w);
+    assert_eq!(w.running(TASK).len(), 1);
+}
+
+/// Whether a leader was elected, rather than the start sent twice, long before the worker is gone.
+fn gone_long_after(is_elected: bool) {
+    let mut w = held_up(lasting(1), DELAYS_MS[2]);
+    w.worker("wa").link = Link::Open;
+    w.run(if is_elected { 0 } else { 1_400 });
+    if is_elected {
+        w.elect();
+    }
+    w.run(2 * LONGEST_CALL_DELAY_MS);
+    assert_eq!(w.running(TASK), ["wa".into()]);
+    w.join(other());
+    w.end_life("wa");
+    w.run(LISTED_RUNS_MS);
+    assert_eq!(w.running(TASK), ["wb".into()]);
+}
+
+fn gone_long_after_a_second_call() {
+    gone_long_after(false);
+}
+
+fn gone_long_after_an_election() {
+    gone_long_after(true);
+}
+
+cases! {
+    "Guards against a run on a later life that goes on, while it is being stopped or out of reach, beside the next run of the task.";
+    a_task_waits_for_the_stop_of_a_late_run: stray_is_stopped_slowly;
+    a_task_waits_for_a_late_run_that_is_cut_off: stray_is_cut_off;
+    a_task_waits_for_a_run_that_the_next_life_has_taken: taken_by_the_next_life;
+}
+
+cases! {
+    "Guards against a task that waits for calls which its worker's answers have long proved over.";
+    a_second_call_to_start_a_run_is_over_after_a_while: gone_long_after_a_second_call;
+    the_calls_of_a_former_leader_are_over_after_a_while: gone_long_after_an_election;
+}
+
 cases! {
     "Guards against a task that waits longer than for the last call that could start it.";
     a_task_is_placed_soon_after_its_worker_has_returned: same_life_returns;
