--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod services;
 mod worker;
 
+pub use lives::NextLife;
 pub use reports::{BATCH_MS, REPORT_INTERVAL_MS, Reporting, bound};
 pub use services::{Advisor, Machines};
 pub use worker::{Link, Worker};
@@ -18,7 +19,7 @@
     Command, CommandResult, Fleet, IncarnationId, OrderKind, Phase, QueueKey, ReportBound, Step,
     Submission, SubmissionState, TaskId, WorkerInfo, WorkerReport,
     evacuation::{EvacuationOutcome, EvacuationVersion},
-    fleet::{EndSign, Order, OrderAnswer, evacuation_start_bound, latest_start_ms},
+    fleet::{EndSign, Order, OrderAnswer, PollTerms, evacuation_start_bound, latest_start_ms},
     planner,
     routes::QueuePolicy,
 };
@@ -39,6 +40,8 @@
 const CALL_TIMEOUT_MS: u64 = 700;
 /// Time between two polls of a worker.
 const POLL_PERIOD_MS: u64 = 200;
+/// Time between two commits of the starts that are settled.
+const SETTLE_MS: u64 = 250;
 /// Time that passes with each tick of the simulation.
 const TICK_MS: u64 = 5;
 /// Time until a worker's report of a changed capacity arrives.
@@ -80,7 +83,6 @@
     pub unnoted_ends_are_void: bool,
     /// Polls that are to fail: time and incarnation.
     failing: Vec<(u64, IncarnationId)>,
-    acknowledged: BTreeMap<IncarnationId, u64>,
     index: u64,
     /// The queue's advisor, if it has one.
     pub advisor: Option<Advisor>,
@@ -95,6 +97,8 @@
     crashing: Vec<(u64, TaskId, Box<str>, u64)>,
     /// Workers that are to return with a new incarnation: time and worker.
     returning: Vec<(u64, Box<str>)>,
+    /// What is to come of workers that start again after a while.
+    next_lives: lives::NextLives,
     /// Crashes by any cause: the worker, and the tasks that had begun there and whose ends the
     /// leader had not acknowledged.
     killed: Vec<(Box<str>, BTreeSet<TaskId>)>,
@@ -187,7 +191,6 @@
             polls_time_out: false,
             unnoted_ends_are_void: false,
             failing: Vec::new(),
-            acknowledged: BTreeMap::new(),
             index: 0,
             advisor: None,
             machines: None,
@@ -195,6 +198,7 @@
             crashes: Vec::new(),
             crashing: Vec::new(),
             returning: Vec::new(),
+            next_lives: lives::NextLives::default(),
             killed: Vec::new(),
             failed: BTreeMap::new(),
             spread_polls: false,
@@ -244,7 +248,6 @@
         self.orders.clear();
         self.failing.clear();
         self.polled.clear();
-        self.acknowledged.clear();
     }
 
     /// Accepts a submission without the delay of a commit.
@@ -294,6 +297,7 @@
             self.work();
             self.exit();
             self.crash();
+            self.begin_lives();
             self.report();
             self.exchange_reports();
             self.agree();
@@ -425,8 +429,10 @@
         self.state.record(task.submission).unwrap().spec.steps[usize::from(task.step)].lasting
     }
 
-    /// Delivers delayed orders and lets runs proceed.
+    /// Delivers delayed orders and lets runs proceed. What arrives while a worker is down is lost.
     fn work(&mut self) {
+        let now = self.now;
+        self.workers.values_mut().filter(|w| !w.up).for_each(|w| w.delayed.retain(|l| l.0 > now));
         let up = self.workers.iter().filter(|(_, w)| w.up);
         let names: Vec<Box<str>> = up.map(|(name, _)| name.clone()).collect();
         for name in &names {
@@ -518,8 +524,7 @@
                 self.polled.insert(id, self.polls_held_until);
                 continue;
             }
-            let lease_end = self.fleet.view_mut(id, now).grant(now);
-            let acknowledged = self.acknowledged.get(&id).copied().unwrap_or(0);
+            let PollTerms { lease_end_ms, acknowledged } = self.fleet.next_poll(id, now);
             let token = self.token_for(&info);
             let Some(worker) = self.workers.get_mut(&info.id) else {
                 self.fleet.unreachable(id, now);
@@ -535,6 +540,11 @@
                 self.polled.insert(id, self.now + CALL_TIMEOUT_MS);
                 continue;
             }
+            let is_reached = worker.up && matches!(worker.link, Link::Open | Link::NoOrders);
+            if is_reached && !answers && worker.token <= token {
+                // The next life carries out what was meant for this one.
+                worker.carry_out_poll(self.now, token, lease_end_ms, acknowledged);
+            }
             if !answers {
                 // The address of a worker whose process has ended refuses connections.
                 let is_refused = !worker.up && matches!(worker.link, Link::Open | Link::NoOrders);
@@ -544,14 +554,13 @@
                 }
                 continue;
             }
-            worker.token = token;
-            worker.extend(self.now, lease_end.unwrap_or(0));
-            worker.ended.retain(|(n, _)| *n > acknowledged);
+            worker.carry_out_poll(self.now, token, lease_end_ms, acknowledged);
             let seen = worker.observation(self.now);
-            let last = worker.listed_ends().last().map_or(acknowledged, |(n, _)| *n);
-            self.acknowledged.insert(id, last);
+            let last = worker.listed_ends().last().map_or(0, |(n, _)| *n);
             let sent = now - Duration::from_millis(1);
             let ends = self.fleet.observe(&self.state, id, &seen, sent, now);
+            // There is no other poll before the ends are committed.
+            self.fleet.ends_committed(id, last);
             if !ends.is_empty() {
                 self.propose(Command::Ended { incarnation: id, ends });
             }
@@ -561,6 +570,10 @@
     fn decide(&mut self) {
         let now = self.instant();
         self.fleet.retain(&self.state);
+        if self.now.is_multiple_of(SETTLE_MS) {
+            let settled = self.fleet.settled_starts(&self.state, now);
+            Command::settled(settled).into_iter().for_each(|c| self.propose(c));
+        }
         let silences = self.fleet.take_silent(&self.state, now, self.now);
         if !silences.is_empty() {
             self.propose(Command::Silent(silences));
