A start that the next life answers outlives the lease of the life it was meant for

The start counts as settled. The former life is lost when its own lease is over (3505), the task is placed elsewhere, and the next life, which reports at 3.6 s, still runs it or lists its end. It takes a first report that arrives later than the lease, as behind a cut. Not mended here.

--- a/crates/placement/tests/all/submission/outliving_calls.rs
+++ b/crates/placement/tests/all/submission/outliving_calls.rs
@@ -224,6 +224,27 @@
     a_copy_of_a_start_outlives_its_worker_and_its_task: sent_again_and_done;
 }
 
+/// The next life answers a start for the former one, with which it gets the longest lease that it
+/// accepts, and reports only after the lease of the former one is over.
+fn answered_by_the_next_life() {
+    let mut w = Cluster::new([worker("wa", 4)]).with_reports(None);
+    w.calls_cross_lives = true;
+    w.worker("wa").longest_accepted = LONGEST_ACCEPTED;
+    w.fleet.set_longest_accepted(LONGEST_ACCEPTED);
+    w.run(1_010);
+    w.crash_for("wa", NextLife { down_ms: 0, report_ms: 5_000, link: Link::Open });
+    w.submit(submission(1, vec![lasting(1)]));
+    w.run(100);
+    assert_eq!(w.running(TASK), ["wa".into()]);
+    w.join(other());
+    outlast_calls(&mut w);
+}
+
+cases! {
+    "Guards against a start that is answered by a life that goes on for longer than the lease of the life for which it was meant.";
+    a_start_that_the_next_life_answers_outlives_the_lease: answered_by_the_next_life;
+}
+
 cases! {
     "Guards against a task that runs again since its end was removed from the next life's list by an acknowledgment for the life before.";
     an_acknowledgment_for_a_former_life_removes_no_end: acknowledged_for_the_former_life;
