A change of the leader doesn't begin the wait for calls anew

Cause: a start of it had no answer, and its worker left.

Change: once a worker counts as lost, the leader commits by when the runs have ended that starts on it may begin, and the next leader waits until then, at most as long as before.

Evidence: a_task_waits_no_longer_because_leaders_change is new and passes; it was not run on the code before. An exemption of tasks that last from the wait was tried and not kept: ten tests and the random series failed ("runs twice").

--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -264,13 +264,13 @@
         compio::time::sleep(SETTLE_INTERVAL).await;
         let leadership = node.leadership.borrow().clone();
         let Some(leadership) = leadership.filter(|_| node.leads()) else { continue };
-        let settled = node.state(|s| {
+        let (settled, waits) = node.state(|s| {
             let (fleet, now) = (leadership.fleet.borrow(), Instant::now());
             node.metrics.level("starts-open", s.open_starts().count());
             node.metrics.level("starts-held", fleet.held_starts(s, now));
-            fleet.settled_starts(s, now)
+            (fleet.settled_starts(s, now), fleet.waits(s, now, wall_ms()))
         });
-        for command in Command::settled(settled) {
+        for command in Command::settled(settled).into_iter().chain(Command::waits(waits)) {
             if let Err(e) = node.propose(command).await {
                 tracing::info!(event = "starts-not-settled", error = %e);
                 break;
--- a/crates/placement/src/submission/command.rs
+++ b/crates/placement/src/submission/command.rs
@@ -294,6 +294,9 @@
     /// Records that the starts of these runs, which have begun or ended, can't be carried out any
     /// more.
     Settled(Vec<RunId>),
+    /// Records the times, in milliseconds since the Unix epoch, by which runs on lost workers have
+    /// ended that these starts begin, so that the next leader waits no longer.
+    Waits(Vec<(RunId, u64)>),
 }
 
 /// The result of a [`Command`], returned to its proposer.
--- a/crates/placement/src/submission/command_size.rs
+++ b/crates/placement/src/submission/command_size.rs
@@ -63,6 +63,13 @@
         parts.into_iter().map(Self::Settled).collect()
     }
 
+    /// Returns the commands that record by when runs have ended that starts begin.
+    #[must_use]
+    pub fn waits(waits: Vec<(RunId, u64)>) -> Vec<Self> {
+        let parts = split(waits, MAX_CONTENT_BYTES, usize::MAX);
+        parts.into_iter().map(Self::Waits).collect()
+    }
+
     /// Returns the command that stores the learned interference, as far as it fits.
     #[must_use]
     pub fn learned(pairs: Vec<LearnedPair>) -> Self {
--- a/crates/placement/src/submission/fleet/carried.rs
+++ b/crates/placement/src/submission/fleet/carried.rs
@@ -197,7 +197,7 @@
             };
             self.carried.by_worker.insert(worker.clone(), carried);
         }
-        self.take_over_starts(state, now);
+        self.take_over_starts(state, now, wall_ms);
         let workers = state.incarnations().map(|(_, i)| &i.worker);
         let recent = workers
             .filter(|w| Duration::from_millis(wall_ms.saturating_sub(w.started_ms)) < RECENT_LIFE);
--- a/crates/placement/src/submission/fleet/start_calls.rs
+++ b/crates/placement/src/submission/fleet/start_calls.rs
@@ -47,6 +47,8 @@
     last_sent: Instant,
     /// When the last call was sent by which the worker may have extended its lease.
     last_lease: Instant,
+    /// When a run that the calls begin has ended, as a former leader has found.
+    over_at: Option<Instant>,
 }
 
 impl Calls {
@@ -60,6 +62,7 @@
             is_inherited: false,
             last_sent: now,
             last_lease: now,
+            over_at: None,
         }
     }
 
@@ -72,6 +75,9 @@
     /// Returns the time by which a run has ended that the calls begin or have begun on a life that
     /// doesn't answer, if it is granted nothing after `last_lease`; `None` if there is none.
     fn latest_end(&self, last_lease: Instant, longest_lease: Duration) -> Option<Instant> {
+        if self.over_at.is_some() {
+            return self.over_at;
+        }
         let lease = on_slowest_clock(longest_lease) + EXPIRY_MARGIN;
         if self.is_under_way() {
             return Some(self.last_sent.max(last_lease) + MAX_CALL_DELAY + lease);
@@ -137,11 +143,15 @@
 
 impl Fleet {
     /// Takes over the starts that may be under way from former leaders. These may have called until
-    /// now.
-    pub(super) fn take_over_starts(&mut self, state: &SubmissionState, now: Instant) {
-        let inherited = state.open_starts().map(|(run, _)| {
+    /// now, except those of workers that they have found lost. `wall_ms` is the present time in
+    /// milliseconds since the Unix epoch.
+    pub(super) fn take_over_starts(&mut self, state: &SubmissionState, now: Instant, wall_ms: u64) {
+        let longest = MAX_CALL_DELAY + on_slowest_clock(self.longest_accepted) + EXPIRY_MARGIN;
+        let inherited = state.open_starts().map(|(run, start)| {
+            let left = Duration::from_millis(start.over_ms.saturating_sub(wall_ms)).min(longest);
+            let over_at = (start.over_ms > 0).then(|| now + left);
             let calls = Calls::new(placed_on(state, run), now);
-            (run, Calls { is_inherited: true, ..calls })
+            (run, Calls { is_inherited: true, over_at, ..calls })
         });
         self.start_calls.by_run.extend(inherited);
     }
@@ -231,6 +241,22 @@
         settled.map(|(run, _)| run).collect()
     }
 
+    /// Returns by when runs have ended that starts on lost workers begin, in milliseconds since the
+    /// Unix epoch, to be committed for the next leader.
+    #[must_use]
+    pub fn waits(&self, state: &SubmissionState, now: Instant, wall_ms: u64) -> Vec<(RunId, u64)> {
+        let is_lost = |run: RunId, start: &OpenStart| {
+            placed_on(state, run).is_none() && state.newest_incarnation(&start.worker).is_none()
+        };
+        let unknown = state.open_starts().filter(|(_, start)| start.over_ms == 0);
+        let lost = unknown.filter(|(run, start)| is_lost(*run, start));
+        lost.filter_map(|(run, start)| {
+            let left = self.latest_end(state, run, start)?.saturating_duration_since(now);
+            Some((run, wall_ms + u64::try_from(left.as_millis()).unwrap_or(0)))
+        })
+        .collect()
+    }
+
     /// Returns the number of runs that have ended and whose tasks are held back.
     #[must_use]
     pub fn held_starts(&self, state: &SubmissionState, now: Instant) -> usize {
--- a/crates/placement/src/submission/open_starts.rs
+++ b/crates/placement/src/submission/open_starts.rs
@@ -24,11 +24,15 @@
     pub addr: SocketAddr,
     /// Start time of the life, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// Time by which a run that the start begins has ended, in milliseconds since the Unix epoch; 0
+    /// until the worker counts as lost.
+    pub over_ms: u64,
 }
 
 impl From<&WorkerInfo> for OpenStart {
     fn from(worker: &WorkerInfo) -> Self {
-        Self { worker: worker.id.clone(), addr: worker.addr, started_ms: worker.started_ms }
+        let WorkerInfo { id, addr, started_ms, .. } = worker;
+        Self { worker: id.clone(), addr: *addr, started_ms: *started_ms, over_ms: 0 }
     }
 }
 
@@ -48,6 +52,13 @@
         self.by_run.insert(run, worker.into());
     }
 
+    /// Records the time by which a run that the start begins has ended.
+    pub fn record_over(&mut self, run: RunId, over_ms: u64) {
+        if let Some(start) = self.by_run.get_mut(&run) {
+            start.over_ms = over_ms;
+        }
+    }
+
     /// Forgets a start that can't be carried out any more.
     pub fn forget(&mut self, run: RunId) {
         self.by_run.remove(&run);
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -726,6 +726,10 @@
                 runs.iter().for_each(|run| self.open_starts.forget(*run));
                 CommandResult::Done
             }
+            Command::Waits(waits) => {
+                waits.iter().for_each(|(run, at_ms)| self.open_starts.record_over(*run, *at_ms));
+                CommandResult::Done
+            }
             Command::Evacuate { domain, on, expected, at_ms } => {
                 let outcome = self.evacuations.apply(domain, *on, *expected, *at_ms);
                 CommandResult::Evacuated(outcome, self.evacuations.version_of(domain))
--- a/crates/placement/tests/all/submission/cluster/mod.rs
+++ b/crates/placement/tests/all/submission/cluster/mod.rs
@@ -642,7 +642,9 @@
         self.fleet.retain(&self.state);
         if self.now.is_multiple_of(SETTLE_MS) {
             let settled = self.fleet.settled_starts(&self.state, now);
-            Command::settled(settled).into_iter().for_each(|c| self.propose(c));
+            let waits = self.fleet.waits(&self.state, now, self.now);
+            let commands = Command::settled(settled).into_iter().chain(Command::waits(waits));
+            commands.for_each(|c| self.propose(c));
         }
         let silences = self.fleet.take_silent(&self.state, now, self.now);
         if !silences.is_empty() {
--- a/crates/placement/tests/all/submission/outliving_calls.rs
+++ b/crates/placement/tests/all/submission/outliving_calls.rs
@@ -58,6 +58,14 @@
     w.crash_for("wa", next);
 }
 
+/// Checks that the task runs, or is done if it doesn't last.
+fn check_outcome(w: &Cluster, step: &Step) {
+    match step.lasting {
+        true => assert_eq!(w.running(TASK), ["wb".into()]),
+        false => assert_eq!(w.phase(1), Phase::Complete),
+    }
+}
+
 fn is_lost(w: &Cluster) -> bool {
     w.state.newest_incarnation("wa").is_none()
 }
@@ -91,38 +99,38 @@
     }
 }
 
-fn connections_are_refused() {
+fn connections_are_refused(step: Step) {
     for delay_ms in DELAYS_MS {
-        let mut w = held_up(lasting(1), delay_ms);
+        let mut w = held_up(step.clone(), delay_ms);
         w.worker("wa").link = Link::Open;
         crash(&mut w, NextLife { link: Link::Refused, ..LATE_REPORT });
         outlast_calls(&mut w);
-        assert_eq!(w.running(TASK), ["wb".into()]);
+        check_outcome(&w, &step);
     }
 }
 
-fn leader_elected_before_the_loss() {
+fn leader_elected_before_the_loss(step: Step) {
     for delay_ms in DELAYS_MS {
-        let mut w = held_up(lasting(1), delay_ms);
+        let mut w = held_up(step.clone(), delay_ms);
         crash(&mut w, CUT_OFF);
         w.run(1_000);
         assert!(!is_lost(&w));
         w.elect();
         outlast_calls(&mut w);
-        assert_eq!(w.running(TASK), ["wb".into()]);
+        check_outcome(&w, &step);
     }
 }
 
-fn leader_elected_after_the_loss() {
+fn leader_elected_after_the_loss(step: Step) {
     for delay_ms in DELAYS_MS {
-        let mut w = held_up(lasting(1), delay_ms);
+        let mut w = held_up(step.clone(), delay_ms);
         w.crash_for("wa", CUT_OFF);
         w.run(AFTER_LOSS.down_ms);
         assert!(is_lost(&w));
         w.restart();
         w.join(other());
         outlast_calls(&mut w);
-        assert_eq!(w.running(TASK), ["wb".into()]);
+        check_outcome(&w, &step);
     }
 }
 
@@ -204,13 +212,37 @@
     }
 }
 
+fn refused_lasting() {
+    connections_are_refused(lasting(1));
+}
+
+fn refused_ending() {
+    connections_are_refused(step(1));
+}
+
+fn elected_before_lasting() {
+    leader_elected_before_the_loss(lasting(1));
+}
+
+fn elected_before_ending() {
+    leader_elected_before_the_loss(step(1));
+}
+
+fn elected_after_lasting() {
+    leader_elected_after_the_loss(lasting(1));
+}
+
+fn elected_after_ending() {
+    leader_elected_after_the_loss(step(1));
+}
+
 cases! {
     "Guards against a start that a later life of a lost worker carries out while the task runs elsewhere.";
     a_start_outlives_its_worker_behind_a_cut: next_life_behind_a_cut;
     a_start_outlives_its_worker_before_the_next_life_reports: next_life_reports_late;
-    a_start_outlives_its_worker_while_connections_are_refused: connections_are_refused;
-    a_start_outlives_its_worker_and_the_leader: leader_elected_before_the_loss;
-    a_start_outlives_its_worker_and_all_replicas: leader_elected_after_the_loss;
+    a_start_outlives_its_worker_while_connections_are_refused: refused_lasting;
+    a_start_outlives_its_worker_and_the_leader: elected_before_lasting;
+    a_start_outlives_its_worker_and_all_replicas: elected_after_lasting;
     a_copy_of_an_answered_start_outlives_its_worker: sent_again;
     a_start_outlives_its_worker_after_a_stop: withdrawn;
     a_reachable_next_life_rejects_a_late_start: reachable_next_life;
@@ -221,6 +253,10 @@
 cases! {
     "Guards against a start that a later life of a lost worker carries out after the task is done.";
     a_start_outlives_its_worker_and_its_task: done_elsewhere;
+    a_start_outlives_its_worker_and_its_task_while_connections_are_refused:
+        refused_ending;
+    a_start_outlives_its_worker_its_task_and_the_leader: elected_before_ending;
+    a_start_outlives_its_worker_its_task_and_all_replicas: elected_after_ending;
     a_copy_of_a_start_outlives_its_worker_and_its_task: sent_again_and_done;
 }
 
@@ -424,6 +460,31 @@
     the_calls_of_a_former_leader_are_over_after_a_while: gone_long_after_an_election;
 }
 
+/// Leaders change while the task waits, and none of them starts the wait anew.
+fn gone_under_several_leaders() {
+    let mut w = held_up(lasting(1), DELAYS_MS[1]);
+    w.join(other());
+    w.end_life("wa");
+    while !is_lost(&w) {
+        w.run(5);
+    }
+    let lost_at = w.instant_ms();
+    let longest_ms = LONGEST_CALL_DELAY_MS + 3_000;
+    for _ in 0..3 {
+        w.run(4_000);
+        w.restart();
+    }
+    while w.running(TASK).is_empty() {
+        w.run(5);
+    }
+    assert!(w.instant_ms() < lost_at + longest_ms + 1_500, "placed at {}", w.instant_ms());
+}
+
+cases! {
+    "Guards against a wait for calls that begins anew with each change of the leader.";
+    a_task_waits_no_longer_because_leaders_change: gone_under_several_leaders;
+}
+
 cases! {
     "Guards against a task that waits longer than for the last call that could start it.";
     a_task_is_placed_soon_after_its_worker_has_returned: same_life_returns;
