A budget of bytes for the bodies of requests

What callers saw: a process ended, since it ran out of memory, when many bodies of legal size came at once and stopped short of their end.

Cause: nothing bounded the bodies of a process together, nor how long one may take to arrive, and the memory that the settings state was read by nobody. A chunked body was kept as a list of its chunks, each of which kept the buffer alive in which it came. The entry host copied nothing, but counted nothing.

Change: each listener has a budget, a share of limits.memory_mb. A body claims what arrives of it before it is taken in, copied into one buffer, and an entry host holds the claim, changed to the size of the decoded and the encoded form, until the request is answered. Claims above 16 KB may use three quarters. When a claim doesn't fit, bodies without progress for a second, or that arrive for five, are closed; if that isn't enough, the request is refused with 503 and Retry-After before it is handed on, and its rest is read and dropped for a second so that the refusal arrives. A body may take ten seconds without progress, a minute in all, and a client's as long as the client waits.

Why it works: all bytes of bodies are claimed before they are allocated, and what holds them without progress can't keep others out.

--- a/crates/caller/src/forwarder.rs
+++ b/crates/caller/src/forwarder.rs
@@ -15,11 +15,10 @@
     response::into_caller_response,
     upload::{CallerFault, Upload},
 };
-use cyclamenloft_http::Response;
+use cyclamenloft_http::{RequestBody, Response};
 use cyclamenloft_routing::{Refusal, RequestMeta};
 use cyclamenloft_target::Pool;
 use http::request::Parts;
-use hyper::body::Incoming;
 use std::{rc::Rc, time::Instant};
 
 /// Forwards requests on one thread.
@@ -59,7 +58,7 @@
     pub(crate) async fn forward(
         &self,
         parts: Parts,
-        body: Incoming,
+        body: RequestBody,
         attrs: RequestAttributes,
         from: &str,
         hopped: bool,
@@ -79,7 +78,7 @@
     async fn forward_inner(
         &self,
         parts: Parts,
-        body: Incoming,
+        body: RequestBody,
         attrs: RequestAttributes,
         from: &str,
         hopped: bool,
--- a/crates/caller/src/upload.rs
+++ b/crates/caller/src/upload.rs
@@ -3,13 +3,12 @@
 
 use crate::{gate::refusal, idle_timeout::IdleTimeout, limits::CallerLimits};
 use bytes::Bytes;
-use cyclamenloft_http::{Body, BoxError, empty, full};
+use cyclamenloft_http::{Body, BoxError, RequestBody, empty, full};
 use cyclamenloft_routing::Refusal;
 use cyclamenloft_types::ErrorKind;
 use http::{HeaderMap, header};
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::{
     cell::Cell,
     pin::Pin,
@@ -45,7 +44,7 @@
     ///
     /// Returns a refusal if a small body is cut short or arrives too slowly.
     pub(crate) async fn receive(
-        body: Incoming,
+        body: RequestBody,
         headers: &HeaderMap,
         limits: &CallerLimits,
         deadline: Instant,
@@ -94,7 +93,7 @@
 
 /// A body that fails if it is too long or yields nothing for too long.
 struct LimitedBody {
-    body: Incoming,
+    body: RequestBody,
     idle_timeout: IdleTimeout,
     left: u64,
     fault: CallerFault,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod evacuation;
 pub mod group_client;
 pub mod leader_loss;
+pub mod limits;
 pub mod load;
 pub mod membership;
 pub mod metrics;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -20,9 +20,7 @@
     suspension::SuspensionDetector,
     transport::{LogTransport, Peers, replica_id},
 };
-use cyclamenloft_http::{
-    Request, Response, error_response, full, read_limited, server::Handler, text_response,
-};
+use cyclamenloft_http::{Request, Response, error_response, full, server::Handler, text_response};
 use cyclamenloft_placement::{
     submission::{
         Command, CommandResult, IncarnationId, ReportBound, ReportStamp, RouteTable,
@@ -509,7 +507,7 @@
 impl<P: Port> Handler for PeerHandler<P> {
     async fn handle(&self, req: Request, _remote: SocketAddr) -> Response {
         let path: Box<str> = req.uri().path().into();
-        let result = match read_limited(req.into_body(), MAX_REQUEST_BYTES).await {
+        let result = match req.into_body().read(MAX_REQUEST_BYTES).await {
             Ok(body) => match &*path {
                 LOG_PATH => self.0.replica.handle(&body).await,
                 ASK_PATH => self.handle_request(&body).await,
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -41,6 +41,13 @@
 }
 
 impl Draft {
+    /// Returns the number of bytes that the submission takes in memory.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let steps: usize = self.steps.iter().map(Step::held_bytes).sum();
+        size_of::<Self>() + self.payload.len() + steps
+    }
+
     /// Returns the submission with this id and queue.
     #[must_use]
     pub fn into_submission(self, id: SubmissionId, queue: impl Into<Box<str>>) -> Submission {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use http_body_util::{BodyExt, Empty, Full, Limited};
-use serde::de::DeserializeOwned;
 use std::pin::Pin;
 
 /// The error of a body that ended prematurely.
@@ -33,7 +32,8 @@
     Box::pin(body.map_err(Into::into))
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes, such as that of a response. The body of a request
+/// is read by [`RequestBody::read`](crate::RequestBody::read).
 ///
 /// # Errors
 ///
@@ -53,20 +53,3 @@
         Err(e) => Err(Error::new(ErrorKind::BadRequest, format!("body cut short: {e}"))),
     }
 }
-
-/// Reads a JSON body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Returns the errors of [`read_limited`], and [`ErrorKind::BadRequest`] with line
-/// and column if the text is not the expected JSON.
-pub async fn read_json<T, B>(body: B, limit: usize) -> Result<T>
-where
-    T: DeserializeOwned,
-    B: http_body::Body<Data = Bytes>,
-    B::Error: Into<BoxError>,
-{
-    let content = read_limited(body, limit).await?;
-    serde_json::from_slice(&content)
-        .map_err(|e| Error::new(ErrorKind::BadRequest, format!("body is not as expected: {e}")))
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,19 +3,24 @@
 //! contains no scheduling or routing logic.
 
 pub mod body;
+pub mod budget;
 pub mod client;
+mod connections;
 pub mod keep_alive;
 pub mod listen;
+pub mod request;
 pub mod response;
 pub mod server;
 mod stall;
 pub mod stop;
 pub mod token;
 
-pub use body::{Body, BoxError, boxed, empty, full, read_json, read_limited};
+pub use body::{Body, BoxError, boxed, empty, full, read_limited};
+pub use budget::{Budget, Claim};
 pub use client::JsonClient;
 pub use keep_alive::{FullResponse, KeepAliveClient};
 pub use listen::bind;
+pub use request::{Content, RequestBody, read_json};
 pub use response::{error_response, json_response, text_response};
 pub use server::{Handler, Limits, Request, Response, serve};
 pub use stop::{StopHandle, StopSignal, stop_pair};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,9 @@
 
 use crate::{
     body::Body,
+    budget::Budget,
+    connections::Connection,
+    request::{ArrivalLimits, Origin, RequestBody},
     stall::StallLimit,
     stop::{StopHandle, StopSignal, stop_pair},
 };
@@ -28,7 +31,7 @@
 };
 
 /// A request as passed to a handler.
-pub type Request = http::Request<Incoming>;
+pub type Request = http::Request<RequestBody>;
 /// A response as returned by a handler.
 pub type Response = http::Response<Body>;
 
@@ -51,6 +54,13 @@
     /// Maximum number of open connections for each serving thread; further ones are
     /// closed at once.
     pub connections: usize,
+    /// Maximum number of bytes that bodies, and what they are decoded to, take for each serving
+    /// thread. Bodies that are streamed don't count.
+    pub budget_bytes: usize,
+    /// Maximum time for which a body may make no progress while it is read as a whole.
+    pub body_stall: Duration,
+    /// Maximum time for a body to arrive that is read as a whole.
+    pub body_time: Duration,
     /// Maximum number of request headers.
     pub headers: usize,
     /// Maximum bytes of a request head.
@@ -68,6 +78,9 @@
     fn default() -> Self {
         Self {
             connections: 4096,
+            budget_bytes: 64 << 20,
+            body_stall: Duration::from_secs(10),
+            body_time: Duration::from_secs(60),
             headers: DEFAULT_MAX_HEADERS,
             head_bytes: 16 * 1024,
             head_timeout: Duration::from_secs(10),
@@ -92,6 +105,7 @@
     let listener = compio::net::TcpListener::from_std(listener)
         .map_err(|e| Error::new(ErrorKind::BadSetting, format!("listener: {e}")))?;
     let open = Rc::new(Cell::new(0usize));
+    let budget = Budget::new(limits.budget_bytes);
     let (alive_tx, mut alive_rx) = mpsc::unbounded::<Infallible>();
     let (mut drain_handle, drain): (StopHandle, StopSignal) = stop_pair();
     loop {
@@ -117,10 +131,13 @@
             continue;
         }
         open.set(open.get() + 1);
+        let connection = Rc::new(Connection::default());
+        let arrival = ArrivalLimits { stall: limits.body_stall, total: limits.body_time };
+        let origin = Rc::new(Origin { connection, budget: budget.clone(), limits: arrival });
         let (open, handler, drain, alive) =
             (open.clone(), handler.clone(), drain.clone(), alive_tx.clone());
         spawn(async move {
-            serve_connection(stream, remote, limits, drain, handler).await;
+            serve_connection(stream, remote, limits, origin, drain, handler).await;
             open.set(open.get() - 1);
             drop(alive);
         })
@@ -141,14 +158,19 @@
     stream: TcpStream,
     remote: SocketAddr,
     limits: Limits,
+    origin: Rc<Origin>,
     drain: StopSignal,
     handler: Rc<impl Handler>,
 ) {
     let _ = stream.set_nodelay(true);
     let stream = StallLimit::new(HyperStream::new_plain(stream), limits.write_stall);
-    let service = service_fn(move |req| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(req, remote).await) }
+    let connection_state = origin.connection.clone();
+    let service = service_fn(move |req: http::Request<Incoming>| {
+        let (handler, origin) = (handler.clone(), origin.clone());
+        async move {
+            let req = req.map(|body| RequestBody::new(body, origin.clone()));
+            Ok::<_, Infallible>(handler.handle(req, remote).await)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -162,18 +184,37 @@
     }
     let connection = builder.serve_connection(stream, service);
     pin_mut!(connection);
-    let ended = match until_stopped(connection.as_mut(), &drain).await {
+    let ended = {
+        let work = until_closing(connection.as_mut(), &connection_state);
+        pin_mut!(work);
+        until_stopped(work, &drain).await
+    };
+    let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            until_closing(connection, &connection_state).await
         }
     };
-    if let Err(e) = ended {
-        tracing::debug!(%remote, error = %e, "connection ended early");
+    match ended {
+        Some(Ok(())) => {}
+        Some(Err(e)) => tracing::debug!(%remote, error = %e, "connection ended early"),
+        None => tracing::debug!(%remote, "connection closed in favor of others"),
     }
 }
 
+/// Runs `work` until it ends, or returns `None` when the connection is to be closed.
+async fn until_closing<T>(
+    mut work: Pin<&mut impl Future<Output = T>>,
+    connection: &Connection,
+) -> Option<T> {
+    poll_fn(|cx| match connection.poll_closing(cx) {
+        Poll::Ready(()) => Poll::Ready(None),
+        Poll::Pending => work.as_mut().poll(cx).map(Some),
+    })
+    .await
+}
+
 /// Runs `work` until it ends, or returns `None` when `stop` begins. A connection is
 /// polled many times for each request, so to save time the signal is polled only if its
 /// flag is set or the waker has changed.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -5,7 +5,7 @@
 //! thread, and jsonrpsee's future only waits for the response.
 
 use crate::calls::{METHOD_NAMES, Method};
-use cyclamenloft_http::{Request, Response, Token, error_response, read_limited, server::Handler};
+use cyclamenloft_http::{Request, Response, Token, error_response, server::Handler};
 use cyclamenloft_types::{Error, ErrorKind, Result};
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
@@ -86,13 +86,13 @@
         let (parts, body) = req.into_parts();
         let path = parts.uri.path();
         if path == crate::RPC_PATH {
-            let content = read_limited(body, crate::MAX_RPC_BYTES).await?;
+            let content = body.read(crate::MAX_RPC_BYTES).await?;
             return self.respond_rpc(&content).await;
         }
         let Some(group) = path.strip_prefix(crate::LOG_PATH) else {
             return Err(Error::new(ErrorKind::NotFound, format!("no path {path:?}")));
         };
-        let message = read_limited(body, crate::MAX_LOG_BYTES).await?;
+        let message = body.read(crate::MAX_LOG_BYTES).await?;
         let bytes = self.handler.log_message(group, &message).await?;
         Ok(Response::new(cyclamenloft_http::full(bytes)))
     }
--- a/crates/placement/src/submission/spec.rs
+++ b/crates/placement/src/submission/spec.rs
@@ -165,6 +165,14 @@
         let cpu_millis = if self.fills { 0 } else { self.demand.cpu_millis };
         Resources { cpu_millis, ..self.demand }
     }
+
+    /// Returns the number of bytes that the step takes in memory.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let texts = [&self.label, &self.rack, &self.image];
+        let texts: usize = texts.into_iter().flatten().map(|text| text.len()).sum();
+        size_of::<Self>() + self.depends_on.len() * size_of::<u16>() + texts
+    }
 }
 
 /// A checked submission.
