Connections take the place of those that wait longest for their client

What callers saw: a crowd that opened connections and sent nothing, or heads without end, took all descriptors of a process, and with them its own connections to other processes. Nothing but the time for a head closed them.

Cause: a listener took 4,096 connections, more than the process has descriptors, whatever memory they take, and closed new ones when it had as many. Buffers for reads grew with what arrived, and the kernel received up to megabytes for a connection that was not read.

Change: the connections of a listener follow from limits.max_fds, less the 200 that the platform reserves, and from limits.memory_mb. When there are as many, a new one takes the place of the one that has waited longest for its client; one whose request is being handled stays. No more are accepted until the closed one has ended. The buffer for reads is as large as a head may be, and the size of the receive buffer is set. Connections to workers share the descriptors that are not reserved.

Why it works: no client can keep a place without a request, and an ordinary client, the newest, always gets one.

The two tests of the table of connections are new with it.

--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -1,4 +1,5 @@
-//! How a process shares out its memory among its listeners.
+//! How a process shares out its memory and its file descriptors among its listeners, the
+//! connections that it opens, and what it keeps.
 
 use cyclamenloft_http::Limits;
 use std::time::Duration;
@@ -8,6 +9,21 @@
 /// Largest body of a call of a worker or the operator, in bytes: ten times a configuration with a
 /// few hundred routes.
 pub const MAX_CONTROL_BODY_BYTES: usize = 4 << 20;
+/// Descriptors that the platform reserves for files outside of the data folder.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// Fewest descriptors that are shared out.
+const MIN_DESCRIPTORS: usize = 100;
+/// Memory of a connection besides claimed bodies: the buffers of the stream and of HTTP, a head of
+/// the largest size, and the tasks that serve it.
+const CONNECTION_BYTES: usize = 48 << 10;
+/// Maximum number of connections to a listener for probes and metrics.
+const PROBE_CONNECTIONS: usize = 16;
+/// Size of the receive buffer of a client's connection. A body of the largest size takes a few
+/// round trips.
+const CLIENT_RECEIVE_BYTES: usize = 32 << 10;
+/// Size of the receive buffer of a connection of a worker, the operator or another process. A
+/// message of the largest size takes a few tens of round trips.
+const CONTROL_RECEIVE_BYTES: usize = 64 << 10;
 /// The part of a budget that large claims may use is three quarters, which must suffice for one
 /// body of the largest size, and for a list that it is decoded to.
 const LARGEST_BODIES: usize = 2;
@@ -17,8 +33,23 @@
 mod memory_percent {
     /// Of an entry host: bodies of clients and their decoded forms.
     pub const CLIENT_BODIES: usize = 25;
+    /// Of an entry host: connections of clients.
+    pub const CLIENT_CONNECTIONS: usize = 25;
     /// Of a replica: bodies of workers and the operator, and those of other processes, each.
     pub const CONTROL_BODIES: usize = 12;
+    /// Of a replica: connections to each of the two listeners.
+    pub const CONTROL_CONNECTIONS: usize = 10;
+}
+
+/// Shares of a process's descriptors, in percent. The rest is for data files and the connections that
+/// it opens, of which those of a replica to workers are the most.
+mod descriptor_percent {
+    /// Of an entry host: connections of clients.
+    pub const CLIENTS: usize = 80;
+    /// Of a replica: connections of workers and the operator.
+    pub const CONTROL: usize = 9;
+    /// Of a replica: connections of other processes.
+    pub const PEERS: usize = 7;
 }
 
 /// The limits of a process, which the platform enforces.
@@ -35,7 +66,13 @@
     #[must_use]
     pub fn clients(&self, drain: Duration) -> Limits {
         Limits {
+            connections: self.connections(
+                descriptor_percent::CLIENTS,
+                memory_percent::CLIENT_CONNECTIONS,
+                CLIENT_RECEIVE_BYTES,
+            ),
             budget_bytes: self.budget(memory_percent::CLIENT_BODIES, MAX_CLIENT_BODY_BYTES),
+            receive_buffer: Some(CLIENT_RECEIVE_BYTES),
             drain,
             ..Limits::default()
         }
@@ -44,30 +81,51 @@
     /// Returns the limits of a replica's listener for workers and the operator.
     #[must_use]
     pub fn control(&self, drain: Duration) -> Limits {
-        self.of_replica(MAX_CONTROL_BODY_BYTES, drain)
+        self.of_replica(descriptor_percent::CONTROL, MAX_CONTROL_BODY_BYTES, drain)
     }
 
     /// Returns the limits of a replica's listener for other processes, with messages of at most
     /// `message_bytes`.
     #[must_use]
     pub fn peers(&self, message_bytes: usize, drain: Duration) -> Limits {
-        self.of_replica(message_bytes, drain)
+        self.of_replica(descriptor_percent::PEERS, message_bytes, drain)
     }
 
     /// Returns the limits of a listener for probes or metrics, whose requests have no body.
     #[must_use]
     pub fn probes(&self, drain: Duration) -> Limits {
-        Limits { budget_bytes: 0, drain, ..Limits::default() }
+        Limits {
+            connections: PROBE_CONNECTIONS,
+            budget_bytes: 0,
+            receive_buffer: Some(CLIENT_RECEIVE_BYTES),
+            drain,
+            ..Limits::default()
+        }
     }
 
-    fn of_replica(&self, largest: usize, drain: Duration) -> Limits {
+    /// Returns the number of descriptors for sockets, pipes and data files.
+    #[must_use]
+    pub fn shared_descriptors(&self) -> usize {
+        self.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_DESCRIPTORS)
+    }
+
+    fn of_replica(&self, descriptors: usize, largest: usize, drain: Duration) -> Limits {
+        let memory = memory_percent::CONTROL_CONNECTIONS;
         Limits {
+            connections: self.connections(descriptors, memory, CONTROL_RECEIVE_BYTES),
             budget_bytes: self.budget(memory_percent::CONTROL_BODIES, largest),
+            receive_buffer: Some(CONTROL_RECEIVE_BYTES),
             drain,
             ..Limits::default()
         }
     }
 
+    fn connections(&self, descriptors: usize, memory: usize, receive_bytes: usize) -> usize {
+        let by_descriptors = self.shared_descriptors() * descriptors / 100;
+        let by_memory = self.memory_bytes / 100 * memory / (CONNECTION_BYTES + receive_bytes);
+        by_descriptors.min(by_memory).max(PROBE_CONNECTIONS)
+    }
+
     fn budget(&self, percent: usize, largest: usize) -> usize {
         (self.memory_bytes / 100 * percent).max(LARGEST_BODIES * largest)
     }
--- a/crates/http/src/budget/tests.rs
+++ b/crates/http/src/budget/tests.rs
@@ -28,7 +28,7 @@
 
     /// Begins a body and claims `bytes` for it.
     fn begin(&self, bytes: usize) -> (Claim, Rc<Connection>, bool) {
-        let connection = Rc::new(Connection::default());
+        let connection = Rc::new(Connection::new(self.now));
         let claim = self.budget.begin_arrival(connection.clone(), self.now);
         let fits = claim.resize(bytes, self.now).is_ok();
         (claim, connection, fits)
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -1,18 +1,58 @@
-//! The state of an open connection.
+//! The open connections of a listener. When there are as many as may be open, a new one takes the
+//! place of the one that has waited longest for its client.
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::poll_fn,
+    rc::Rc,
     task::{Context, Poll, Waker},
+    time::Instant,
 };
 
+/// Number of a connection of a listener.
+pub(crate) type ConnectionId = u64;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Its client: for a request, the rest of a body, or until it has read a response.
+    Client,
+    /// The handler of a request.
+    Handler,
+}
+
 /// The state of one open connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Connection {
+    phase: Cell<Phase>,
+    /// When the phase began.
+    since: Cell<Instant>,
     closing: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Connection {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            phase: Cell::new(Phase::Client),
+            since: Cell::new(now),
+            closing: Cell::default(),
+            waker: RefCell::default(),
+        }
+    }
+
+    /// Records that a handler works on a request.
+    pub fn begin_handling(&self) {
+        self.phase.set(Phase::Handler);
+    }
+
+    /// Records that the connection waits for its client.
+    pub fn await_client(&self, now: Instant) {
+        self.phase.set(Phase::Client);
+        self.since.set(now);
+    }
+
     /// Closes the connection.
     pub fn close(&self) {
         self.closing.set(true);
@@ -39,3 +79,77 @@
         Poll::Pending
     }
 }
+
+/// The open connections of one listener.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    limit: usize,
+    open: RefCell<BTreeMap<ConnectionId, Rc<Connection>>>,
+    /// Number of connections that have not ended, with those that are being closed.
+    count: Cell<usize>,
+    last_id: Cell<ConnectionId>,
+    /// Woken when a connection ends.
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Connections {
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            open: RefCell::default(),
+            count: Cell::default(),
+            last_id: Cell::default(),
+            waker: RefCell::default(),
+        }
+    }
+
+    /// Adds a connection, if need be in place of another one. Returns `None` if handlers work on
+    /// requests of all others.
+    pub fn add(&self, now: Instant) -> Option<(ConnectionId, Rc<Connection>)> {
+        let mut open = self.open.borrow_mut();
+        if open.len() >= self.limit {
+            let waiting = open.iter().filter(|(_, c)| c.phase.get() == Phase::Client);
+            let (id, longest) = waiting.min_by_key(|(id, c)| (c.since.get(), **id))?;
+            let (id, longest) = (*id, longest.clone());
+            open.remove(&id);
+            longest.close();
+        }
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let connection = Rc::new(Connection::new(now));
+        open.insert(id, connection.clone());
+        self.count.set(self.count.get() + 1);
+        Some((id, connection))
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove(&self, id: ConnectionId) {
+        self.open.borrow_mut().remove(&id);
+        self.count.set(self.count.get() - 1);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the connections have ended whose places others have taken. Until then, each takes
+    /// a descriptor.
+    pub async fn until_closed(&self) {
+        poll_fn(|cx| {
+            if self.count.get() <= self.limit {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Returns the number of connections that have not ended.
+    pub fn count(&self) -> usize {
+        self.count.get()
+    }
+}
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+mod tests;
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -107,8 +107,10 @@
         let origin = self.origin.clone();
         let until = until.min(now + origin.limits.total);
         let claim = origin.budget.begin_arrival(origin.connection.clone(), now);
+        origin.connection.await_client(now);
         let expected = hint.exact().and_then(|n| usize::try_from(n).ok());
         let received = self.receive(&claim, expected, limit, until).await;
+        origin.connection.begin_handling();
         claim.end_arrival();
         match received {
             Ok(bytes) => Ok(Content { bytes, claim }),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,7 +4,7 @@
 use crate::{
     body::Body,
     budget::Budget,
-    connections::Connection,
+    connections::{Connection, Connections},
     request::{ArrivalLimits, Origin, RequestBody},
     stall::StallLimit,
     stop::{StopHandle, StopSignal, stop_pair},
@@ -19,15 +19,15 @@
     pin_mut,
 };
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use socket2::SockRef;
 use std::{
-    cell::Cell,
     convert::Infallible,
     future::poll_fn,
     net::{SocketAddr, TcpListener},
     pin::Pin,
     rc::Rc,
     task::{Poll, Waker},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A request as passed to a handler.
@@ -38,6 +38,8 @@
 /// The default header limit of hyper, with which it parses a request without an
 /// allocation.
 const DEFAULT_MAX_HEADERS: usize = 100;
+/// The smallest buffer for reads that hyper accepts.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// The delay after a failed accept. Without it, the loop would spin while the
 /// process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -51,12 +53,15 @@
 /// Limits on connections and their requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Maximum number of open connections for each serving thread; further ones are
-    /// closed at once.
+    /// Maximum number of open connections for each serving thread. A further one takes the place of
+    /// the one that has waited longest for its client.
     pub connections: usize,
     /// Maximum number of bytes that bodies, and what they are decoded to, take for each serving
     /// thread. Bodies that are streamed don't count.
     pub budget_bytes: usize,
+    /// Size of the kernel's receive buffer of a connection, in bytes; `None` leaves it to the kernel,
+    /// which may take several megabytes that nobody reads.
+    pub receive_buffer: Option<usize>,
     /// Maximum time for which a body may make no progress while it is read as a whole.
     pub body_stall: Duration,
     /// Maximum time for a body to arrive that is read as a whole.
@@ -79,6 +84,7 @@
         Self {
             connections: 4096,
             budget_bytes: 64 << 20,
+            receive_buffer: None,
             body_stall: Duration::from_secs(10),
             body_time: Duration::from_secs(60),
             headers: DEFAULT_MAX_HEADERS,
@@ -102,15 +108,24 @@
     stop: StopSignal,
     handler: Rc<impl Handler>,
 ) -> Result<()> {
+    // Accepted connections inherit the size.
+    if let Some(bytes) = limits.receive_buffer
+        && let Err(e) = SockRef::from(&listener).set_recv_buffer_size(bytes)
+    {
+        tracing::warn!(error = %e, "size of the receive buffer not set");
+    }
     let listener = compio::net::TcpListener::from_std(listener)
         .map_err(|e| Error::new(ErrorKind::BadSetting, format!("listener: {e}")))?;
-    let open = Rc::new(Cell::new(0usize));
+    let connections = Rc::new(Connections::new(limits.connections));
     let budget = Budget::new(limits.budget_bytes);
     let (alive_tx, mut alive_rx) = mpsc::unbounded::<Infallible>();
     let (mut drain_handle, drain): (StopHandle, StopSignal) = stop_pair();
     loop {
         let accepted = {
-            let accept = listener.accept();
+            let accept = async {
+                connections.until_closed().await;
+                listener.accept().await
+            };
             let stopped = stop.stopped();
             pin_mut!(accept, stopped);
             match select(accept, stopped).await {
@@ -126,19 +141,17 @@
                 continue;
             }
         };
-        if open.get() >= limits.connections {
+        let Some((id, connection)) = connections.add(Instant::now()) else {
             tracing::warn!(%remote, limit = limits.connections, "connection refused: too many");
             continue;
-        }
-        open.set(open.get() + 1);
-        let connection = Rc::new(Connection::default());
+        };
         let arrival = ArrivalLimits { stall: limits.body_stall, total: limits.body_time };
         let origin = Rc::new(Origin { connection, budget: budget.clone(), limits: arrival });
-        let (open, handler, drain, alive) =
-            (open.clone(), handler.clone(), drain.clone(), alive_tx.clone());
+        let (connections, handler, drain, alive) =
+            (connections.clone(), handler.clone(), drain.clone(), alive_tx.clone());
         spawn(async move {
             serve_connection(stream, remote, limits, origin, drain, handler).await;
-            open.set(open.get() - 1);
+            connections.remove(id);
             drop(alive);
         })
         .detach();
@@ -149,7 +162,7 @@
     // Each connection holds a sender, so the channel ends once all connections have
     // ended.
     if compio::time::timeout(limits.drain, alive_rx.next()).await.is_err() {
-        tracing::warn!(open = open.get(), "stopped with connections still open");
+        tracing::warn!(open = connections.count(), "stopped with connections still open");
     }
     Ok(())
 }
@@ -168,15 +181,20 @@
     let service = service_fn(move |req: http::Request<Incoming>| {
         let (handler, origin) = (handler.clone(), origin.clone());
         async move {
+            origin.connection.begin_handling();
             let req = req.map(|body| RequestBody::new(body, origin.clone()));
-            Ok::<_, Infallible>(handler.handle(req, remote).await)
+            let response = handler.handle(req, remote).await;
+            origin.connection.await_client(Instant::now());
+            Ok::<_, Infallible>(response)
         }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
-        .max_header_size(limits.head_bytes);
+        .max_header_size(limits.head_bytes)
+        // Otherwise the buffer grows with what arrives.
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     if limits.headers != DEFAULT_MAX_HEADERS {
         // An explicit limit makes hyper allocate for each request, so the limit is set
         // only if it differs from the default.
