Entry hosts send the leader a limited number of requests at the same time

What callers saw: a crowd of ordinary requests at one entry host took as many connections between it and the leader, up to the descriptors of both.

Cause: each request in flight has a connection of its own to the leader, and nothing bounded their number. A submission was also copied for each attempt, and the copy kept until the answer.

Change: at most 32 attempts at the same time; further requests wait for a slot, the oldest first, for as long as their clients wait. One that gets none reached no leader. The stamped copy is encoded and dropped before the wait.

Why it works: the connections from one host to another are bounded whatever clients send, and a refusal states truly that nothing was sent.

--- a/crates/dispatch/src/group_client.rs
+++ b/crates/dispatch/src/group_client.rs
@@ -8,8 +8,9 @@
     },
     metrics::Metrics,
     notify::Notify,
-    protocol::{GroupStatus, PeerRequest, PeerResponse},
+    protocol::{GroupStatus, PeerRequest, PeerResponse, encode},
     refusals::RefusalStamp,
+    slots::Slots,
     transport::{Peers, replica_id, replica_ip},
 };
 use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result};
@@ -33,6 +34,9 @@
 /// Time after the leader's last answer for which this host counts as ready: two
 /// status periods, so that one lost answer doesn't make the host unready.
 const READY_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Maximum number of attempts at the same time. A commit takes some 30 ms, so these are a thousand
+/// that a replica accepts from other processes.
+pub const MAX_ATTEMPTS: usize = 32;
 /// Longest wait for the leader's answer to one attempt, after which the host
 /// searches for the leader again.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -64,6 +68,8 @@
     hold_changed: Notify,
     /// Notified when the leader's status is to be queried at once.
     probe_due: Notify,
+    /// Bounds the attempts at the same time, each of which takes a connection.
+    attempts: Slots,
     random: RandomState,
     request_count: Cell<u64>,
     /// Counters and histograms.
@@ -110,6 +116,7 @@
             released: RefCell::default(),
             hold_changed: Notify::default(),
             probe_due: Notify::default(),
+            attempts: Slots::new(MAX_ATTEMPTS),
             random: RandomState::new(),
             request_count: Cell::new(0),
             metrics,
@@ -271,8 +278,7 @@
                 Decision::Forward => until,
             };
             if let Some((leader, _)) = leader {
-                let req = req.stamped(self.refusals.get());
-                match self.attempt(leader, &req, until).await {
+                match self.attempt(leader, req, until).await {
                     Ok(PeerResponse::Stale(stamp)) if self.record_refusal(stamp) => {
                         self.record_leader(leader);
                         continue;
@@ -326,8 +332,13 @@
         req: &PeerRequest,
         until: Instant,
     ) -> Result<PeerResponse> {
+        let Some(_slot) = self.attempts.acquire(until).await else {
+            return Err(Error::new(ErrorKind::NotReached, "others wait for the leader's answer"));
+        };
         let until = until.min(Instant::now() + ATTEMPT_TIMEOUT);
-        let response = pin!(self.peers.request(leader, req, until));
+        // The stamped request is dropped before the wait for the answer.
+        let req = encode(&*req.stamped(self.refusals.get()))?;
+        let response = pin!(self.peers.request_encoded(leader, req, until));
         let superseded = pin!(self.until_superseded(leader));
         match select(response, superseded).await {
             Either::Left((response, _)) => response,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod maintenance;
 mod members;
 mod requests;
+mod slots;
 mod transport;
 mod worker;
 
--- a/crates/dispatch/src/transport.rs
+++ b/crates/dispatch/src/transport.rs
@@ -81,7 +81,21 @@
         req: &PeerRequest,
         until: Instant,
     ) -> Result<PeerResponse> {
-        let answer = self.post(to, ASK_PATH, encode(req)?, until).await?;
+        self.request_encoded(to, encode(req)?, until).await
+    }
+
+    /// Like [`Self::request`], with a request that is already encoded.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Self::request`].
+    pub async fn request_encoded(
+        &self,
+        to: ReplicaId,
+        req: Vec<u8>,
+        until: Instant,
+    ) -> Result<PeerResponse> {
+        let answer = self.post(to, ASK_PATH, req, until).await?;
         decode(&answer)
     }
 
--- a/crates/dispatch/tests/all/group_client.rs
+++ b/crates/dispatch/tests/all/group_client.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use cyclamenloft_dispatch::{
     Draft, PeerRequest, PeerResponse,
-    group_client::{ForwardOutcome, GroupClient},
+    group_client::{ForwardOutcome, GroupClient, MAX_ATTEMPTS},
     leader_loss::RELEASE_INTERVAL,
     protocol::{GroupStatus, decode, encode},
     refusals::RefusalStamp,
@@ -210,6 +210,27 @@
     });
 }
 
+/// Guards against a crowd of requests each of which opens a connection to the leader.
+#[test]
+fn few_requests_are_sent_to_the_leader_at_the_same_time() {
+    run(async {
+        let (leader, _stop) = start(7, 1, Mode::Leads);
+        let client = client(7);
+        assert_eq!(forward(&client, 60_000).await, ForwardOutcome::Response(PeerResponse::Done));
+        leader.mode.set(Mode::Stuck);
+        leader.requests.borrow_mut().clear();
+        // The first ones wait for longer, so that none of the others takes the place of one.
+        let time_limit = |n| if n < MAX_ATTEMPTS { 1_000 } else { 500 };
+        let outcomes = (0..200).map(|n| forward(&client, time_limit(n)));
+        let outcomes = futures_util::future::join_all(outcomes).await;
+        assert_eq!(leader.requests.borrow().len(), MAX_ATTEMPTS);
+        let (sent, waiting) = outcomes.split_at(MAX_ATTEMPTS);
+        assert!(sent.iter().all(|o| *o == ForwardOutcome::Unsure), "{sent:?}");
+        let is_not_sent = |o: &ForwardOutcome| matches!(o, ForwardOutcome::NotSent { .. });
+        assert!(waiting.iter().all(is_not_sent), "{waiting:?}");
+    });
+}
+
 /// Guards against clients that wait out their time limit while all core hosts are down.
 #[test]
 fn a_request_is_refused_at_once_when_no_replica_has_answered_for_long() {
