A request that a replica has no memory for counts as not sent

What callers saw: 504, no clear answer, for a request that a replica had refused before reading it, since its budget was used up.

Cause: any answer other than success counted as one after which the request may have been carried out.

Change: 503 with the outcome not-run counts like a connection that could not be opened: the request is sent again while its client waits, and a refusal after that is one with Retry-After.

Why it works: the replica states that outcome only if it has handed nothing on.

Evidence: a_request_that_the_leader_has_no_memory_for_was_not_sent failed before (Unsure), and passes now.

--- a/crates/dispatch/src/transport.rs
+++ b/crates/dispatch/src/transport.rs
@@ -3,10 +3,10 @@
 
 use crate::protocol::{ASK_PATH, LOG_PATH, PeerRequest, PeerResponse, decode, encode};
 use bytes::Bytes;
-use cyclamenloft_http::KeepAliveClient;
+use cyclamenloft_http::{KeepAliveClient, response::OUTCOME_HEADER};
 use cyclamenloft_replication::Transport;
-use cyclamenloft_types::{Error, ErrorKind, ReplicaId, Result};
-use http::Request;
+use cyclamenloft_types::{Error, ErrorKind, Outcome, ReplicaId, Result};
+use http::{HeaderValue, Request, StatusCode};
 use std::{
     cell::RefCell,
     collections::BTreeMap,
@@ -19,6 +19,9 @@
 /// log has shorter timeouts of its own for most messages.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Value of [`OUTCOME_HEADER`] in the response to a request that was not carried out.
+const NOT_RUN: &[u8] = Outcome::NotRun.as_str().as_bytes();
+
 /// Returns the id of the replica at `ip`.
 #[must_use]
 pub fn replica_id(ip: Ipv4Addr) -> ReplicaId {
@@ -66,7 +69,13 @@
             return Ok(reply.body);
         }
         let detail = format!("{}{path}: status {}", client.addr(), reply.status);
-        Err(Error::new(ErrorKind::PeerUnreachable, detail))
+        let outcome = reply.headers.get(OUTCOME_HEADER).map(HeaderValue::as_bytes);
+        let kind = match reply.status {
+            // The peer has no memory for the request now.
+            StatusCode::SERVICE_UNAVAILABLE if outcome == Some(NOT_RUN) => ErrorKind::NotReached,
+            _ => ErrorKind::PeerUnreachable,
+        };
+        Err(Error::new(kind, detail))
     }
 
     /// Sends a request to a replica and returns its response.
--- a/crates/dispatch/tests/all/group_client.rs
+++ b/crates/dispatch/tests/all/group_client.rs
@@ -9,9 +9,10 @@
     refusals::RefusalStamp,
 };
 use cyclamenloft_http::{
-    Request, Response, StopHandle, bind, full, read_limited, serve, server::Handler, stop_pair,
-    text_response,
+    Request, Response, StopHandle, bind, error_response, full, read_limited, serve,
+    server::Handler, stop_pair, text_response,
 };
+use cyclamenloft_types::{Error, ErrorKind};
 use http::StatusCode;
 use std::{
     cell::{Cell, RefCell},
@@ -33,6 +34,8 @@
     Follows,
     /// It leads, but doesn't answer a request before the client gives up.
     Stuck,
+    /// It leads, but has no memory for this many requests, and leads no longer then.
+    Full(usize),
     /// It leads, and rejects submissions that were sent before its refusal with this number.
     Refused(u64),
 }
@@ -50,7 +53,7 @@
     async fn handle(&self, req: Request, _remote: SocketAddr) -> Response {
         let body: Bytes = read_limited(req.into_body(), 1 << 20).await.unwrap_or_default();
         let replica = &self.0;
-        let leads = matches!(replica.mode.get(), Mode::Leads | Mode::Refused(_));
+        let leads = matches!(replica.mode.get(), Mode::Leads | Mode::Full(1..) | Mode::Refused(_));
         let response = match decode(&body).unwrap() {
             PeerRequest::Where => PeerResponse::Standing(GroupStatus {
                 leader: None,
@@ -64,7 +67,12 @@
                 replica.requests.borrow_mut().push(Instant::now());
                 match replica.mode.get() {
                     Mode::Leads => PeerResponse::Done,
-                    Mode::Follows => PeerResponse::NotLeader(None),
+                    Mode::Full(left @ 1..) => {
+                        replica.mode.set(Mode::Full(left - 1));
+                        let full = Error::new(ErrorKind::Overloaded, "no memory for the request");
+                        return error_response(&full);
+                    }
+                    Mode::Follows | Mode::Full(0) => PeerResponse::NotLeader(None),
                     Mode::Refused(number) => match req {
                         PeerRequest::Submit { stamp, .. } if stamp.number >= number => {
                             PeerResponse::Done
@@ -210,6 +218,20 @@
     });
 }
 
+/// Guards against an answer that nothing is known of a request that the leader had no memory for.
+#[test]
+fn a_request_that_the_leader_has_no_memory_for_was_not_sent() {
+    run(async {
+        let (leader, _stop) = start(6, 1, Mode::Leads);
+        let client = client(6);
+        assert_eq!(forward(&client, 60_000).await, ForwardOutcome::Response(PeerResponse::Done));
+        leader.mode.set(Mode::Full(2));
+        let outcome = forward(&client, 1_500).await;
+        assert!(matches!(outcome, ForwardOutcome::NotSent { .. }), "{outcome:?}");
+        assert_eq!(leader.mode.get(), Mode::Full(0));
+    });
+}
+
 /// Guards against a crowd of requests each of which opens a connection to the leader.
 #[test]
 fn few_requests_are_sent_to_the_leader_at_the_same_time() {
