A busy connection makes place for a new one after its answer

What callers saw: no ordinary request was answered at an entry host on whose connections a crowd sent one request after the other without a pause: the test waited for 60 s in vain.

Cause: a connection that has its next request in its buffer handles it as soon as the last one is answered, so that no connection ever waited for its client, and new ones were closed.

Change: while all connections are busy, no more are accepted, and the next answer on one of them is its last: it says connection: close.

Why it works: each new connection gets a place after one answer, and a place that is given up costs its client nothing but a new connection.

--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -7,9 +7,12 @@
     future::poll_fn,
     rc::Rc,
     task::{Context, Poll, Waker},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+/// Time between two checks for a place while all connections are busy.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of a connection of a listener.
 pub(crate) type ConnectionId = u64;
 
@@ -88,6 +91,8 @@
     /// Number of connections that have not ended, with those that are being closed.
     count: Cell<usize>,
     last_id: Cell<ConnectionId>,
+    /// Whether a new connection waits for a place.
+    is_wanted: Cell<bool>,
     /// Woken when a connection ends.
     waker: RefCell<Option<Waker>>,
 }
@@ -99,6 +104,7 @@
             open: RefCell::default(),
             count: Cell::default(),
             last_id: Cell::default(),
+            is_wanted: Cell::default(),
             waker: RefCell::default(),
         }
     }
@@ -131,11 +137,21 @@
         }
     }
 
-    /// Waits until the connections have ended whose places others have taken. Until then, each takes
-    /// a descriptor.
-    pub async fn until_closed(&self) {
+    /// Waits until a new connection finds a place, and until the connections have ended whose places
+    /// others have taken. Until then, each takes a descriptor.
+    pub async fn until_room(&self) {
+        while !self.has_room() {
+            self.is_wanted.set(true);
+            // A connection may also begin to wait for its client, without an end.
+            let _ = compio::time::timeout(RECHECK_INTERVAL, self.until_one_ends()).await;
+        }
+        self.is_wanted.set(false);
+    }
+
+    async fn until_one_ends(&self) {
+        let count = self.count.get();
         poll_fn(|cx| {
-            if self.count.get() <= self.limit {
+            if self.count.get() < count {
                 return Poll::Ready(());
             }
             *self.waker.borrow_mut() = Some(cx.waker().clone());
@@ -144,6 +160,18 @@
         .await;
     }
 
+    fn has_room(&self) -> bool {
+        let count = self.count.get();
+        let waits = |c: &Rc<Connection>| c.phase.get() == Phase::Client;
+        count < self.limit || (count == self.limit && self.open.borrow().values().any(waits))
+    }
+
+    /// Returns whether a connection whose request was handled is to be closed, since a new one waits
+    /// for its place. A client that has sent its next requests already would keep it for itself.
+    pub fn take_wanted(&self) -> bool {
+        self.is_wanted.replace(false)
+    }
+
     /// Returns the number of connections that have not ended.
     pub fn count(&self) -> usize {
         self.count.get()
--- a/crates/http/src/connections/tests.rs
+++ b/crates/http/src/connections/tests.rs
@@ -6,8 +6,28 @@
 
 const TICK: Duration = Duration::from_millis(1);
 
-#[test]
-fn a_new_connection_takes_the_place_of_the_one_that_waits_longest() {
+/// Defines a test for each async function.
+macro_rules! tests {
+    ($($name:ident => $test:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            compio::runtime::RuntimeBuilder::new().build().unwrap().block_on($test());
+        }
+    )*};
+}
+
+tests! {
+    longest_waiting_is_displaced =>
+        a_new_connection_takes_the_place_of_the_one_that_waits_longest;
+    busy_one_is_closed_for_a_new_one => a_busy_connection_is_to_be_closed_for_a_new_one;
+    handled_one_stays => a_connection_whose_request_is_handled_stays;
+}
+
+async fn has_room(connections: &Connections) -> bool {
+    connections.until_room().now_or_never().is_some()
+}
+
+async fn a_new_connection_takes_the_place_of_the_one_that_waits_longest() {
     let (connections, mut now) = (Connections::new(3), Instant::now());
     let mut add = || {
         now += TICK;
@@ -21,13 +41,24 @@
     let closed: Vec<bool> = open.iter().map(|c| c.is_closing()).collect();
     assert_eq!(closed, [false, true, false]);
     assert_eq!(connections.count(), 4, "the closed one has not ended");
-    assert!(connections.until_closed().now_or_never().is_none());
+    assert!(!has_room(&connections).await);
     connections.remove(2);
-    assert!(connections.until_closed().now_or_never().is_some());
+    assert!(has_room(&connections).await);
+}
+
+async fn a_busy_connection_is_to_be_closed_for_a_new_one() {
+    let (connections, now) = (Connections::new(2), Instant::now());
+    let open: Vec<_> = (0..2).map(|_| connections.add(now).unwrap()).collect();
+    open.iter().for_each(|(_, connection)| connection.begin_handling());
+    assert!(!connections.take_wanted(), "no new one waits");
+    assert!(!has_room(&connections).await);
+    assert!(connections.take_wanted());
+    assert!(!connections.take_wanted(), "one place is enough");
+    open[1].1.await_client(now);
+    assert!(has_room(&connections).await);
 }
 
-#[test]
-fn a_connection_whose_request_is_handled_stays() {
+async fn a_connection_whose_request_is_handled_stays() {
     let (connections, now) = (Connections::new(2), Instant::now());
     let open: Vec<_> = (0..2).map(|_| connections.add(now).unwrap()).collect();
     open.iter().for_each(|(_, connection)| connection.begin_handling());
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,6 +18,7 @@
     future::{Either, select},
     pin_mut,
 };
+use http::{HeaderValue, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use socket2::SockRef;
 use std::{
@@ -123,7 +124,7 @@
     loop {
         let accepted = {
             let accept = async {
-                connections.until_closed().await;
+                connections.until_room().await;
                 listener.accept().await
             };
             let stopped = stop.stopped();
@@ -150,7 +151,7 @@
         let (connections, handler, drain, alive) =
             (connections.clone(), handler.clone(), drain.clone(), alive_tx.clone());
         spawn(async move {
-            serve_connection(stream, remote, limits, origin, drain, handler).await;
+            serve_connection(stream, remote, limits, origin, &connections, drain, handler).await;
             connections.remove(id);
             drop(alive);
         })
@@ -172,6 +173,7 @@
     remote: SocketAddr,
     limits: Limits,
     origin: Rc<Origin>,
+    connections: &Connections,
     drain: StopSignal,
     handler: Rc<impl Handler>,
 ) {
@@ -183,7 +185,11 @@
         async move {
             origin.connection.begin_handling();
             let req = req.map(|body| RequestBody::new(body, origin.clone()));
-            let response = handler.handle(req, remote).await;
+            let mut response = handler.handle(req, remote).await;
+            if connections.take_wanted() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             origin.connection.await_client(Instant::now());
             Ok::<_, Infallible>(response)
         }
