Lists are decoded up to their largest length

What callers saw: a process ended, since it ran out of memory, when a few bodies of legal size came whose lists take a hundred times their memory when decoded.

Cause: a body was decoded whole, and the number of steps, labels or machines checked after that. A step of three bytes takes some 200 decoded.

Change: the decoder stops keeping items at the largest length of a list, and counts the rest for the error. A replica claims the decoded form of a submission, and drops the encoded one, before it handles it.

Why it works: what is kept is at most the text and the largest lists, and it is claimed by its actual size.

--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -20,7 +20,9 @@
     suspension::SuspensionDetector,
     transport::{LogTransport, Peers, replica_id},
 };
-use cyclamenloft_http::{Request, Response, error_response, full, server::Handler, text_response};
+use cyclamenloft_http::{
+    Content, Request, Response, error_response, full, server::Handler, text_response,
+};
 use cyclamenloft_placement::{
     submission::{
         Command, CommandResult, IncarnationId, ReportBound, ReportStamp, RouteTable,
@@ -54,6 +56,9 @@
 /// Size of a log segment. The disk of a replica holds 128 MB.
 const SEGMENT_BYTES: u64 = 4 << 20;
 
+/// Number of copies of a submission while it is committed: decoded, and encoded as a command.
+const COMMITTED_COPIES: usize = 2;
+
 /// Longest lease that is granted. A long-running task of a crashed worker is
 /// restarted elsewhere only after its lease has expired, and users require the
 /// restart within nine seconds. Network partitions of six seconds should not
@@ -510,7 +515,7 @@
         let result = match req.into_body().read(MAX_REQUEST_BYTES).await {
             Ok(body) => match &*path {
                 LOG_PATH => self.0.replica.handle(&body).await,
-                ASK_PATH => self.handle_request(&body).await,
+                ASK_PATH => self.handle_request(body).await,
                 _ => return text_response(StatusCode::NOT_FOUND, "no such path"),
             },
             Err(e) => Err(e),
@@ -523,8 +528,14 @@
 }
 
 impl<P: Port> PeerHandler<P> {
-    async fn handle_request(&self, body: &[u8]) -> Result<Vec<u8>> {
-        let response = match decode(body)? {
+    async fn handle_request(&self, body: Content) -> Result<Vec<u8>> {
+        let req = decode(&body)?;
+        // The decoded request is kept until the answer, the body isn't.
+        let claim = body.into_claim();
+        if let PeerRequest::Submit { draft, .. } = &req {
+            claim.resize(COMMITTED_COPIES * draft.held_bytes(), Instant::now())?;
+        }
+        let response = match req {
             PeerRequest::Relay(req) => relay::handle(&self.0, req).await,
             req => requests::handle_request(&self.0, req).await,
         };
--- a/crates/dispatch/src/protocol.rs
+++ b/crates/dispatch/src/protocol.rs
@@ -7,10 +7,11 @@
 };
 use cyclamenloft_placement::submission::{
     ReportStamp, RouteTable, Step, Submission, SubmissionId, WorkerReport,
-    evacuation::EvacuationVersion, state::Phase, waves::Wave,
+    evacuation::EvacuationVersion, spec::MAX_STEPS, state::Phase, waves::Wave,
 };
 use cyclamenloft_types::{
     ConfigNumber, DomainName, Error, ErrorKind, LogIndex, ReplicaId, Result, Term, WorkerId,
+    bounded_list,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::borrow::Cow;
@@ -30,6 +31,7 @@
     /// Text passed to each task.
     pub payload: Box<str>,
     /// The steps, in order.
+    #[serde(deserialize_with = "bounded_list::<MAX_STEPS, _, _>")]
     pub steps: Vec<Step>,
     /// When the first occurrence, number 0, is due, in milliseconds since the Unix epoch; 0
     /// means immediately.
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod membership;
 mod messages;
+mod protocol;
 mod recovery;
 mod refusals;
 mod reports;
