Replicas keep submissions within a share of their memory

What callers saw: a leader, and after it each replica, ended, since it ran out of memory, when valid submissions of many tasks, of many occurrences or of the largest size came. Even 120 of them were enough.

Cause: the leader bounds the number of open submissions, not their memory. One with a single task and 8,640 occurrences takes 2 MB, and ended ones are kept for their retention time.

The leader refuses what exceeds 35% of limits.memory_mb with 503 and Retry-After (outcome memory), counting those that are being committed. Submissions above 64 KB may use three quarters, so that ordinary ones still find room. Resends of what was accepted aren't refused.

Why it works: the refusal is decided before the submission is proposed, by all that can be kept; the sum is derived from the records, so all replicas have it.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -12,6 +12,9 @@
 /// Maximum number of open submissions: as many as arrive in a minute at the busiest
 /// queue. A submission behind a longer backlog can't meet its deadline.
 const MAX_OPEN_SUBMISSIONS: usize = 2_000;
+/// Largest submission that may use all of the memory for submissions, in bytes. Larger ones leave a
+/// quarter to these.
+const SMALL_BYTES: usize = 64 << 10;
 /// Retry delay after a refusal because of too many open submissions, in seconds.
 const FULL_RETRY_S: u32 = 5;
 /// Retry delay if no worker is large enough, in seconds: a larger worker may join.
@@ -58,6 +61,20 @@
     Ok(())
 }
 
+/// Checks whether the replicas have the memory to keep a new submission of `bytes`, of `limit` in
+/// all, beside those that are kept and being committed.
+///
+/// # Errors
+///
+/// The reason of the refusal, and when to retry.
+pub fn admit_bytes(bytes: usize, kept: usize, limit: usize) -> Result<(), Refusal> {
+    let limit = if bytes <= SMALL_BYTES { limit } else { limit / 4 * 3 };
+    match kept.saturating_add(bytes) <= limit {
+        true => Ok(()),
+        false => Err(Refusal { reason: "memory", retry_after_s: FULL_RETRY_S }),
+    }
+}
+
 /// Checks whether a new submission that [`admit`] accepts can be served in time. Returns the time
 /// by which its acceptance is backdated, so that a returning caller isn't placed after newer ones.
 ///
--- a/crates/dispatch/src/leader.rs
+++ b/crates/dispatch/src/leader.rs
@@ -67,6 +67,8 @@
     /// The replicas that call workers.
     pub relays: Relays,
     pub refusals: RefCell<Refusals>,
+    /// Estimated memory of the submissions that are being committed, in bytes.
+    pub committing_bytes: Cell<usize>,
     worker_tasks: RefCell<BTreeMap<IncarnationId, WorkerTasks>>,
     ended_since: RefCell<BTreeMap<SubmissionId, Instant>>,
     /// The incarnations for which tasks were started last.
@@ -82,6 +84,7 @@
             fleet: RefCell::new(Fleet::new(longest_lease.min(MAX_LEASE), now)),
             relays: Relays::new(token),
             refusals: RefCell::new(Refusals::new(token)),
+            committing_bytes: Cell::default(),
             worker_tasks: RefCell::default(),
             ended_since: RefCell::default(),
             known_incarnations: Cell::default(),
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -39,6 +39,8 @@
     pub const CONTROL_BODIES: usize = 12;
     /// Of a replica: connections to each of the two listeners.
     pub const CONTROL_CONNECTIONS: usize = 10;
+    /// Of a replica: submissions, with their copies in snapshots.
+    pub const SUBMISSIONS: usize = 35;
 }
 
 /// Shares of a process's descriptors, in percent. The rest is for data files and the connections that
@@ -109,6 +111,12 @@
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_DESCRIPTORS)
     }
 
+    /// Returns the maximum memory of the submissions at a replica, in bytes.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        self.memory_bytes / 100 * memory_percent::SUBMISSIONS
+    }
+
     fn of_replica(&self, descriptors: usize, largest: usize, drain: Duration) -> Limits {
         let memory = memory_percent::CONTROL_CONNECTIONS;
         Limits {
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -100,6 +100,9 @@
     pub evacuation_bound: Option<Duration>,
     /// Which parts of the handling of overload are switched on.
     pub load_policy: LoadPolicy,
+    /// Maximum memory that the submissions may take at each replica, in bytes, by the estimate of
+    /// [`kept_bytes`](cyclamenloft_placement::submission::kept::kept_bytes).
+    pub kept_bytes: usize,
 }
 
 /// One replica and the state that its tasks share.
--- a/crates/dispatch/src/requests.rs
+++ b/crates/dispatch/src/requests.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     admission::{self, Refusal},
+    leader::Leadership,
     members,
     node::{Node, wall_ms},
     port::Port,
@@ -10,11 +11,14 @@
     reports,
 };
 use cyclamenloft_placement::submission::{
-    Command, CommandResult, Submission, SubmissionId, SubmissionState, routes::QueuePolicy,
-    spec::parse_id, state::Phase,
+    Command, CommandResult, Submission, SubmissionId, SubmissionState, kept::kept_bytes,
+    routes::QueuePolicy, spec::parse_id, state::Phase,
 };
 use cyclamenloft_types::{Error, ErrorKind, Outcome};
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Handles a request and returns the response.
 pub(crate) async fn handle_request<P: Port>(node: &Node<P>, req: PeerRequest) -> PeerResponse {
@@ -102,6 +106,7 @@
     // It stays recorded if the outcome is unknown or the caller leaves: the entry may be committed
     // later in this term.
     refusals.borrow_mut().begin_commit(key);
+    let _committing = CommittingBytes::new(leadership.clone(), kept_bytes(&submission));
     let response = accept(node, submission, policy, backdated).await;
     if response != PeerResponse::Unsure {
         refusals.borrow_mut().end_commit(key);
@@ -109,6 +114,27 @@
     response
 }
 
+/// Counts the memory of a submission while it is being committed.
+struct CommittingBytes {
+    leadership: Rc<Leadership>,
+    bytes: usize,
+}
+
+impl CommittingBytes {
+    fn new(leadership: Rc<Leadership>, bytes: usize) -> Self {
+        let count = &leadership.committing_bytes;
+        count.set(count.get() + bytes);
+        Self { leadership, bytes }
+    }
+}
+
+impl Drop for CommittingBytes {
+    fn drop(&mut self) {
+        let count = &self.leadership.committing_bytes;
+        count.set(count.get() - self.bytes);
+    }
+}
+
 /// Why a submission isn't accepted.
 enum Refused {
     /// It can't be accepted at all or not under this configuration.
@@ -204,6 +230,11 @@
         if fleet.as_ref().is_some_and(|f| f.backlog.is_accepted(submission.id)) {
             return Ok(0);
         }
+        if let Some(leadership) = leadership.as_ref().filter(|_| s.record(submission.id).is_none())
+        {
+            let kept = s.kept_bytes() + leadership.committing_bytes.get();
+            admission::admit_bytes(kept_bytes(submission), kept, node.settings.kept_bytes)?;
+        }
         admission::admit(s, fleet.as_deref(), submission, policy, now)?;
         let backdated = match &mut fleet {
             Some(fleet) => admission::admit_in_time(s, fleet, submission, policy, now, wall_ms)?,
--- a/crates/dispatch/tests/all/admission.rs
+++ b/crates/dispatch/tests/all/admission.rs
@@ -1,7 +1,7 @@
 //! Admission refuses at once the submissions that certainly can't be served, and
 //! no others.
 
-use cyclamenloft_dispatch::admission::{Refusal, admit, admit_in_time};
+use cyclamenloft_dispatch::admission::{Refusal, admit, admit_bytes, admit_in_time};
 use cyclamenloft_placement::submission::{
     Command, Fleet, Step, Submission, SubmissionState, WorkerInfo, WorkerReport,
     backlog::{ClassName, ShortTally},
@@ -236,3 +236,15 @@
     let known = submission(2, 8, None);
     assert!(admit_in_time(&state, &mut fleet, &known, &policy(), now, WALL_MS).is_ok());
 }
+
+/// Guards against large submissions that leave no memory to ordinary ones.
+#[test]
+fn large_submissions_leave_memory_to_small_ones() {
+    let (limit, large, small) = (8 << 20, 1 << 20, 10 << 10);
+    let full = Err(Refusal { reason: "memory", retry_after_s: 5 });
+    assert_eq!(admit_bytes(large, 5 << 20, limit), Ok(()));
+    assert_eq!(admit_bytes(large, 6 << 20, limit), full);
+    assert_eq!(admit_bytes(small, 6 << 20, limit), Ok(()));
+    assert_eq!(admit_bytes(small, 8 << 20, limit), full);
+    assert_eq!(admit_bytes(usize::MAX, 1, limit), full);
+}
--- a/crates/placement/src/submission/mod.rs
+++ b/crates/placement/src/submission/mod.rs
@@ -21,6 +21,7 @@
 mod former_runs;
 pub mod health;
 pub mod interference;
+pub mod kept;
 pub mod lease;
 pub mod load_policy;
 mod open_starts;
--- a/crates/placement/src/submission/state.rs
+++ b/crates/placement/src/submission/state.rs
@@ -14,6 +14,7 @@
     evacuation::Evacuations,
     former_runs::FormerRuns,
     interference::LearnedPair,
+    kept::kept_bytes,
     open_starts::{OpenStart, OpenStarts, RunId},
     routes::{QueuePolicy, RouteTable},
     spec::{Submission, SubmissionId, TaskId},
@@ -66,6 +67,9 @@
     /// Stored last.
     #[serde(skip)]
     open_starts: OpenStarts,
+    /// Estimated memory of the records, in bytes. Derived from them.
+    #[serde(skip)]
+    kept_bytes: usize,
 }
 
 /// What is kept of the reports of an incarnation, in addition to the data of the last one.
@@ -145,6 +149,12 @@
         self.record(id).filter(|r| r.phase == Phase::Open)
     }
 
+    /// Returns the estimated memory of all records that haven't been removed yet, in bytes.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
     /// Returns the number of open submissions.
     #[must_use]
     pub fn open_count(&self) -> usize {
@@ -291,6 +301,7 @@
             left: vec![left; occurrences],
         };
         self.records.insert(spec.id, record);
+        self.kept_bytes += kept_bytes(spec);
         self.open.insert(spec.id);
         CommandResult::Done
     }
@@ -667,8 +678,10 @@
                 r.phase != Phase::Open
                     && r.tasks.iter().flatten().flatten().all(|t| t.runs.is_empty())
             };
-            if self.records.get(id).is_some_and(idle) {
-                self.records.remove(id);
+            if self.records.get(id).is_some_and(idle)
+                && let Some(record) = self.records.remove(id)
+            {
+                self.kept_bytes -= kept_bytes(&record.spec);
             }
         }
     }
@@ -765,6 +778,7 @@
             Error::new(ErrorKind::Corrupt, format!("snapshot of submissions: {e}"))
         };
         let (mut state, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).map_err(corrupt)?;
+        state.kept_bytes = state.records.values().map(|r| kept_bytes(&r.spec)).sum();
         // Earlier versions wrote neither.
         if !rest.is_empty() {
             let (added, rest) = postcard::take_from_bytes(rest).map_err(corrupt)?;
--- a/crates/placement/tests/all/submission/state.rs
+++ b/crates/placement/tests/all/submission/state.rs
@@ -3,7 +3,8 @@
 use super::cluster::{policy, step, submission, worker};
 use cyclamenloft_placement::submission::{
     Command, CommandResult, EndReason, Phase, Placement, Queue, RouteTable, RunEnd, Step,
-    SubmissionState, TaskId, WorkerInfo, WorkerReport, routes::QueuePolicy,
+    Submission, SubmissionState, TaskId, WorkerInfo, WorkerReport, kept::kept_bytes,
+    routes::QueuePolicy,
 };
 use cyclamenloft_replication::StateMachine;
 use cyclamenloft_types::ErrorKind;
@@ -315,3 +316,33 @@
     assert_eq!(bytes.split_off(bytes.len() - 4), [0; 4]);
     assert_eq!(SubmissionState::decode(&bytes).unwrap(), state);
 }
+
+/// Guards against submissions that take up all memory although there are few of them.
+#[test]
+fn the_memory_of_submissions_is_counted_while_they_are_kept() {
+    let mut g = Group::new();
+    assert_eq!(g.state.kept_bytes(), 0);
+    g.submit(1, vec![step(1)]);
+    let small = g.state.kept_bytes();
+    g.submit(1, vec![step(1)]);
+    assert_eq!(g.state.kept_bytes(), small, "a resend");
+    g.submit(2, vec![step(1_000)]);
+    let both = g.state.kept_bytes();
+    assert!(both - small > 999 * 50, "{} bytes for 1,000 tasks", both - small);
+    let restored = SubmissionState::decode(&g.state.encode()).unwrap();
+    assert_eq!(restored.kept_bytes(), both);
+    g.apply(Command::Cancel(vec![1, 2]));
+    assert_eq!(g.state.kept_bytes(), both, "ended submissions are kept for a while");
+    g.apply(Command::Forget(vec![2]));
+    assert_eq!(g.state.kept_bytes(), small);
+    g.apply(Command::Forget(vec![1]));
+    assert_eq!(g.state.kept_bytes(), 0);
+}
+
+/// Guards against an estimate that leaves out the occurrences.
+#[test]
+fn each_occurrence_counts() {
+    let spec = |occurrences| Submission { occurrences, ..submission(1, vec![step(1)]) };
+    let one = kept_bytes(&spec(1));
+    assert!(kept_bytes(&spec(8_640)) > 8_640 * 200, "{one} bytes for one occurrence");
+}
