--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -41,6 +41,8 @@
     pub const CONTROL_CONNECTIONS: usize = 10;
     /// Of a replica: submissions, with their copies in snapshots.
     pub const SUBMISSIONS: usize = 35;
+    /// Of a replica: log entries since the last snapshot.
+    pub const LOG: usize = 6;
 }
 
 /// Shares of a process's descriptors, in percent. The rest is for data files and the connections that
@@ -117,6 +119,12 @@
         self.memory_bytes / 100 * memory_percent::SUBMISSIONS
     }
 
+    /// Returns the size of the log entries between two snapshots, in bytes.
+    #[must_use]
+    pub fn snapshot_bytes(&self) -> usize {
+        self.memory_bytes / 100 * memory_percent::LOG
+    }
+
     fn of_replica(&self, descriptors: usize, largest: usize, drain: Duration) -> Limits {
         let memory = memory_percent::CONTROL_CONNECTIONS;
         Limits {
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -100,6 +100,8 @@
     pub evacuation_bound: Option<Duration>,
     /// Which parts of the handling of overload are switched on.
     pub load_policy: LoadPolicy,
+    /// Size of the log entries between two snapshots, in bytes.
+    pub snapshot_bytes: usize,
     /// Maximum memory that the submissions may take at each replica, in bytes, by the estimate of
     /// [`kept_bytes`](cyclamenloft_placement::submission::kept::kept_bytes).
     pub kept_bytes: usize,
@@ -143,6 +145,7 @@
             .heartbeat(HEARTBEAT_INTERVAL)
             .election_timeout(ELECTION_TIMEOUT)
             .snapshot_entries(SNAPSHOT_ENTRIES)
+            .snapshot_bytes(settings.snapshot_bytes)
             .segment_bytes(SEGMENT_BYTES)
             .may_form(forms_group);
         let peers = Rc::new(Peers::new(settings.peer_port));
--- a/crates/replication/src/apply.rs
+++ b/crates/replication/src/apply.rs
@@ -12,6 +12,8 @@
 /// interval divided by this. They let a follower that is slightly behind catch
 /// up without a snapshot.
 const RETAINED_FRACTION_DIVISOR: u64 = 4;
+/// The same for the size of the entries that stay in memory.
+const RETAINED_BYTES_DIVISOR: usize = 4;
 
 /// Upper bound, in snapshot intervals, of the entries that stay in memory for a
 /// follower that is receiving an older snapshot over a slow link.
@@ -50,7 +52,9 @@
             }
             Payload::Noop | Payload::Membership(_) => None,
         };
+        let bytes = entry.approx_bytes();
         self.applied = index;
+        self.unsnapshotted_bytes += bytes;
         let Some(proposal) = self.proposals.remove(&index) else { return Ok(()) };
         let result = match response {
             Some(response) if proposal.term == term => Ok(response),
@@ -62,7 +66,9 @@
 
     fn snapshot_if_due(&mut self) {
         let last = self.snapshot.as_ref().map_or(0, |s| s.index);
-        if self.applied < last + self.cfg.snapshot_entries {
+        let is_due = self.applied >= last + self.cfg.snapshot_entries
+            || self.unsnapshotted_bytes >= self.cfg.snapshot_bytes;
+        if !is_due {
             return;
         }
         let term = self.log.term(self.applied);
@@ -73,16 +79,33 @@
         self.queue_write(DiskWrite::Snapshot(snapshot.clone()));
         self.memberships.reset(snapshot.index, snapshot.membership.clone());
         self.snapshot = Some(snapshot);
+        self.unsnapshotted_bytes = 0;
         let retained = self.cfg.snapshot_entries / RETAINED_FRACTION_DIVISOR;
         let max_retained =
             self.cfg.snapshot_entries.saturating_mul(MAX_RETAINED_SNAPSHOT_INTERVALS);
         let sending_index = self.leader_state.as_ref().and_then(|l| l.oldest_sending_snapshot());
-        let first =
-            self.applied.saturating_sub(retained).min(sending_index.unwrap_or(LogIndex::MAX));
-        let first = first.max(self.applied.saturating_sub(max_retained));
+        let first = self.first_retained(retained, self.cfg.snapshot_bytes / RETAINED_BYTES_DIVISOR);
+        let first = first.min(sending_index.unwrap_or(LogIndex::MAX));
+        // Entries for a follower that receives an older snapshot are bounded, too.
+        let first = first.max(self.first_retained(max_retained, self.cfg.snapshot_bytes));
         self.log.compact(first.max(self.log.base()));
     }
 
+    /// Returns the index before the last applied entries of which at most `count`, of at most `bytes`
+    /// in all, stay in memory.
+    fn first_retained(&self, count: u64, bytes: usize) -> LogIndex {
+        let least = self.applied.saturating_sub(count).max(self.log.base());
+        let (mut first, mut size) = (self.applied, 0);
+        while first > least {
+            size += self.log.get(first).map_or(0, Entry::approx_bytes);
+            if size > bytes {
+                break;
+            }
+            first -= 1;
+        }
+        first
+    }
+
     /// Builds the speculative state from the applied state and the rest of the
     /// log.
     pub fn init_speculative_state(&mut self) {
--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -36,6 +36,7 @@
     pub(crate) election_timeout: Duration,
     pub(crate) early_visibility: bool,
     pub(crate) snapshot_entries: u64,
+    pub(crate) snapshot_bytes: usize,
     pub(crate) segment_bytes: u64,
     pub(crate) may_form: bool,
 }
@@ -44,6 +45,9 @@
 /// started.
 const SEGMENT_BYTES: u64 = 8 << 20;
 
+/// Size in bytes of the entries between two snapshots.
+const SNAPSHOT_BYTES: usize = 64 << 20;
+
 impl Config {
     /// Returns default settings for replica `id` of `group`, with files under
     /// `folder`.
@@ -63,6 +67,7 @@
             election_timeout: Duration::from_millis(500),
             early_visibility: false,
             snapshot_entries: 10_000,
+            snapshot_bytes: SNAPSHOT_BYTES,
             segment_bytes: SEGMENT_BYTES,
             may_form: true,
         }
@@ -99,6 +104,14 @@
         self
     }
 
+    /// Sets the size in bytes of the entries that are applied between two snapshots. A snapshot is
+    /// taken when either this or [`Self::snapshot_entries`] is reached.
+    #[must_use]
+    pub fn snapshot_bytes(mut self, bytes: usize) -> Self {
+        self.snapshot_bytes = bytes;
+        self
+    }
+
     /// Sets the size at which a segment of the log is closed and a new one is
     /// started.
     #[must_use]
--- a/crates/replication/src/core.rs
+++ b/crates/replication/src/core.rs
@@ -54,6 +54,8 @@
     pub speculative: Option<M>,
     pub commit: LogIndex,
     pub applied: LogIndex,
+    /// Size of the entries that were applied after the last snapshot, in bytes.
+    pub unsnapshotted_bytes: usize,
     /// Index of the last entry that is durable on this replica.
     pub durable: LogIndex,
     pub disk: DiskQueue,
@@ -105,6 +107,7 @@
             speculative: None,
             commit: base.0,
             applied: base.0,
+            unsnapshotted_bytes: 0,
             durable,
             disk: DiskQueue::default(),
             leader_state: None,
--- a/crates/replication/src/install.rs
+++ b/crates/replication/src/install.rs
@@ -80,6 +80,7 @@
         }
         self.commit = index;
         self.applied = index;
+        self.unsnapshotted_bytes = 0;
         self.snapshot = Some(snapshot);
         while let Some(first) = self.proposals.first_entry().filter(|p| *p.key() <= index) {
             let (index, proposal) = first.remove_entry();
--- a/crates/replication/tests/group.rs
+++ b/crates/replication/tests/group.rs
@@ -288,6 +288,27 @@
     cluster.check_converged().await;
 }
 
+/// Few large entries must not stay in memory and on disk until there are as many as small ones.
+async fn a_snapshot_is_taken_after_a_number_of_bytes() {
+    let cluster =
+        Cluster::with_config(18, voters(3), |cfg| fast_timeouts(cfg).snapshot_bytes(20_000))
+            .start_all()
+            .await;
+    let leader = cluster.leader().await;
+    let newest_snapshot = |id| {
+        let files = std::fs::read_dir(cluster.path(id)).unwrap().flatten();
+        let names = files.map(|f| f.file_name().to_string_lossy().into_owned());
+        names.filter(|name| name.starts_with("snapshot-")).max()
+    };
+    let first: Vec<_> = cluster.ids().into_iter().map(newest_snapshot).collect();
+    for _ in 0..30 {
+        cluster.propose_with_filler(leader, 1_000).await;
+    }
+    let is_newer = |(id, first): (_, &Option<String>)| newest_snapshot(id) > *first;
+    wait_until(|| cluster.ids().into_iter().zip(&first).all(is_newer)).await;
+    cluster.check_converged().await;
+}
+
 /// The speculative state of an isolated leader must show an entry before it is
 /// committed, and must drop it when the leader steps down; the applied state
 /// must never show it.
@@ -339,6 +360,7 @@
     minority_accepts_nothing => a_minority_accepts_nothing();
     random_partitions_lose_nothing => accepted_values_survive_random_partitions();
     snapshot_brings_late_follower_up_to_date => a_snapshot_brings_a_late_follower_up_to_date();
+    snapshot_after_a_number_of_bytes => a_snapshot_is_taken_after_a_number_of_bytes();
     message_size_is_limited => messages_stay_within_the_size_limit();
     planned_stop_transfers_leadership => a_planned_stop_transfers_leadership();
     early_visibility_shows_entries_before_commit => early_visibility_shows_uncommitted_entries();
