Responses that nobody reads are claimed, and buffered in small parts

Cause, found by reading: a connection buffers all of a response, up to 64 MB, and the budget knew nothing of it. Each read of the configuration copies its text, of up to several megabytes, and a client that doesn't read leaves it there for 20 s.

It is handed to the connection in parts of 16 KB, and a connection buffers at most 32 KB that aren't flushed, so that the claim lasts until nearly all is sent.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,7 +20,7 @@
 pub use client::JsonClient;
 pub use keep_alive::{FullResponse, KeepAliveClient};
 pub use listen::bind;
-pub use request::{Content, RequestBody, read_json};
+pub use request::{Content, RequestBody, claimed, read_json};
 pub use response::{error_response, json_response, text_response};
 pub use server::{Handler, Limits, Request, Response, serve};
 pub use stop::{StopHandle, StopSignal, stop_pair};
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,6 +1,7 @@
 //! The body of a request, which is read within the budget of its listener.
 
 use crate::{
+    body::{Body, BoxError},
     budget::{Budget, Claim},
     connections::Connection,
 };
@@ -223,3 +224,42 @@
     serde_json::from_slice(&content)
         .map_err(|e| Error::new(ErrorKind::BadRequest, format!("body is not as expected: {e}")))
 }
+
+/// Size of the parts in which a claimed response is handed to the connection. The connection asks
+/// for the next part once most of the last one is sent.
+const PART_BYTES: usize = 16 << 10;
+
+/// Returns the body of a response that holds a claim until nearly all of it is sent.
+#[must_use]
+pub fn claimed(bytes: impl Into<Bytes>, claim: Claim) -> Body {
+    Box::pin(Claimed { left: bytes.into(), _claim: claim })
+}
+
+struct Claimed {
+    left: Bytes,
+    _claim: Claim,
+}
+
+impl http_body::Body for Claimed {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.left.is_empty() {
+            return Poll::Ready(None);
+        }
+        let len = self.left.len().min(PART_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.left.split_to(len)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
+    }
+}
--- a/crates/http/src/stall.rs
+++ b/crates/http/src/stall.rs
@@ -1,14 +1,18 @@
-//! A stream whose writes fail if the peer stops reading.
+//! A stream whose writes fail if the peer stops reading, and which buffers little until then.
 
 use compio::time::sleep_until;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::{
     io::{Error, ErrorKind, IoSlice, Result},
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
+/// Maximum number of bytes that are written before they are flushed. The stream buffers whatever it
+/// is given.
+const MAX_UNFLUSHED_BYTES: usize = 32 << 10;
+
 /// Fails a write that makes no progress for too long, so that a client that stops
 /// reading can't hold a slot.
 pub(crate) struct StallLimit<S> {
@@ -21,12 +25,14 @@
     /// has expired. The timer is kept for the following writes, which costs less than a
     /// timer for each write.
     timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    /// Number of bytes written since the last flush.
+    unflushed: usize,
 }
 
 impl<S> StallLimit<S> {
     /// Limits the duration of write stalls of `stream` to `limit`.
     pub(crate) fn new(stream: S, limit: Duration) -> Self {
-        Self { stream, limit, stalled: None, timer: None }
+        Self { stream, limit, stalled: None, timer: None, unflushed: 0 }
     }
 
     /// Records whether a write made progress, and fails a write that has stalled for
@@ -62,18 +68,38 @@
     }
 }
 
+impl<S: Write + Unpin> StallLimit<S> {
+    fn poll_flush_stream(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = polled {
+            self.unflushed = 0;
+        }
+        polled
+    }
+
+    fn poll_write_some(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        if self.unflushed >= MAX_UNFLUSHED_BYTES {
+            ready!(self.poll_flush_stream(cx))?;
+        }
+        let len = buf.len().min(MAX_UNFLUSHED_BYTES - self.unflushed);
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &buf[..len]))?;
+        self.unflushed += written;
+        Poll::Ready(Ok(written))
+    }
+}
+
 impl<S: Write + Unpin> Write for StallLimit<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let polled = self.poll_write_some(cx, buf);
         self.watch(cx, polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        let polled = self.poll_flush_stream(cx);
         self.watch(cx, polled)
     }
 
@@ -91,7 +117,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        // The stream copies what it is given, so one part at a time costs nothing.
+        let buf = bufs.iter().find(|buf| !buf.is_empty()).map_or(&[][..], |buf| &**buf);
+        let polled = self.poll_write_some(cx, buf);
         self.watch(cx, polled)
     }
 }
