A connection that sends a response isn't closed for a new one

Cause, found by reading: since new connections take the place of those that wait for their clients, a connection counted as waiting as soon as its handler had returned, although the response of a target is still streamed then. At the limit an answer could be cut off in the middle.

Change: until the body of a response is handed over, its connection stays, unless its client has read nothing for a second.

Why it works: only a write that makes no progress shows that the client is what is waited for.

--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -16,13 +16,19 @@
 /// Number of a connection of a listener.
 pub(crate) type ConnectionId = u64;
 
-/// What a connection waits for.
+/// Time without progress after which a response that its client doesn't read may be given up for
+/// another connection.
+const RESPONSE_STALL_TIME: Duration = Duration::from_secs(1);
+
+/// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
-    /// Its client: for a request, the rest of a body, or until it has read a response.
+    /// It waits for its client: for a request, or for the rest of a body.
     Client,
-    /// The handler of a request.
+    /// A handler works on a request.
     Handler,
+    /// It sends a response.
+    Response,
 }
 
 /// The state of one open connection.
@@ -31,6 +37,8 @@
     phase: Cell<Phase>,
     /// When the phase began.
     since: Cell<Instant>,
+    /// Since when the client hasn't read, if it doesn't.
+    stalled: Cell<Option<Instant>>,
     closing: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
@@ -40,6 +48,7 @@
         Self {
             phase: Cell::new(Phase::Client),
             since: Cell::new(now),
+            stalled: Cell::default(),
             closing: Cell::default(),
             waker: RefCell::default(),
         }
@@ -50,6 +59,27 @@
         self.phase.set(Phase::Handler);
     }
 
+    /// Records that a response is sent, until the connection waits for its client again.
+    pub fn begin_response(&self) {
+        self.phase.set(Phase::Response);
+    }
+
+    /// Records since when the client hasn't read what is written, or that it reads.
+    pub fn set_stalled(&self, since: Option<Instant>) {
+        self.stalled.set(since);
+    }
+
+    /// Returns since when the connection has waited for its client, if it does.
+    fn waits_since(&self, now: Instant) -> Option<Instant> {
+        let is_long =
+            |since: &Instant| now.saturating_duration_since(*since) >= RESPONSE_STALL_TIME;
+        match self.phase.get() {
+            Phase::Client => Some(self.since.get()),
+            Phase::Response => self.stalled.get().filter(is_long),
+            Phase::Handler => None,
+        }
+    }
+
     /// Records that the connection waits for its client.
     pub fn await_client(&self, now: Instant) {
         self.phase.set(Phase::Client);
@@ -109,14 +139,14 @@
         }
     }
 
-    /// Adds a connection, if need be in place of another one. Returns `None` if handlers work on
-    /// requests of all others.
+    /// Adds a connection, if need be in place of another one. Returns `None` if no other one waits
+    /// for its client.
     pub fn add(&self, now: Instant) -> Option<(ConnectionId, Rc<Connection>)> {
         let mut open = self.open.borrow_mut();
         if open.len() >= self.limit {
-            let waiting = open.iter().filter(|(_, c)| c.phase.get() == Phase::Client);
-            let (id, longest) = waiting.min_by_key(|(id, c)| (c.since.get(), **id))?;
-            let (id, longest) = (*id, longest.clone());
+            let waiting = open.iter().filter_map(|(id, c)| Some((c.waits_since(now)?, *id, c)));
+            let (_, id, longest) = waiting.min_by_key(|(since, id, _)| (*since, *id))?;
+            let longest = longest.clone();
             open.remove(&id);
             longest.close();
         }
@@ -140,7 +170,7 @@
     /// Waits until a new connection finds a place, and until the connections have ended whose places
     /// others have taken. Until then, each takes a descriptor.
     pub async fn until_room(&self) {
-        while !self.has_room() {
+        while !self.has_room(Instant::now()) {
             self.is_wanted.set(true);
             // A connection may also begin to wait for its client, without an end.
             let _ = compio::time::timeout(RECHECK_INTERVAL, self.until_one_ends()).await;
@@ -160,9 +190,9 @@
         .await;
     }
 
-    fn has_room(&self) -> bool {
+    fn has_room(&self, now: Instant) -> bool {
         let count = self.count.get();
-        let waits = |c: &Rc<Connection>| c.phase.get() == Phase::Client;
+        let waits = |c: &Rc<Connection>| c.waits_since(now).is_some();
         count < self.limit || (count == self.limit && self.open.borrow().values().any(waits))
     }
 
--- a/crates/http/src/connections/tests.rs
+++ b/crates/http/src/connections/tests.rs
@@ -20,6 +20,7 @@
     longest_waiting_is_displaced =>
         a_new_connection_takes_the_place_of_the_one_that_waits_longest;
     busy_one_is_closed_for_a_new_one => a_busy_connection_is_to_be_closed_for_a_new_one;
+    one_that_sends_a_response_stays => a_connection_that_sends_a_response_stays_while_it_is_read;
     handled_one_stays => a_connection_whose_request_is_handled_stays;
 }
 
@@ -67,3 +68,15 @@
     assert!(connections.add(now).is_some());
     assert!(open.iter().all(|(_, connection)| !connection.is_closing()));
 }
+
+/// Guards against answers that are cut off in the middle.
+async fn a_connection_that_sends_a_response_stays_while_it_is_read() {
+    let (connections, now) = (Connections::new(1), Instant::now());
+    let sending = connections.add(now).unwrap().1;
+    sending.begin_response();
+    assert!(connections.add(now + Duration::from_secs(60)).is_none(), "the client reads");
+    sending.set_stalled(Some(now));
+    assert!(connections.add(now + TICK).is_none(), "the client has just read");
+    assert!(connections.add(now + Duration::from_secs(2)).is_some());
+    assert!(sending.is_closing());
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod listen;
 pub mod request;
 pub mod response;
+mod sending;
 pub mod server;
 mod stall;
 pub mod stop;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,6 +6,7 @@
     budget::Budget,
     connections::{Connection, Connections},
     request::{ArrivalLimits, Origin, RequestBody},
+    sending::sending,
     stall::StallLimit,
     stop::{StopHandle, StopSignal, stop_pair},
 };
@@ -178,8 +179,9 @@
     handler: Rc<impl Handler>,
 ) {
     let _ = stream.set_nodelay(true);
-    let stream = StallLimit::new(HyperStream::new_plain(stream), limits.write_stall);
     let connection_state = origin.connection.clone();
+    let stream = HyperStream::new_plain(stream);
+    let stream = StallLimit::new(stream, limits.write_stall, connection_state.clone());
     let service = service_fn(move |req: http::Request<Incoming>| {
         let (handler, origin) = (handler.clone(), origin.clone());
         async move {
@@ -190,7 +192,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            origin.connection.await_client(Instant::now());
+            let response = response.map(|body| sending(body, origin.connection.clone()));
             Ok::<_, Infallible>(response)
         }
     });
--- a/crates/http/src/stall.rs
+++ b/crates/http/src/stall.rs
@@ -1,10 +1,12 @@
 //! A stream whose writes fail if the peer stops reading, and which buffers little until then.
 
+use crate::connections::Connection;
 use compio::time::sleep_until;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::{
     io::{Error, ErrorKind, IoSlice, Result},
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
@@ -27,22 +29,27 @@
     timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
     /// Number of bytes written since the last flush.
     unflushed: usize,
+    connection: Rc<Connection>,
 }
 
 impl<S> StallLimit<S> {
-    /// Limits the duration of write stalls of `stream` to `limit`.
-    pub(crate) fn new(stream: S, limit: Duration) -> Self {
-        Self { stream, limit, stalled: None, timer: None, unflushed: 0 }
+    /// Limits the duration of write stalls of `stream` to `limit`, and records them for
+    /// `connection`.
+    pub(crate) fn new(stream: S, limit: Duration, connection: Rc<Connection>) -> Self {
+        Self { stream, limit, stalled: None, timer: None, unflushed: 0, connection }
     }
 
     /// Records whether a write made progress, and fails a write that has stalled for
     /// too long.
     fn watch<T>(&mut self, cx: &mut Context<'_>, polled: Poll<Result<T>>) -> Poll<Result<T>> {
         if polled.is_ready() {
-            self.stalled = None;
+            if self.stalled.take().is_some() {
+                self.connection.set_stalled(None);
+            }
             return polled;
         }
         let since = *self.stalled.get_or_insert_with(Instant::now);
+        self.connection.set_stalled(Some(since));
         loop {
             let end = since + self.limit;
             let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
