Shares of descriptors and memory that no process of the deployments meets

Cause, found by reading the site files: 490 workers of a grown site exceed the 351 connections that a replica would take, if they report to one, and 147 entry hosts of the large site exceed its 288 connections of other processes. A limit must not be met by those that keep to the protocol.

Clients of an entry host have 75% instead of 80% of the descriptors, so that its other connections fit beside them with few descriptors, too.

--- a/crates/dispatch/src/group_client.rs
+++ b/crates/dispatch/src/group_client.rs
@@ -34,7 +34,7 @@
 /// Time after the leader's last answer for which this host counts as ready: two
 /// status periods, so that one lost answer doesn't make the host unready.
 const READY_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Maximum number of attempts at the same time. A commit takes some 30 ms, so these are a thousand
+/// Maximum number of attempts at the same time. Those of ten entry hosts fit within the connections
 /// that a replica accepts from other processes.
 pub const MAX_ATTEMPTS: usize = 32;
 /// Longest wait for the leader's answer to one attempt, after which the host
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -24,8 +24,8 @@
 /// Size of the receive buffer of a connection of a worker, the operator or another process. A
 /// message of the largest size takes a few tens of round trips.
 const CONTROL_RECEIVE_BYTES: usize = 64 << 10;
-/// The part of a budget that large claims may use is three quarters, which must suffice for one
-/// body of the largest size, and for a list that it is decoded to.
+/// Number of bodies of the largest size for which a budget suffices at least. Large claims may use
+/// three quarters of it.
 const LARGEST_BODIES: usize = 2;
 
 /// Shares of a process's memory, in percent. The rest is for the process itself, for what the
@@ -38,9 +38,9 @@
     /// Of a replica: bodies of workers and the operator, and those of other processes, each.
     pub const CONTROL_BODIES: usize = 12;
     /// Of a replica: connections to each of the two listeners.
-    pub const CONTROL_CONNECTIONS: usize = 10;
+    pub const CONTROL_CONNECTIONS: usize = 15;
     /// Of a replica: submissions, with their copies in snapshots.
-    pub const SUBMISSIONS: usize = 35;
+    pub const SUBMISSIONS: usize = 30;
     /// Of a replica: log entries since the last snapshot.
     pub const LOG: usize = 6;
 }
@@ -49,11 +49,13 @@
 /// it opens, of which those of a replica to workers are the most.
 mod descriptor_percent {
     /// Of an entry host: connections of clients.
-    pub const CLIENTS: usize = 80;
+    pub const CLIENTS: usize = 75;
     /// Of a replica: connections of workers and the operator.
-    pub const CONTROL: usize = 9;
+    pub const CONTROL: usize = 14;
     /// Of a replica: connections of other processes.
-    pub const PEERS: usize = 7;
+    pub const PEERS: usize = 12;
+    /// Of a replica: what its connections to workers have a share of.
+    pub const WORKERS: usize = 87;
 }
 
 /// The limits of a process, which the platform enforces.
@@ -107,9 +109,14 @@
         }
     }
 
-    /// Returns the number of descriptors for sockets, pipes and data files.
+    /// Returns the number of descriptors of which connections to workers have their share.
     #[must_use]
-    pub fn shared_descriptors(&self) -> usize {
+    pub fn worker_descriptors(&self) -> usize {
+        self.shared_descriptors() * descriptor_percent::WORKERS / 100
+    }
+
+    /// Returns the number of descriptors for sockets, pipes and data files.
+    fn shared_descriptors(&self) -> usize {
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_DESCRIPTORS)
     }
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod group_client;
 mod holders;
 mod leader_loss;
+mod limits;
 mod load;
 mod membership;
 mod messages;
