--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -9,6 +9,9 @@
     time::Duration,
 };
 
+/// Status with which a handler closes the connection without an answer.
+pub const CLOSE: u16 = 0;
+
 /// Sends one request on a connection of its own. Returns the status and the body.
 pub fn call(
     to: SocketAddr,
@@ -40,6 +43,7 @@
 
 /// A request that a server has received.
 pub struct Request {
+    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: String,
@@ -74,9 +78,14 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     loop {
         let (first, headers) = read_head(&mut reader)?;
-        let path = first.split(' ').nth(1).unwrap_or("").to_string();
+        let mut words = first.split(' ').map(str::to_string);
+        let method = words.next().unwrap_or_default();
+        let path = words.next().unwrap_or_default();
         let body = read_body(&mut reader, &headers, false)?;
-        let (status, body) = handle(Request { path, headers, body });
+        let (status, body) = handle(Request { method, path, headers, body });
+        if status == CLOSE {
+            return Ok(());
+        }
         let answer = format!(
             "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -6,6 +6,10 @@
 };
 use std::{
     path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -13,6 +17,7 @@
 /// Plays a scenario. Returns whether the rule held.
 pub fn play(name: &str, trouble: bool, record: &Path) -> Result<bool, String> {
     let scenario = match name {
+        "spent" => spent,
         "flap" => flap,
         "long" => long,
         "pending" => pending,
@@ -44,9 +49,22 @@
 /// Starts workers 1 to `count`; those in `special` are of kind "g", the others of kind "a".
 /// Returns once each of them has run a task.
 fn start_workers(site: &mut Site, count: u8, special: &[u8]) -> Result<(), String> {
+    start_workers_but(site, count, special, None)
+}
+
+/// Like [`start_workers`], with one worker of kind "g" behind a proxy.
+fn start_workers_but(
+    site: &mut Site,
+    count: u8,
+    special: &[u8],
+    proxied: Option<u8>,
+) -> Result<(), String> {
     let kind = |n: u8| if special.contains(&n) { "g" } else { "a" };
     for n in 1..=count {
-        site.start_worker(n, kind(n))?;
+        match proxied {
+            Some(p) if p == n => site.start_proxied_worker(n, "g")?,
+            _ => site.start_worker(n, kind(n))?,
+        }
     }
     // A task on each worker shows that the leader knows it.
     for round in 0..20u64 {
@@ -65,6 +83,55 @@
     Err("the workers got no tasks".into())
 }
 
+/// TWICE: the first call to start a task gets no answer; it is carried out 8 s later. Meanwhile the task
+/// is done by the second call, that is taken note of, and the worker is cut off, crashes behind the cut
+/// and starts again under its id.
+fn spent(site: &mut Site, trouble: bool) -> Verdict {
+    const WORKER: u8 = 10;
+    let id = 0x9001;
+    let task = format!("\"{id:016x}.");
+    let has_held = AtomicBool::new(!trouble);
+    let cut = Arc::new(AtomicBool::new(false));
+    site.start_proxies(WORKER, cut.clone(), move |req| {
+        req.path == "/run-start"
+            && req.body.contains(&task)
+            && !has_held.swap(true, Ordering::SeqCst)
+    })?;
+    start_workers_but(site, 10, &[], Some(WORKER))?;
+    let phase = "{\"count\":1,\"cpu\":1000,\"mem_mb\":512,\"estimate_ms\":300,\
+                 \"requirements\":\"g\"}";
+    if !site.submit("quick", id, "cpu=1000 work=300", phase) {
+        return Err("the submission wasn't accepted".into());
+    }
+    let is_noted = |site: &Site| site.events_of(id).iter().any(|e| e.what == "noted-done");
+    site.wait_for("the task to be done and taken note of", is_noted)?;
+    seconds(0.5);
+    let shown = site.state("quick", id);
+    if trouble {
+        cut.store(true, Ordering::SeqCst);
+        site.note(format!("worker {WORKER}: is cut off"));
+        seconds(0.5);
+        site.crash_worker(WORKER);
+        seconds(0.5);
+        site.start_proxied_worker(WORKER, "g")?;
+        site.note(format!("worker {WORKER}: starts again under its id, behind the cut"));
+        seconds(4.5);
+        site.note(format!("worker {WORKER}: the cut heals"));
+        cut.store(false, Ordering::SeqCst);
+    }
+    seconds(6.0);
+    let events = site.events_of(id);
+    let noted = events.iter().find(|e| e.what == "noted-done").map_or(0, |e| e.at_ms);
+    let again = events.iter().find(|e| e.what == "start" && e.at_ms > noted);
+    Ok(again.map(|e| {
+        format!(
+            "TWICE: {} was started {:.1} s after its end `done` was taken note of; it had been shown as {shown}",
+            e.task,
+            (e.at_ms - noted) as f64 / 1_000.0
+        )
+    }))
+}
+
 fn is_over(state: &str) -> bool {
     matches!(state, "complete" | "failed" | "cancelled" | "410")
 }
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -2,7 +2,7 @@
 //! processes, and the operator's and clients' calls.
 
 use crate::{
-    http,
+    http::{self, CLOSE, Request},
     json::Json,
     worker::{self, HEARTBEAT, HOLD_MAX_MS, SERVICE, unix_ms},
 };
@@ -12,7 +12,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,9 +25,16 @@
 const READINESS_PORT: u16 = 8167;
 const PEER_PORTS: (u16, u16) = (7720, 7735);
 const WORKER_PORT: u16 = 8080;
+/// Port of a worker that a proxy is in front of.
+const PROXIED_PORT: u16 = 8081;
 pub const REPLICAS: u8 = 3;
 pub const ENTRIES: [u8; 2] = [11, 12];
 pub const HOST: &str = "desk.example";
+/// Longest time for which a proxy waits for an answer: a poll waits for up to 2 s.
+const PROXY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which the network holds a call up.
+const LONGEST_HOLD: Duration = Duration::from_secs(12);
+const CUT_TICK: Duration = Duration::from_millis(2);
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -241,20 +251,102 @@
         Ok(())
     }
 
-    /// Starts worker `n`, or its next life at the same address.
+    /// Starts worker `n`, or its next life at the same address under another id.
     pub fn start_worker(&mut self, n: u8, kind: &str) -> Result<(), String> {
         self.lives += 1;
+        let addr = (self.ip(100 + n), WORKER_PORT).into();
+        self.start_life(n, kind, &format!("i-{n}-{}", self.lives), addr)
+    }
+
+    /// Starts worker `n`, or its next life under the same id, behind a proxy.
+    pub fn start_proxied_worker(&mut self, n: u8, kind: &str) -> Result<(), String> {
+        self.start_life(n, kind, &format!("i-{n}"), (self.ip(100 + n), PROXIED_PORT).into())
+    }
+
+    /// Starts the proxies of worker `n`: one for calls to it, and one for its reports. While `cut` is
+    /// set nothing passes them. If `hold` returns true for a call, it is handed over when the next cut
+    /// has ended, or after 12 s, and gets no answer.
+    pub fn start_proxies(
+        &self,
+        n: u8,
+        cut: Arc<AtomicBool>,
+        hold: impl Fn(&Request) -> bool + Send + Sync + 'static,
+    ) -> Result<(), String> {
+        let bind = |port| TcpListener::bind((self.ip(100 + n), port));
+        let calls = bind(WORKER_PORT).map_err(|e| format!("proxy: {e}"))?;
+        let to: SocketAddr = (self.ip(100 + n), PROXIED_PORT).into();
+        let (record, is_cut) = (self.record.clone(), cut.clone());
+        http::serve(calls, move |req| {
+            let id = req.header("x-expected-instance").unwrap_or_default().to_string();
+            let headers = [("X-Expected-Instance", id.as_str())];
+            let pass = || http::call(to, "POST", &req.path, &headers, &req.body, PROXY_TIMEOUT);
+            let note = |text: String| record.lock().unwrap().lines.push((unix_ms(), text));
+            if hold(&req) {
+                let began = Instant::now();
+                let is_over = || began.elapsed() >= LONGEST_HOLD;
+                note(format!("worker {n}: the network holds {} {} up", req.path, req.body));
+                while !is_cut.load(Ordering::SeqCst) && !is_over() {
+                    thread::sleep(CUT_TICK);
+                }
+                while is_cut.load(Ordering::SeqCst) && !is_over() {
+                    thread::sleep(CUT_TICK);
+                }
+                let after = began.elapsed().as_secs_f64();
+                let answer = pass();
+                note(format!("worker {n}: gets {} after {after:.1} s: {answer:?}", req.path));
+                return (CLOSE, String::new());
+            }
+            if is_cut.load(Ordering::SeqCst) {
+                thread::sleep(PROXY_TIMEOUT);
+                return (CLOSE, String::new());
+            }
+            match pass() {
+                Ok(answer) if !is_cut.load(Ordering::SeqCst) => answer,
+                _ => (CLOSE, String::new()),
+            }
+        });
+        let reports = bind(CONTROL_PORT).map_err(|e| format!("proxy: {e}"))?;
+        let controls: Vec<SocketAddr> =
+            (1..=REPLICAS).map(|n| (self.ip(n), CONTROL_PORT).into()).collect();
+        http::serve(reports, move |req| {
+            if cut.load(Ordering::SeqCst) {
+                thread::sleep(PROXY_TIMEOUT);
+                return (CLOSE, String::new());
+            }
+            let to = controls[unix_ms() as usize % controls.len()];
+            match http::call(to, &req.method, &req.path, &[], &req.body, PROXY_TIMEOUT) {
+                // Without an address for its later reports, the worker stays with the proxy.
+                Ok((200, _)) => (200, "{}".into()),
+                Ok(answer) => answer,
+                Err(_) => (CLOSE, String::new()),
+            }
+        });
+        Ok(())
+    }
+
+    fn start_life(
+        &mut self,
+        n: u8,
+        kind: &str,
+        id: &str,
+        listen: SocketAddr,
+    ) -> Result<(), String> {
         let own = std::env::current_exe().map_err(|e| e.to_string())?;
-        let controls = (1..=REPLICAS).map(|n| format!("{}:{CONTROL_PORT}", self.ip(n)));
+        let is_proxied = listen.port() == PROXIED_PORT;
+        let controls: Vec<String> = match is_proxied {
+            true => vec![format!("{}:{CONTROL_PORT}", self.ip(100 + n))],
+            false => (1..=REPLICAS).map(|n| format!("{}:{CONTROL_PORT}", self.ip(n))).collect(),
+        };
         let mut child = Command::new(own)
             .arg("worker")
-            .arg(format!("i-{n}-{}", self.lives))
+            .arg(id)
+            .arg(listen.to_string())
             .arg(format!("{}:{WORKER_PORT}", self.ip(100 + n)))
             .arg(Self::zone(n))
             .arg(kind)
             .arg(format!("r{}-{}", n % 3, n / 3))
             .arg(format!("m-{n}"))
-            .arg(controls.collect::<Vec<_>>().join(","))
+            .arg(controls.join(","))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
@@ -400,9 +492,10 @@
 
 /// Reads the arguments of a worker's process.
 pub fn worker_settings(args: &[String]) -> Option<worker::Settings> {
-    let [id, addr, zone, kind, rack, machine, controls] = args else { return None };
+    let [id, listen, addr, zone, kind, rack, machine, controls] = args else { return None };
     Some(worker::Settings {
         id: id.clone(),
+        listen: listen.parse().ok()?,
         addr: addr.parse().ok()?,
         zone: zone.clone(),
         kind: kind.clone(),
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -18,6 +18,9 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub id: String,
+    /// Address that it listens on.
+    pub listen: SocketAddr,
+    /// Address under which it is reached, which differs if a proxy is in front of it.
     pub addr: SocketAddr,
     pub zone: String,
     pub kind: String,
@@ -85,7 +88,7 @@
 
 /// Runs a worker until the process is killed.
 pub fn run(settings: Settings) -> ! {
-    let Ok(listener) = TcpListener::bind(settings.addr) else {
+    let Ok(listener) = TcpListener::bind(settings.listen) else {
         emit("no-address", "-", 0);
         std::process::exit(2)
     };
@@ -250,7 +253,7 @@
 
     /// Reports the state of the worker, to another node after each failure.
     fn report(&self) {
-        let Settings { id, addr, zone, kind, rack, machine, cpu, controls } = &self.settings;
+        let Settings { id, addr, zone, kind, rack, machine, cpu, controls, .. } = &self.settings;
         let mut to = controls[self.born as usize % controls.len()];
         for sequence in 1u64.. {
             let body = format!(
