--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -18,7 +18,7 @@
 pub fn play(name: &str, trouble: bool, record: &Path) -> Result<bool, String> {
     let scenario = match name {
         "spent" => spent,
-        "flap" => flap,
+        "crashes" => crashes,
         "long" => long,
         "pending" => pending,
         "silent" => silent,
@@ -136,12 +136,12 @@
     matches!(state, "complete" | "failed" | "cancelled" | "410")
 }
 
-/// LOST: one of ten workers goes down and up by turns. Two submissions have a task that can run only
-/// on that worker: a service of ten tasks that last, one on each worker, and a job that needs the
-/// worker's kind. They are shown as failed, though no run of them has ended `failed`.
-fn flap(site: &mut Site, trouble: bool) -> Verdict {
-    const FLAPPING: u8 = 10;
-    start_workers(site, 10, &[FLAPPING])?;
+/// LOST: one of ten workers crashes three times. Two submissions have a task that can run only on that
+/// worker: a service of ten tasks that last, one on each worker, and a job that needs the worker's
+/// kind. They are shown as failed, though no run of them has ended `failed`.
+fn crashes(site: &mut Site, trouble: bool) -> Verdict {
+    const CRASHING: u8 = 10;
+    start_workers(site, 10, &[CRASHING])?;
     let (service, job) = (0xa001, 0xa002);
     let one_each = "{\"count\":10,\"cpu\":1000,\"mem_mb\":512,\"estimate_ms\":400,\
                     \"long_running\":true,\"anti_affinity\":1}";
@@ -153,16 +153,12 @@
         return Err("a submission wasn't accepted".into());
     }
     seconds(1.5);
-    if trouble {
-        // srv_flap: share 0.1, period 1.4 s, for 6.5 s.
-        let began = Instant::now();
-        while began.elapsed() < Duration::from_millis(6_300) {
-            site.crash_worker(FLAPPING);
-            seconds(0.5);
-            site.start_worker(FLAPPING, "g")?;
-            site.note(format!("worker {FLAPPING}: starts again"));
-            seconds(0.9);
-        }
+    for _ in 0..if trouble { 3 } else { 0 } {
+        site.crash_worker(CRASHING);
+        seconds(0.5);
+        site.start_worker(CRASHING, "g")?;
+        site.note(format!("worker {CRASHING}: starts again"));
+        seconds(1.0);
     }
     let deadline = Instant::now() + Duration::from_secs(30);
     let mut state = site.state("quick", job);
